--- /dev/null
+++ b/internal/decision/admission/queue.go
@@ -0,0 +1,260 @@
+package admission
+
+import (
+	"time"
+
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+const (
+	// holdWeight is the weight of a new sample in the mean time that an admitted request holds its place.
+	holdWeight = 0.05
+	// initialHold is the assumed hold time before the first sample.
+	initialHold = 20 * time.Millisecond
+	// maxCallerFraction is the part of a rank's waiting room that one caller may fill when others wait too.
+	maxCallerFraction = 0.5
+	// minWaitingRoom is the least number of requests that a rank may have waiting, whatever the drain rate.
+	minWaitingRoom = 4
+)
+
+// Config is the policy of one queue.
+type Config struct {
+	Ranks [model.RankCount]model.RankPolicy
+	// Limit is the number of requests admitted at a time, at least 1.
+	Limit int
+}
+
+// Waiter is one request in the queue. The caller of the package fills the exported fields.
+type Waiter struct {
+	Caller   model.CallerName
+	Rank     model.Rank
+	Deadline time.Time
+
+	arrived  time.Time
+	admitted time.Time
+	state    waiterState
+}
+
+type waiterState uint8
+
+const (
+	stateNew waiterState = iota
+	stateWaiting
+	stateRunning
+	stateEnded
+)
+
+// Verdict is the answer to an arrival.
+type Verdict int
+
+// The verdicts.
+const (
+	Admitted Verdict = iota
+	Queued
+	Refused
+)
+
+// Decision is a verdict with its reason and, for refusals, when a retry may succeed.
+type Decision struct {
+	Verdict    Verdict
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Reason tells why a request was refused.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNone      Reason = ""
+	ReasonDeadline  Reason = "deadline_cannot_be_met"
+	ReasonQueueFull Reason = "queue_full"
+	ReasonCaller    Reason = "caller_over_its_part"
+	ReasonQueueTime Reason = "queued_too_long"
+	ReasonDraining  Reason = "draining"
+)
+
+// Queue admits the requests of one service. It is not safe for concurrent use. Create it with New.
+type Queue struct {
+	cfg     Config
+	running int
+	waiting [model.RankCount]lane
+	shares  shares
+	hold    time.Duration
+}
+
+// New returns an empty queue.
+func New(cfg Config) *Queue {
+	q := &Queue{cfg: cfg, hold: initialHold}
+	for i := range q.waiting {
+		q.waiting[i] = newLane()
+	}
+	return q
+}
+
+// SetConfig replaces the policy. Requests already admitted are not affected.
+func (q *Queue) SetConfig(cfg Config) { q.cfg = cfg }
+
+// SetLimit changes the number of requests admitted at a time.
+func (q *Queue) SetLimit(n int) { q.cfg.Limit = max(1, n) }
+
+// Running returns the number of admitted requests.
+func (q *Queue) Running() int { return q.running }
+
+// Waiting returns the number of waiting requests of a rank.
+func (q *Queue) Waiting(r model.Rank) int { return q.waiting[r].size }
+
+// Arrive decides on a new request.
+func (q *Queue) Arrive(w *Waiter, now time.Time) Decision {
+	w.arrived = now
+	if now.Add(q.hold).After(w.Deadline) {
+		return q.refuse(w, ReasonDeadline)
+	}
+	if q.running < q.cfg.Limit && q.totalWaiting() == 0 {
+		q.admit(w, now)
+		return Decision{Verdict: Admitted}
+	}
+	if d := q.checkRoom(w, now); d.Verdict == Refused {
+		return d
+	}
+	w.state = stateWaiting
+	q.waiting[w.Rank].push(w)
+	return Decision{Verdict: Queued}
+}
+
+func (q *Queue) checkRoom(w *Waiter, now time.Time) Decision {
+	wait := q.expectedWait(w.Rank)
+	if now.Add(wait + q.hold).After(w.Deadline) {
+		return q.refuse(w, ReasonDeadline)
+	}
+	lane := &q.waiting[w.Rank]
+	room := q.waitingRoom(w.Rank)
+	if lane.size >= room {
+		return q.refuse(w, ReasonQueueFull)
+	}
+	if lane.size >= room/2 && float64(lane.ofCaller(w.Caller)) >= maxCallerFraction*float64(room) {
+		return q.refuse(w, ReasonCaller)
+	}
+	return Decision{Verdict: Queued}
+}
+
+// Next admits waiting requests while there is room, and ends those that waited too long or can no longer meet their
+// deadline. It appends to the given slices and returns them.
+func (q *Queue) Next(now time.Time, admitted, refused []*Waiter) (newAdmitted, newRefused []*Waiter) {
+	for q.running < q.cfg.Limit {
+		w := q.pick(now)
+		if w == nil {
+			break
+		}
+		if q.tooLate(w, now) {
+			w.state = stateEnded
+			refused = append(refused, w)
+			continue
+		}
+		q.admit(w, now)
+		admitted = append(admitted, w)
+	}
+	return admitted, refused
+}
+
+// Finish records that an admitted request ended. Call Next afterwards.
+func (q *Queue) Finish(w *Waiter, now time.Time) {
+	if w.state != stateRunning {
+		panic("admission: finished a request that is not running")
+	}
+	w.state = stateEnded
+	q.running--
+	q.hold += time.Duration(float64(now.Sub(w.admitted)-q.hold) * holdWeight)
+}
+
+// Abandon removes a waiting request, and tells whether it was still waiting.
+func (q *Queue) Abandon(w *Waiter) bool {
+	if w.state != stateWaiting {
+		return false
+	}
+	w.state = stateEnded
+	q.waiting[w.Rank].remove(w)
+	return true
+}
+
+// RetryAfter returns the time after which a refused request of the rank may be admitted.
+func (q *Queue) RetryAfter(r model.Rank) time.Duration { return q.expectedWait(r) + q.hold }
+
+func (q *Queue) refuse(w *Waiter, reason Reason) Decision {
+	w.state = stateEnded
+	return Decision{Verdict: Refused, Reason: reason, RetryAfter: q.RetryAfter(w.Rank)}
+}
+
+func (q *Queue) admit(w *Waiter, now time.Time) {
+	w.state = stateRunning
+	w.admitted = now
+	q.running++
+	q.shares.add(w.Rank, now)
+}
+
+func (q *Queue) tooLate(w *Waiter, now time.Time) bool {
+	policy := q.cfg.Ranks[w.Rank]
+	if policy.MaxQueue > 0 && now.Sub(w.arrived) > policy.MaxQueue {
+		return true
+	}
+	return now.Add(q.hold).After(w.Deadline)
+}
+
+// pick removes and returns the request to start next, or nil. A rank with waiting work whose share of the recent
+// admissions is furthest below its minimum goes first; if there is none, the most urgent rank with waiting work.
+func (q *Queue) pick(now time.Time) *Waiter {
+	best, bestRatio := -1, 1.0
+	for r := range q.waiting {
+		minShare := q.cfg.Ranks[r].MinShare
+		if q.waiting[r].size == 0 || minShare <= 0 {
+			continue
+		}
+		ratio := q.shares.of(model.Rank(r), now) / minShare
+		if ratio < bestRatio {
+			best, bestRatio = r, ratio
+		}
+	}
+	if best >= 0 {
+		return q.waiting[best].pop()
+	}
+	for r := range q.waiting {
+		if q.waiting[r].size > 0 {
+			return q.waiting[r].pop()
+		}
+	}
+	return nil
+}
+
+// expectedWait estimates the wait of a new request of rank r from the requests ahead of it and the drain rate, or from
+// its minimum share of the drain rate, whichever is shorter.
+func (q *Queue) expectedWait(r model.Rank) time.Duration {
+	ahead := 0
+	for i := 0; i <= int(r); i++ {
+		ahead += q.waiting[i].size
+	}
+	perRequest := q.hold / time.Duration(max(1, q.cfg.Limit))
+	wait := time.Duration(ahead+1) * perRequest
+	if s := q.cfg.Ranks[r].MinShare; s > 0 {
+		byShare := time.Duration(float64(q.waiting[r].size+1) * float64(perRequest) / s)
+		wait = min(wait, byShare)
+	}
+	return wait
+}
+
+// waitingRoom bounds a rank's queue by the number of requests that can start within its longest queueing time.
+func (q *Queue) waitingRoom(r model.Rank) int {
+	policy := q.cfg.Ranks[r]
+	if policy.MaxQueue <= 0 {
+		return minWaitingRoom
+	}
+	perRequest := max(1, q.hold/time.Duration(max(1, q.cfg.Limit)))
+	return max(minWaitingRoom, int(policy.MaxQueue/perRequest))
+}
+
+func (q *Queue) totalWaiting() int {
+	n := 0
+	for i := range q.waiting {
+		n += q.waiting[i].size
+	}
+	return n
+}
--- /dev/null
+++ b/internal/decision/claim/claim.go
@@ -0,0 +1,97 @@
+package claim
+
+import (
+	"time"
+
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+// Retention is how long claims are kept; a key older than that is answered as unknown, because its claim may be gone.
+const Retention = 24 * time.Hour
+
+// MaxSkew is how far in the future a key's time may lie.
+const MaxSkew = 5 * time.Minute
+
+// State is the state of a claim record.
+type State string
+
+// The states of a claim.
+const (
+	// StateClaimed: the holder may send the request, or has sent it.
+	StateClaimed State = "claimed"
+	// StateDone: the request ran; the record holds its result.
+	StateDone State = "done"
+	// StateReleased: the holder ended without running the request and will not send it.
+	StateReleased State = "released"
+)
+
+// Record is a claim as it stands in the store.
+type Record struct {
+	State State `json:"state"`
+	// Nonce is unique to the attempt at claiming; it tells a holder its own record after a lost reply.
+	Nonce       string            `json:"nonce"`
+	Instance    model.InstanceID  `json:"instance"`
+	Incarnation model.Incarnation `json:"instance_start"`
+	// Digest identifies the request's content: a key that comes back with other content is rejected.
+	Digest string `json:"digest"`
+	Result string `json:"result,omitempty"`
+	// CreatedMs is the holder's wall clock in Unix milliseconds, for garbage collection only.
+	CreatedMs int64 `json:"created_ms"`
+}
+
+// Action is what a daemon may do about a request whose claim it read.
+type Action int
+
+// The actions.
+const (
+	// ActionHold: the record is this daemon's own; go on and send.
+	ActionHold Action = iota
+	// ActionTakeOver: the record was released; replace it by compare-and-swap and then send.
+	ActionTakeOver
+	// ActionReturn: the request ran; answer with the recorded result.
+	ActionReturn
+	// ActionUnknown: another holder may have sent the request; answer unknown and never send it.
+	ActionUnknown
+	// ActionReject: the key belongs to a request with other content.
+	ActionReject
+)
+
+// Decide returns what the daemon whose claim would carry nonce and digest may do about an existing record.
+func Decide(existing Record, nonce, digest string) Action {
+	if existing.Digest != digest {
+		return ActionReject
+	}
+	switch existing.State {
+	case StateDone:
+		return ActionReturn
+	case StateReleased:
+		return ActionTakeOver
+	case StateClaimed:
+		if existing.Nonce == nonce {
+			return ActionHold
+		}
+	}
+	return ActionUnknown
+}
+
+// KeyAge classifies a key by the time that it carries.
+type KeyAge int
+
+// The ages of a key.
+const (
+	KeyCurrent KeyAge = iota
+	KeyTooOld
+	KeyFromFuture
+)
+
+// ClassifyKey tells whether a key made at keyTime can be decided on at now.
+func ClassifyKey(keyTime, now time.Time) KeyAge {
+	age := now.Sub(keyTime)
+	switch {
+	case age > Retention:
+		return KeyTooOld
+	case age < -MaxSkew:
+		return KeyFromFuture
+	}
+	return KeyCurrent
+}
--- /dev/null
+++ b/internal/decision/routing/choose.go
@@ -0,0 +1,125 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+// RegionHop is the added round trip to a server in another region, and ZoneHop to one in another zone of the region.
+const (
+	RegionHop = 20 * time.Millisecond
+	ZoneHop   = 2 * time.Millisecond
+)
+
+// Place locates a server relative to the daemon.
+type Place uint8
+
+// The places, nearest first.
+const (
+	SameZone Place = iota
+	SameRegion
+	OtherRegion
+)
+
+// PlaceOf locates a server relative to a daemon's zone and region.
+func PlaceOf(s *model.Server, zone model.AvailabilityZone, region model.Region) Place {
+	switch {
+	case s.Zone == zone:
+		return SameZone
+	case s.Region == region:
+		return SameRegion
+	}
+	return OtherRegion
+}
+
+// Candidate is what is known about one replica.
+type Candidate struct {
+	Server *model.Server
+	Place  Place
+	// Usable is false for leaving and ejected servers and for those already tried.
+	Usable bool
+	// Probe marks an ejected server that is due one trial attempt.
+	Probe bool
+	// Pending counts attempts in flight and waiting.
+	Pending int
+	Limit   int
+	// Latency is the observed mean, network included; 0 if none was observed.
+	Latency time.Duration
+	// Admission is the fraction of its normal load that a cold server takes, in (0, 1].
+	Admission float64
+}
+
+// Cost returns the expected time of an attempt at the candidate.
+func (c *Candidate) Cost() time.Duration {
+	latency := c.Latency
+	if latency == 0 {
+		latency = unobservedLatency(c.Place)
+	}
+	queue := float64(c.Pending+1) / float64(max(1, c.Limit))
+	return time.Duration(float64(latency) * max(1, queue) / max(c.Admission, minAdmission))
+}
+
+const minAdmission = 0.05
+
+func unobservedLatency(p Place) time.Duration {
+	const service = 5 * time.Millisecond
+	switch p {
+	case SameZone:
+		return service
+	case SameRegion:
+		return service + ZoneHop
+	case OtherRegion:
+		return service + RegionHop
+	}
+	return service
+}
+
+// Choose returns the index of the candidate that should get the next attempt, or false if none is usable. A candidate
+// due a probe is taken first, so that an ejected server is tried once and its attempt can be hedged or retried elsewhere.
+func Choose(cs []Candidate, rnd *rand.Rand) (int, bool) {
+	first, second, usable := -1, -1, 0
+	for i := range cs {
+		if cs[i].Probe {
+			return i, true
+		}
+		if !cs[i].Usable {
+			continue
+		}
+		usable++
+		// Reservoir sampling of two keeps the draw uniform without a second slice.
+		switch {
+		case first < 0:
+			first = i
+		case second < 0:
+			second = i
+		default:
+			if j := rnd.IntN(usable); j == 0 {
+				first = i
+			} else if j == 1 {
+				second = i
+			}
+		}
+	}
+	switch {
+	case first < 0:
+		return 0, false
+	case second < 0:
+		return first, true
+	}
+	return cheaper(cs, first, second, rnd), true
+}
+
+func cheaper(cs []Candidate, a, b int, rnd *rand.Rand) int {
+	ca, cb := cs[a].Cost(), cs[b].Cost()
+	switch {
+	case ca < cb:
+		return a
+	case cb < ca:
+		return b
+	case rnd.IntN(2) == 0:
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/decision/snapshot/choose.go
@@ -0,0 +1,102 @@
+package snapshot
+
+import (
+	"slices"
+
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+// Shard is what is known about one shard's versions.
+type Shard struct {
+	// Fraction of the key space that the shard holds.
+	Fraction float64
+	// Answered lists the versions for which a whole reply is in hand.
+	Answered []model.IndexVersion
+	// Held lists versions that some server of the shard said it holds.
+	Held []model.IndexVersion
+}
+
+// Plan is the version that gives most coverage, and the shards (by index) to ask again for it.
+type Plan struct {
+	Version model.IndexVersion
+	Reask   []int
+}
+
+type score struct {
+	reachable float64
+	answered  float64
+}
+
+// Choose returns the version that can reach the most coverage if the shards that hold it are asked again. On a tie the
+// version with more coverage in hand wins, since it costs fewer requests, then the newer one. It returns false if no
+// shard has answered.
+func Choose(shards []Shard) (Plan, bool) {
+	scores := scoreVersions(shards)
+	var best model.IndexVersion
+	for v, s := range scores {
+		if s.answered == 0 {
+			continue
+		}
+		if best == 0 || better(v, s, best, scores[best]) {
+			best = v
+		}
+	}
+	if best == 0 {
+		return Plan{}, false
+	}
+	plan := Plan{Version: best}
+	for i := range shards {
+		if !slices.Contains(shards[i].Answered, best) && slices.Contains(shards[i].Held, best) {
+			plan.Reask = append(plan.Reask, i)
+		}
+	}
+	return plan, true
+}
+
+// Settle returns the version with the most coverage in hand, the newer one on a tie, or false if no shard has answered.
+// It is used when no time is left to ask again.
+func Settle(shards []Shard) (model.IndexVersion, bool) {
+	var best model.IndexVersion
+	scores := scoreVersions(shards)
+	for v, s := range scores {
+		if s.answered == 0 {
+			continue
+		}
+		if best == 0 || s.answered > scores[best].answered || (s.answered == scores[best].answered && v > best) {
+			best = v
+		}
+	}
+	return best, best != 0
+}
+
+func better(v model.IndexVersion, s score, w model.IndexVersion, t score) bool {
+	switch {
+	case s.reachable != t.reachable:
+		return s.reachable > t.reachable
+	case s.answered != t.answered:
+		return s.answered > t.answered
+	}
+	return v > w
+}
+
+func scoreVersions(shards []Shard) map[model.IndexVersion]score {
+	scores := map[model.IndexVersion]score{}
+	for i := range shards {
+		sh := &shards[i]
+		for _, v := range sh.Answered {
+			s := scores[v]
+			s.answered += sh.Fraction
+			s.reachable += sh.Fraction
+			scores[v] = s
+		}
+		for _, v := range sh.Held {
+			if slices.Contains(sh.Answered, v) {
+				continue
+			}
+			s := scores[v]
+			s.reachable += sh.Fraction
+			scores[v] = s
+		}
+	}
+	return scores
+}
--- /dev/null
+++ b/internal/model/topology.go
@@ -0,0 +1,148 @@
+package model
+
+import "time"
+
+// Topology is the indexed form of one revision of inventory and rules. It is immutable once built: a request pins the
+// Topology it started with, so that one answer never mixes two shard maps.
+type Topology struct {
+	Revision  Revision
+	Inventory Inventory
+	Rules     Rules
+
+	services map[ServiceName]*Service
+	servers  map[ServerName]*Server
+	callers  map[CallerName]Rank
+	ranks    [RankCount]RankPolicy
+}
+
+// Service is a service with its shards in inventory order.
+type Service struct {
+	Name   ServiceName
+	Epoch  ShardMapEpoch
+	Shards []*Shard
+}
+
+// Shard is one shard with the servers that hold its replicas.
+type Shard struct {
+	Name    ShardName
+	Index   int
+	KeyFrom int
+	KeyTo   int
+	Servers []*Server
+}
+
+// Fraction returns the share of the key space that the shard holds, in [0, 1].
+func (s *Shard) Fraction() float64 {
+	return float64(s.KeyTo-s.KeyFrom) / KeySpace
+}
+
+// Server is a backend server with its region resolved.
+type Server struct {
+	ServerSpec
+	Service ServiceName
+	Shard   ShardName
+	Region  Region
+}
+
+// RankPolicy is the typed form of a RankRule.
+type RankPolicy struct {
+	MinShare float64
+	Target   time.Duration
+	MaxQueue time.Duration
+}
+
+// NewTopology indexes a validated inventory and rules.
+func NewTopology(rev Revision, inv Inventory, rules Rules) *Topology {
+	t := &Topology{
+		Revision:  rev,
+		Inventory: inv,
+		Rules:     rules,
+		services:  make(map[ServiceName]*Service, len(inv.Services)),
+		servers:   make(map[ServerName]*Server),
+		callers:   make(map[CallerName]Rank, len(rules.Callers)),
+	}
+	regions := make(map[AvailabilityZone]Region, len(inv.Zones))
+	for _, z := range inv.Zones {
+		regions[z.Name] = z.Region
+	}
+	for i := range inv.Services {
+		t.addService(&inv.Services[i], regions)
+	}
+	t.addRules(rules)
+	return t
+}
+
+func (t *Topology) addService(spec *ServiceSpec, regions map[AvailabilityZone]Region) {
+	svc := &Service{Name: spec.Name, Epoch: spec.ShardMapEpoch}
+	for i := range spec.Shards {
+		sh := &spec.Shards[i]
+		shard := &Shard{Name: sh.Name, Index: i, KeyFrom: sh.KeyFrom, KeyTo: sh.KeyTo}
+		for _, srv := range sh.Servers {
+			server := &Server{ServerSpec: srv, Service: spec.Name, Shard: sh.Name, Region: regions[srv.Zone]}
+			shard.Servers = append(shard.Servers, server)
+			t.servers[srv.Name] = server
+		}
+		svc.Shards = append(svc.Shards, shard)
+	}
+	t.services[spec.Name] = svc
+}
+
+func (t *Topology) addRules(rules Rules) {
+	for _, r := range rules.Ranks {
+		rank, ok := ParseRank(r.Rank)
+		if !ok {
+			continue
+		}
+		t.ranks[rank] = RankPolicy{
+			MinShare: r.MinShare,
+			Target:   time.Duration(r.TargetMs) * time.Millisecond,
+			MaxQueue: time.Duration(r.MaxQueueMs) * time.Millisecond,
+		}
+	}
+	for _, c := range rules.Callers {
+		if rank, ok := ParseRank(c.Rank); ok {
+			t.callers[c.Caller] = rank
+		}
+	}
+}
+
+// Service returns the named service, or nil if there is none.
+func (t *Topology) Service(name ServiceName) *Service { return t.services[name] }
+
+// Server returns the named server, or nil if there is none.
+func (t *Topology) Server(name ServerName) *Server { return t.servers[name] }
+
+// ServerCount returns the number of servers of all services.
+func (t *Topology) ServerCount() int { return len(t.servers) }
+
+// EachServer calls f for every server, in no particular order.
+func (t *Topology) EachServer(f func(*Server)) {
+	for _, s := range t.servers {
+		f(s)
+	}
+}
+
+// RankOf returns the rank of a caller by the rules; callers without a rule get the rank of AnyCaller, or the least
+// urgent rank if there is no such rule.
+func (t *Topology) RankOf(caller CallerName) Rank {
+	if r, ok := t.callers[caller]; ok {
+		return r
+	}
+	if r, ok := t.callers[AnyCaller]; ok {
+		return r
+	}
+	return RankDeferred
+}
+
+// RankPolicy returns the policy of a rank.
+func (t *Topology) RankPolicy(r Rank) RankPolicy { return t.ranks[r] }
+
+// ShardOf returns the shard of a service that holds the given key hash in [0, KeySpace), or nil if none does.
+func (s *Service) ShardOf(keyHash int) *Shard {
+	for _, sh := range s.Shards {
+		if keyHash >= sh.KeyFrom && keyHash < sh.KeyTo {
+			return sh
+		}
+	}
+	return nil
+}
