Add shared tables with a lock order, worker pools and dispatch

Attempts wait in their server's record until there is headroom and only then take a worker of their rank's pool, so waiting work holds no worker and a slow server holds at most its in-flight limit of them.

--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,130 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/decision/routing"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/pool"
+	"oleandersill.example/oleandersill/internal/tables"
+)
+
+// Observer is told what attempts showed about servers. It is called on a worker, without locks.
+type Observer interface {
+	// ObserveAttempt records the end of an attempt.
+	ObserveAttempt(server *tables.Server, status backend.Status, latency time.Duration, load backend.Load)
+}
+
+// Config places a dispatcher and sizes its pools.
+type Config struct {
+	Zone   model.AvailabilityZone
+	Region model.Region
+	// Workers is the number of workers of each rank's pool.
+	Workers int
+	// Seed makes the replica draws reproducible.
+	Seed uint64
+}
+
+// Dispatcher is the engine below queries and commands. Create it with New, end it with Close.
+type Dispatcher struct {
+	cfg        Config
+	Config     *tables.Config
+	Servers    *tables.Servers
+	Budgets    *tables.Budgets
+	Admissions *tables.Admissions
+	Timer      *pool.Timer
+
+	ready    *tables.Ready
+	pools    []*pool.Pool
+	observer Observer
+	draws    atomic.Uint64
+}
+
+// New returns a running dispatcher over the given tables.
+func New(cfg Config, config *tables.Config, servers *tables.Servers, observer Observer) *Dispatcher {
+	d := &Dispatcher{
+		cfg:        cfg,
+		Config:     config,
+		Servers:    servers,
+		Budgets:    tables.NewBudgets(model.Rules{}, time.Now()),
+		Admissions: tables.NewAdmissions(),
+		Timer:      pool.NewTimer(tables.OrderTimer),
+		ready:      tables.NewReady(),
+		observer:   observer,
+	}
+	for r := range model.RankCount {
+		rank := model.Rank(r)
+		d.pools = append(d.pools, pool.Start(cfg.Workers, func() (func(), bool) {
+			a, ok := d.ready.Take(rank)
+			if !ok {
+				return nil, false
+			}
+			return a.Run, true
+		}))
+	}
+	return d
+}
+
+// Close ends the pools once the attempts in them have ended.
+func (d *Dispatcher) Close() {
+	d.ready.Close()
+	for _, p := range d.pools {
+		p.Wait()
+	}
+	d.Timer.Stop()
+}
+
+// Rand returns a random source for one request, reproducible from the seed and the order of requests.
+func (d *Dispatcher) Rand() *rand.Rand {
+	return rand.New(rand.NewPCG(d.cfg.Seed, d.draws.Add(1))) //nolint:gosec // replica draws need no secrecy
+}
+
+// Candidates fills cs with the replicas of a shard; len(cs) must be at least the number of its servers. Records are in
+// the same order.
+func (d *Dispatcher) Candidates(cs []routing.Candidate, records []*tables.Server, sh *model.Shard, now time.Time) (
+	[]routing.Candidate, []*tables.Server,
+) {
+	records = d.Servers.Shard(records[:0], sh)
+	cs = cs[:0]
+	for _, r := range records {
+		var c routing.Candidate
+		r.Candidate(&c, now)
+		c.Place = routing.PlaceOf(c.Server, d.cfg.Zone, d.cfg.Region)
+		cs = append(cs, c)
+	}
+	return cs, records
+}
+
+// submit takes headroom for the attempt and queues it for a worker, or leaves it waiting at its server.
+func (d *Dispatcher) submit(a *tables.Attempt) {
+	if a.Server.Acquire(a) {
+		d.ready.Push(a)
+	}
+}
+
+func (d *Dispatcher) release(s *tables.Server) {
+	for _, a := range s.Release() {
+		d.ready.Push(a)
+	}
+}
+
+// cancelTimeout bounds the wait for a server's acknowledgement of a cancellation.
+const cancelTimeout = 200 * time.Millisecond
+
+// sendCancel tells the server to stop an attempt over a spare connection, and reports whether there was one.
+func (d *Dispatcher) sendCancel(s *tables.Server, rank model.Rank, id backend.AttemptID) bool {
+	if !s.TryAcquireSpare() {
+		return false
+	}
+	d.ready.Push(&tables.Attempt{Server: s, Rank: rank, Run: func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		s.Client().Cancel(ctx, id)
+		d.release(s)
+	}})
+	return true
+}
--- /dev/null
+++ b/internal/dispatch/query.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/tables"
+)
+
+// QueryAttempt is one attempt of an idempotent sub-request.
+type QueryAttempt struct {
+	Server  *tables.Server
+	Rank    model.Rank
+	Request backend.QueryRequest
+	// Done receives the result on a worker, unless the attempt was cancelled before it was sent.
+	Done func(*QueryAttempt, backend.QueryResult)
+
+	Started time.Time
+	d       *Dispatcher
+	attempt tables.Attempt
+	sent    atomic.Bool
+	ctx     context.Context //nolint:containedctx // the attempt's own lifetime, cancelled by Cancel
+	stop    context.CancelFunc
+	once    sync.Once
+}
+
+// StartQuery sends the attempt when its server and a worker are free. ctx must carry the request's deadline.
+func (d *Dispatcher) StartQuery(ctx context.Context, q *QueryAttempt, now time.Time) {
+	q.d = d
+	q.Started = now
+	q.ctx, q.stop = context.WithCancel(ctx)
+	q.attempt = tables.Attempt{Server: q.Server, Rank: q.Rank, Run: q.run}
+	d.submit(&q.attempt)
+}
+
+// Cancel ends the attempt: it is withdrawn if it was not sent, otherwise the server is told, over a spare connection if
+// there is one and by closing the attempt's connection if not. It tells whether the attempt was withdrawn, in which case
+// Done is not called.
+func (q *QueryAttempt) Cancel() (withdrawn bool) {
+	q.once.Do(func() {
+		if q.Server.Withdraw(&q.attempt) {
+			withdrawn = true
+			q.stop()
+			return
+		}
+		if q.sent.Load() && q.d.sendCancel(q.Server, q.Rank, q.Request.ID) {
+			return
+		}
+		q.stop()
+	})
+	return withdrawn
+}
+
+func (q *QueryAttempt) run() {
+	q.sent.Store(true)
+	begin := time.Now()
+	result := q.Server.Client().Query(q.ctx, q.Request)
+	q.d.observer.ObserveAttempt(q.Server, result.Status, time.Since(begin), result.Reply.Load)
+	q.stop()
+	q.d.release(q.Server)
+	q.Done(q, result)
+}
--- /dev/null
+++ b/internal/platform/platformhttp/client.go
@@ -0,0 +1,180 @@
+package platformhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"oleandersill.example/oleandersill/internal/platform"
+)
+
+const (
+	maxReplyBytes  = 64 << 20
+	dialTimeout    = 2 * time.Second
+	maxConnections = 8
+)
+
+// Client implements platform.Store and platform.InstanceList.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client of the platform at address, host:port.
+func New(address string) *Client {
+	return &Client{
+		base: "http://" + address,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxConnsPerHost:     maxConnections,
+			MaxIdleConnsPerHost: maxConnections,
+			DisableCompression:  true,
+		}},
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get implements platform.Reader.
+func (c *Client) Get(ctx context.Context, key string) (platform.Entry, error) {
+	var e EntryBody
+	err := c.do(ctx, http.MethodGet, PathKV+"/"+url.PathEscape(key), nil, &e)
+	return e.Entry(), err
+}
+
+// List implements platform.Reader.
+func (c *Client) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+	var es []EntryBody
+	err := c.do(ctx, http.MethodGet, PathKV+"?prefix="+url.QueryEscape(prefix), nil, &es)
+	out := make([]platform.Entry, 0, len(es))
+	for _, e := range es {
+		out = append(out, e.Entry())
+	}
+	return out, err
+}
+
+// Watch implements platform.Reader.
+func (c *Client) Watch(ctx context.Context, key string, after platform.Version, wait time.Duration) (
+	platform.Entry, error,
+) {
+	q := url.Values{}
+	q.Set("after", strconv.FormatUint(uint64(after), 10))
+	q.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	var e EntryBody
+	err := c.do(ctx, http.MethodGet, PathWatch+url.PathEscape(key)+"?"+q.Encode(), nil, &e)
+	return e.Entry(), err
+}
+
+// Put implements platform.Writer.
+func (c *Client) Put(ctx context.Context, key string, value []byte, expect platform.Version, lease platform.LeaseID) (
+	platform.Version, error,
+) {
+	if len(value) > platform.MaxValueBytes {
+		return 0, platform.ErrTooLarge
+	}
+	q := url.Values{}
+	q.Set("expect", strconv.FormatUint(uint64(expect), 10))
+	if lease != "" {
+		q.Set("lease", string(lease))
+	}
+	var v VersionBody
+	err := c.do(ctx, http.MethodPut, PathKV+"/"+url.PathEscape(key)+"?"+q.Encode(), PutBody{Value: value}, &v)
+	return v.Version, err
+}
+
+// Delete implements platform.Writer.
+func (c *Client) Delete(ctx context.Context, key string, expect platform.Version) error {
+	q := "?expect=" + strconv.FormatUint(uint64(expect), 10)
+	return c.do(ctx, http.MethodDelete, PathKV+"/"+url.PathEscape(key)+q, nil, nil)
+}
+
+// Grant implements platform.Writer.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	var l LeaseBody
+	err := c.do(ctx, http.MethodPost, PathLeases, GrantBody{TTLMs: ttl.Milliseconds()}, &l)
+	return l.ID, err
+}
+
+// Renew implements platform.Writer.
+func (c *Client) Renew(ctx context.Context, id platform.LeaseID) error {
+	return c.do(ctx, http.MethodPost, PathLeases+"/"+url.PathEscape(string(id))+"/renew", nil, nil)
+}
+
+// Revoke implements platform.Writer.
+func (c *Client) Revoke(ctx context.Context, id platform.LeaseID) error {
+	return c.do(ctx, http.MethodDelete, PathLeases+"/"+url.PathEscape(string(id)), nil, nil)
+}
+
+// Instances implements platform.InstanceList.
+func (c *Client) Instances(ctx context.Context, q platform.InstanceQuery) ([]platform.Instance, error) {
+	v := url.Values{}
+	v.Set("role", string(q.Role))
+	v.Set("zone", string(q.Zone))
+	v.Set("state", string(q.State))
+	var out []platform.Instance
+	err := c.do(ctx, http.MethodGet, PathInstances+"?"+v.Encode(), nil, &out)
+	return out, err
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body, into any) error {
+	var reader io.Reader
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			panic("platformhttp: message cannot be encoded: " + err.Error())
+		}
+		reader = bytes.NewReader(encoded)
+	}
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.base+path, reader)
+	if err != nil {
+		return errors.Wrap(err, "platformhttp: building request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return failure(err, method, connected)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return decode(resp, method, into)
+}
+
+// failure marks an error by what is known about the effect of the request.
+func failure(err error, method string, connected bool) error {
+	if connected && method != http.MethodGet {
+		return errors.Mark(errors.Wrap(err, "platformhttp"), platform.ErrUnknown)
+	}
+	return errors.Mark(errors.Wrap(err, "platformhttp"), platform.ErrUnavailable)
+}
+
+func decode(resp *http.Response, method string, into any) error {
+	switch resp.StatusCode {
+	case http.StatusOK:
+		if into == nil {
+			return nil
+		}
+		if err := json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(into); err != nil {
+			return failure(err, method, true)
+		}
+		return nil
+	case http.StatusConflict:
+		return platform.ErrConflict
+	case http.StatusNotFound:
+		return platform.ErrNotFound
+	case http.StatusRequestEntityTooLarge:
+		return platform.ErrTooLarge
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return errors.Wrapf(platform.ErrUnavailable, "status %d", resp.StatusCode)
+	}
+	return failure(errors.Newf("status %d", resp.StatusCode), method, true)
+}
--- /dev/null
+++ b/internal/platform/platformhttp/wire.go
@@ -0,0 +1,50 @@
+package platformhttp
+
+import (
+	"time"
+
+	"oleandersill.example/oleandersill/internal/platform"
+)
+
+// Paths of the platform. A key or a lease id follows where the path ends with a slash.
+const (
+	PathKV        = "/v1/kv"
+	PathWatch     = "/v1/watch/"
+	PathLeases    = "/v1/leases"
+	PathInstances = "/v1/instances"
+)
+
+// EntryBody is one key with its value, which JSON carries as base64.
+type EntryBody struct {
+	Key          string           `json:"key"`
+	Value        []byte           `json:"value,omitempty"`
+	Version      platform.Version `json:"version"`
+	ModifiedAtMs int64            `json:"modified_at_ms"`
+}
+
+// Entry returns the typed form.
+func (e EntryBody) Entry() platform.Entry {
+	return platform.Entry{
+		Key: e.Key, Value: e.Value, Version: e.Version, ModifiedAt: time.UnixMilli(e.ModifiedAtMs),
+	}
+}
+
+// PutBody is the body of a PUT.
+type PutBody struct {
+	Value []byte `json:"value"`
+}
+
+// VersionBody is the reply to a PUT, with the new version, or with status 409 the current one.
+type VersionBody struct {
+	Version platform.Version `json:"version"`
+}
+
+// GrantBody is the body of a lease request, and LeaseBody its reply.
+type GrantBody struct {
+	TTLMs int64 `json:"ttl_ms"`
+}
+
+// LeaseBody names a lease.
+type LeaseBody struct {
+	ID platform.LeaseID `json:"id"`
+}
--- /dev/null
+++ b/internal/pool/doc.go
@@ -0,0 +1,2 @@
+// Package pool provides the daemon's bounded worker pools and its one shared timer.
+package pool
--- /dev/null
+++ b/internal/tables/budgets.go
@@ -0,0 +1,54 @@
+package tables
+
+import (
+	"time"
+
+	"oleandersill.example/oleandersill/internal/decision/budget"
+	"oleandersill.example/oleandersill/internal/lockorder"
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+// Budgets holds the hedge and retry windows of the daemon. Owner: dispatch.
+type Budgets struct {
+	mu    lockorder.Mutex
+	hedge budget.Window
+	retry budget.Window
+}
+
+// NewBudgets returns windows for the given rules.
+func NewBudgets(rules model.Rules, now time.Time) *Budgets {
+	b := &Budgets{mu: lockorder.New(OrderBudgets)}
+	b.Reset(rules, now)
+	return b
+}
+
+// Reset replaces the windows after a change of rules.
+func (b *Budgets) Reset(rules model.Rules, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h, r := rules.Hedge, rules.Retry
+	b.hedge = budget.NewWindow(h.MaxRatio, time.Duration(h.WindowMs)*time.Millisecond, now)
+	b.retry = budget.NewWindow(r.MaxRatio, time.Duration(r.WindowMs)*time.Millisecond, now)
+}
+
+// OnRequest counts one sub-request in both windows.
+func (b *Budgets) OnRequest(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.hedge.OnRequest(now)
+	b.retry.OnRequest(now)
+}
+
+// SpendHedge counts one hedge if the budget allows it.
+func (b *Budgets) SpendHedge(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hedge.Spend(now)
+}
+
+// SpendRetry counts one retry if the budget allows it.
+func (b *Budgets) SpendRetry(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.retry.Spend(now)
+}
--- /dev/null
+++ b/internal/tables/doc.go
@@ -0,0 +1,21 @@
+// Package tables holds the state that a daemon's workers share. Each table is a type with its own lock, its owner (the
+// only package that changes it) and its invariants.
+//
+// # Lock order
+//
+// A goroutine acquires locks in strictly increasing order and holds none across I/O, channel sends or callbacks:
+//
+//	OrderConfig      Config        the Topology in force
+//	OrderMembers     Members       known daemons
+//	OrderAdmissions  Admissions    one admission queue a service
+//	OrderExecutions  Executions    non-idempotent requests of this daemon
+//	OrderCall        (scatter)     one lock a scatter-gather call; one call at a time
+//	OrderServers     Servers       the index of server records
+//	OrderServer      Server        one lock a record; one record at a time
+//	OrderReady       Ready         attempts that hold headroom, by rank
+//	OrderBudgets     Budgets       hedge and retry windows
+//	OrderTimer       (pool.Timer)  the shared deadline heap
+//
+// A package that adds a table adds its order here and nowhere else. Every lock is a lockorder.Mutex, whose check panics
+// in tests on any acquisition against this order.
+package tables
--- /dev/null
+++ b/internal/tables/order.go
@@ -0,0 +1,17 @@
+package tables
+
+import "oleandersill.example/oleandersill/internal/lockorder"
+
+// The lock order, as the package documentation gives it.
+const (
+	OrderConfig lockorder.Order = iota + 1
+	OrderMembers
+	OrderAdmissions
+	OrderExecutions
+	OrderCall
+	OrderServers
+	OrderServer
+	OrderReady
+	OrderBudgets
+	OrderTimer
+)
--- /dev/null
+++ b/internal/tables/ready.go
@@ -0,0 +1,59 @@
+package tables
+
+import (
+	"sync"
+
+	"oleandersill.example/oleandersill/internal/lockorder"
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+// Ready queues the attempts that hold headroom and wait for a worker, first-in first-out for each rank. Owner: dispatch.
+// Its length is bounded by the sum of the in-flight limits.
+type Ready struct {
+	mu     lockorder.Mutex
+	queues [model.RankCount][]*Attempt
+	conds  [model.RankCount]*sync.Cond
+	closed bool
+}
+
+// NewReady returns an empty table.
+func NewReady() *Ready {
+	r := &Ready{mu: lockorder.New(OrderReady)}
+	for i := range r.conds {
+		r.conds[i] = sync.NewCond(&r.mu)
+	}
+	return r
+}
+
+// Push adds an attempt and wakes one worker of its rank.
+func (r *Ready) Push(a *Attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.queues[a.Rank] = append(r.queues[a.Rank], a)
+	r.conds[a.Rank].Signal()
+}
+
+// Take waits for an attempt of the rank. It returns false once the table is closed and the rank's queue is empty.
+func (r *Ready) Take(rank model.Rank) (*Attempt, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for len(r.queues[rank]) == 0 {
+		if r.closed {
+			return nil, false
+		}
+		r.conds[rank].Wait()
+	}
+	a := r.queues[rank][0]
+	r.queues[rank] = r.queues[rank][1:]
+	return a, true
+}
+
+// Close lets the workers end once the queues are empty.
+func (r *Ready) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	for _, c := range r.conds {
+		c.Broadcast()
+	}
+}
--- /dev/null
+++ b/internal/tables/server.go
@@ -0,0 +1,257 @@
+package tables
+
+import (
+	"time"
+
+	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/decision/budget"
+	"oleandersill.example/oleandersill/internal/decision/limit"
+	"oleandersill.example/oleandersill/internal/decision/routing"
+	"oleandersill.example/oleandersill/internal/lockorder"
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+// latencyWeight is the weight of a new sample in a server's mean latency.
+const latencyWeight = 0.1
+
+// Server is the record of one backend server. Invariants: inFlight never exceeds the connection budget, and an attempt
+// waits only while inFlight is at the limit. Owners: dispatch (in-flight and waiting), command/report (all else).
+type Server struct {
+	mu       lockorder.Mutex
+	name     model.ServerName
+	spec     *model.Server
+	client   backend.Server
+	budget   int
+	inFlight int
+	limit    limit.Adaptive
+	waiting  [model.RankCount][]*Attempt
+	queued   int
+	health   routing.Health
+	latency  time.Duration
+	quantile budget.Quantile
+	joined   time.Time
+	leaving  time.Time
+	load     backend.Load
+}
+
+// NewServer returns the record of a server that joined at joined, reached through client with a connection budget.
+func NewServer(spec *model.Server, client backend.Server, connections int, joined time.Time) *Server {
+	return &Server{
+		mu:     lockorder.New(OrderServer),
+		name:   spec.Name,
+		spec:   spec,
+		client: client,
+		budget: connections,
+		limit:  limit.NewAdaptive(connections, connections),
+		joined: joined,
+	}
+}
+
+// Client returns the server's client.
+func (s *Server) Client() backend.Server { return s.client }
+
+// Spec returns the server's entry in the latest Topology that was adopted.
+func (s *Server) Spec() *model.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.spec
+}
+
+// SetSpec replaces the server's entry; name, service, shard and address stay the same.
+func (s *Server) SetSpec(spec *model.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spec = spec
+}
+
+// Name returns the server's name.
+func (s *Server) Name() model.ServerName { return s.name }
+
+// Candidate fills c with what routing needs to know about the server, except its place.
+func (s *Server) Candidate(c *routing.Candidate, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.Server = s.spec
+	c.Pending = s.inFlight + s.queued
+	c.Limit = s.limit.Limit()
+	c.Latency = s.latency
+	c.Admission = routing.Admission(s.joined, now)
+	open := s.leaving.IsZero() && !s.spec.Leaving && s.budget > 0
+	c.Usable = open && !s.health.Ejected()
+	c.Probe = open && s.health.ProbeDue(now)
+}
+
+// StartProbe records that a trial attempt goes to the ejected server.
+func (s *Server) StartProbe() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health.StartProbe()
+}
+
+// Acquire takes headroom for the attempt and returns true, or queues the attempt until Release frees some.
+func (s *Server) Acquire(a *Attempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inFlight < s.limit.Limit() {
+		s.inFlight++
+		return true
+	}
+	s.waiting[a.Rank] = append(s.waiting[a.Rank], a)
+	s.queued++
+	return false
+}
+
+// TryAcquireSpare takes headroom up to the connection budget, for control messages.
+func (s *Server) TryAcquireSpare() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inFlight >= s.budget {
+		return false
+	}
+	s.inFlight++
+	return true
+}
+
+// Release gives headroom back and returns the waiting attempts that may start now, most urgent first.
+func (s *Server) Release() []*Attempt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight--
+	var started []*Attempt
+	for s.inFlight < s.limit.Limit() {
+		a := s.popWaiting()
+		if a == nil {
+			break
+		}
+		s.inFlight++
+		started = append(started, a)
+	}
+	return started
+}
+
+func (s *Server) popWaiting() *Attempt {
+	for r := range s.waiting {
+		if len(s.waiting[r]) > 0 {
+			a := s.waiting[r][0]
+			s.waiting[r] = s.waiting[r][1:]
+			s.queued--
+			return a
+		}
+	}
+	return nil
+}
+
+// Withdraw removes a waiting attempt and tells whether it was waiting here.
+func (s *Server) Withdraw(a *Attempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ws := s.waiting[a.Rank]
+	for i := range ws {
+		if ws[i] == a {
+			s.waiting[a.Rank] = append(ws[:i:i], ws[i+1:]...)
+			s.queued--
+			return true
+		}
+	}
+	return false
+}
+
+// Limit returns the in-flight limit.
+func (s *Server) Limit() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limit.Limit()
+}
+
+// Open tells whether the server may get new work.
+func (s *Server) Open() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving.IsZero() && !s.spec.Leaving && !s.health.Ejected()
+}
+
+// HedgeDelay returns the observed latency quantile of the server, or 0 if none was observed.
+func (s *Server) HedgeDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quantile.Value()
+}
+
+// Observation is what an attempt showed about its server.
+type Observation struct {
+	Status  backend.Status
+	Latency time.Duration
+	Load    backend.Load
+	// Quantile is the hedge rule's quantile, in (0, 1).
+	Quantile float64
+	// MayEject tells whether the shard's ejection cap leaves room for one more.
+	MayEject bool
+}
+
+// Observe records the end of an attempt and returns the change of the in-flight limit.
+func (s *Server) Observe(o Observation, now time.Time) (limitDelta int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.limit.Limit()
+	s.observe(o, now)
+	return s.limit.Limit() - before
+}
+
+func (s *Server) observe(o Observation, now time.Time) {
+	switch o.Status {
+	case backend.StatusOK:
+		s.health.OnSuccess()
+		s.limit.OnReply(o.Latency, s.inFlight)
+		s.quantile.Observe(o.Latency, o.Quantile)
+		s.observeLatency(o.Latency)
+		s.load = o.Load
+		if o.Load.Draining {
+			s.markLeaving(now)
+		}
+	case backend.StatusShed:
+		s.limit.OnOverload()
+		s.health.EndProbe()
+	case backend.StatusDraining:
+		s.markLeaving(now)
+		s.health.EndProbe()
+	case backend.StatusUnreachable, backend.StatusLost, backend.StatusMismatched, backend.StatusFailed:
+		s.health.OnFailure(now, o.MayEject)
+	case backend.StatusCancelled:
+		// A cancelled attempt took at least this long, which is evidence of a slow server.
+		if o.Latency > s.latency {
+			s.observeLatency(o.Latency)
+		}
+		s.health.EndProbe()
+	case backend.StatusDeadlinePassed, backend.StatusVersionNotHeld:
+		s.health.EndProbe()
+	}
+}
+
+func (s *Server) observeLatency(d time.Duration) {
+	if s.latency == 0 {
+		s.latency = d
+		return
+	}
+	s.latency += time.Duration(float64(d-s.latency) * latencyWeight)
+}
+
+// MarkLeaving records the first sign that the server is leaving.
+func (s *Server) MarkLeaving(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.markLeaving(now)
+}
+
+func (s *Server) markLeaving(now time.Time) {
+	if s.leaving.IsZero() {
+		s.leaving = now
+	}
+}
+
+// ClearLeaving records that the server is back in service, and starts its ramp-up.
+func (s *Server) ClearLeaving(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = time.Time{}
+	s.joined = now
+}
--- /dev/null
+++ b/internal/tables/servers.go
@@ -0,0 +1,65 @@
+package tables
+
+import (
+	"oleandersill.example/oleandersill/internal/lockorder"
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+// Servers indexes the server records by name. Owner: command/report. A record that leaves the index lives on until the
+// attempts that refer to it have ended.
+type Servers struct {
+	mu      lockorder.Mutex
+	records map[model.ServerName]*Server
+}
+
+// NewServers returns an empty table.
+func NewServers() *Servers {
+	return &Servers{mu: lockorder.New(OrderServers), records: map[model.ServerName]*Server{}}
+}
+
+// Get returns the record of the named server, or nil.
+func (t *Servers) Get(name model.ServerName) *Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.records[name]
+}
+
+// Shard appends the records of a shard's servers to dst and returns it; servers without a record are left out.
+func (t *Servers) Shard(dst []*Server, sh *model.Shard) []*Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range sh.Servers {
+		if r := t.records[s.Name]; r != nil {
+			dst = append(dst, r)
+		}
+	}
+	return dst
+}
+
+// Put adds or replaces a record.
+func (t *Servers) Put(s *Server) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.records[s.Name()] = s
+}
+
+// Retain removes and returns the records whose names keep rejects.
+func (t *Servers) Retain(keep func(model.ServerName) bool) []*Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var removed []*Server
+	for name, r := range t.records {
+		if !keep(name) {
+			delete(t.records, name)
+			removed = append(removed, r)
+		}
+	}
+	return removed
+}
+
+// Len returns the number of records.
+func (t *Servers) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.records)
+}
