Serve one query end to end through separate processes

Daemon, operators' tool and stand-ins run as processes of their own: apply writes parts and head by compare-and-swap, daemons watch the head, a query scatters to 20 shards over HTTP and answers with coverage and one index version.

--- /dev/null
+++ b/internal/archtest/imports_test.go
@@ -0,0 +1,76 @@
+package archtest
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"os/exec"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oleandersill.example/oleandersill/internal/testing/suite"
+)
+
+const module = "oleandersill.example/oleandersill/"
+
+func TestArch(t *testing.T) { suite.Run(t, "./internal/archtest") }
+
+type listedPackage struct {
+	ImportPath string
+	Deps       []string
+	Imports    []string
+}
+
+func listPackages() []listedPackage {
+	out, err := exec.Command("go", "list", "-json=ImportPath,Deps,Imports", module+"...").Output()
+	Expect(err).NotTo(HaveOccurred())
+	dec := json.NewDecoder(strings.NewReader(string(out)))
+	var packages []listedPackage
+	for {
+		var p listedPackage
+		err := dec.Decode(&p)
+		if errors.Is(err, io.EOF) {
+			return packages
+		}
+		Expect(err).NotTo(HaveOccurred())
+		packages = append(packages, p)
+	}
+}
+
+var _ = Describe("the shape of the code", func() {
+	packages := []listedPackage{}
+	BeforeEach(func() { packages = listPackages() })
+
+	DescribeTable("packages under one tree do not depend on the other",
+		func(tree, forbidden string) {
+			for _, p := range packages {
+				if !strings.HasPrefix(p.ImportPath, module+tree) {
+					continue
+				}
+				for _, dep := range p.Deps {
+					Expect(dep).NotTo(HavePrefix(module+forbidden), p.ImportPath)
+				}
+			}
+		},
+		Entry("commands on queries", "internal/command", "internal/query"),
+		Entry("queries on commands", "internal/query", "internal/command"),
+		Entry("dispatch on queries", "internal/dispatch", "internal/query"),
+		Entry("dispatch on commands", "internal/dispatch", "internal/command"),
+		Entry("the daemon's code on the stand-ins", "internal/daemon", "internal/standin"),
+	)
+
+	It("keeps encodings, sockets, locks and goroutine tools out of the decisions", func() {
+		for _, p := range packages {
+			if !strings.HasPrefix(p.ImportPath, module+"internal/decision") {
+				continue
+			}
+			for _, imported := range p.Imports {
+				Expect(imported).NotTo(BeElementOf("net", "net/http", "net/rpc", "encoding/json", "encoding/gob",
+					"sync", "sync/atomic", "context", "os", "github.com/rs/zerolog"), p.ImportPath)
+			}
+		}
+	})
+})
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,149 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"oleandersill.example/oleandersill/internal/backend/backendhttp"
+	"oleandersill.example/oleandersill/internal/command/commandhttp"
+	"oleandersill.example/oleandersill/internal/command/configure"
+	"oleandersill.example/oleandersill/internal/command/fleet"
+	"oleandersill.example/oleandersill/internal/command/report"
+	"oleandersill.example/oleandersill/internal/dispatch"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/platform/platformhttp"
+	"oleandersill.example/oleandersill/internal/query/queryhttp"
+	"oleandersill.example/oleandersill/internal/query/scatter"
+	"oleandersill.example/oleandersill/internal/settings"
+	"oleandersill.example/oleandersill/internal/tables"
+)
+
+// Limits of every listener.
+const (
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 16 << 10
+)
+
+// Daemon is one running entry instance.
+type Daemon struct {
+	settings   settings.Settings
+	log        zerolog.Logger
+	config     *tables.Config
+	dispatcher *dispatch.Dispatcher
+	platform   *platformhttp.Client
+	connector  *backendhttp.Connector
+	callers    *http.Server
+	operators  *http.Server
+	listeners  []net.Listener
+	cancel     context.CancelFunc
+	wg         sync.WaitGroup
+}
+
+// Start starts a daemon and returns once its listeners are open.
+func Start(s settings.Settings, log zerolog.Logger) (*Daemon, error) {
+	d := &Daemon{
+		settings:  s,
+		log:       log.With().Str("instance", string(s.Instance)).Logger(),
+		config:    tables.NewConfig(),
+		platform:  platformhttp.New(s.PlatformAddress),
+		connector: &backendhttp.Connector{},
+	}
+	recorder := &report.Recorder{Config: d.config, Servers: tables.NewServers(), Connector: d.connector}
+	d.dispatcher = dispatch.New(dispatch.Config{
+		Zone:    s.Zone,
+		Region:  s.Region,
+		Workers: s.WorkersPerRank,
+		Seed:    uint64(time.Now().UnixNano()),
+	}, d.config, recorder.Servers, recorder)
+	recorder.Admissions, recorder.Budgets = d.dispatcher.Admissions, d.dispatcher.Budgets
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	watcher := &fleet.Watcher{Store: d.platform, Config: d.config, Adopt: recorder.Adopt, Log: d.log}
+	d.wg.Go(func() { watcher.Run(ctx) })
+	d.log.Info().Str("caller_address", d.CallerAddress()).Msg("started")
+	return d, nil
+}
+
+func (d *Daemon) listen() error {
+	searcher := &scatter.Searcher{
+		Dispatcher:  d.dispatcher,
+		Instance:    d.settings.Instance,
+		Incarnation: model.Incarnation(time.Now().UnixNano()),
+	}
+	callers := http.NewServeMux()
+	callers.Handle("POST /v1/services/{service}/query", &queryhttp.Search{Config: d.config, Searcher: searcher})
+	callers.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	callers.HandleFunc("GET /readyz", d.readyz)
+	operators := http.NewServeMux()
+	operators.Handle("POST /v1/config/apply", &commandhttp.Apply{
+		Configurer: &configure.Configurer{Store: d.platform, Now: time.Now},
+	})
+	var err error
+	if d.callers, err = d.serve(d.settings.CallerAddress, callers); err != nil {
+		return err
+	}
+	d.operators, err = d.serve(d.settings.OperatorAddress, operators)
+	return err
+}
+
+func (d *Daemon) serve(address string, h http.Handler) (*http.Server, error) {
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "daemon: listening")
+	}
+	d.listeners = append(d.listeners, l)
+	srv := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	d.wg.Go(func() {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			d.log.Error().Err(err).Msg("listener_failed")
+		}
+	})
+	return srv, nil
+}
+
+func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
+	if d.config.Current() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// CallerAddress returns the callers' address, host:port.
+func (d *Daemon) CallerAddress() string { return d.listeners[0].Addr().String() }
+
+// OperatorAddress returns the operators' address, host:port.
+func (d *Daemon) OperatorAddress() string { return d.listeners[1].Addr().String() }
+
+// Stop ends the daemon after the requests in flight, within the drain timeout.
+func (d *Daemon) Stop() {
+	timeout := time.Duration(d.settings.DrainTimeoutMs) * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	for _, srv := range []*http.Server{d.callers, d.operators} {
+		if err := srv.Shutdown(ctx); err != nil {
+			d.log.Warn().Err(err).Msg("drain_incomplete")
+		}
+	}
+	d.cancel()
+	d.wg.Wait()
+	d.dispatcher.Close()
+	d.connector.Close()
+	d.platform.Close()
+	d.log.Info().Msg("stopped")
+}
--- /dev/null
+++ b/internal/query/queryhttp/doc.go
@@ -0,0 +1,2 @@
+// Package queryhttp is the callers' and operators' HTTP/JSON encoding of the queries. It decides nothing.
+package queryhttp
--- /dev/null
+++ b/internal/query/scatter/call.go
@@ -0,0 +1,305 @@
+package scatter
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/decision/routing"
+	"oleandersill.example/oleandersill/internal/decision/snapshot"
+	"oleandersill.example/oleandersill/internal/dispatch"
+	"oleandersill.example/oleandersill/internal/lockorder"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/pool"
+	"oleandersill.example/oleandersill/internal/tables"
+)
+
+const (
+	// answerMargin is kept before the caller's deadline for merging and sending a partial answer.
+	answerMargin = 5 * time.Millisecond
+	// cancelGrace is the time that servers have to end attempts after the caller's deadline.
+	cancelGrace = 50 * time.Millisecond
+	// maxVersionRounds bounds how often differing shards are asked again for one version.
+	maxVersionRounds = 3
+)
+
+// call is the state of one scatter-gather. Workers, the timer and the request's goroutine share it under its lock.
+type call struct {
+	searcher *Searcher
+	id       model.RequestID
+	req      Request
+	rnd      *rand.Rand
+
+	mu       lockorder.Mutex
+	ctx      context.Context //nolint:containedctx // the lifetime of the attempts that the call starts
+	release  context.CancelFunc
+	shards   []shardState
+	attempts uint32
+	rounds   int
+	ended    bool
+	deadline *pool.Entry
+	hedge    *pool.Entry
+	done     chan struct{}
+
+	candidates []routing.Candidate
+	records    []*tables.Server
+}
+
+// shardState is what a call knows about one shard.
+type shardState struct {
+	shard    *model.Shard
+	replies  []shardReply
+	held     []model.IndexVersion
+	pending  []*dispatch.QueryAttempt
+	tried    []model.ServerName
+	attempts int
+	// want is the version asked for; 0 means the current one.
+	want model.IndexVersion
+	// hedgeAt is when a hedge is worth sending; zero if none is.
+	hedgeAt time.Time
+}
+
+type shardReply struct {
+	version model.IndexVersion
+	items   []model.Item
+}
+
+func newCall(s *Searcher, id model.RequestID, req Request) *call {
+	c := &call{
+		searcher: s,
+		id:       id,
+		req:      req,
+		rnd:      s.Dispatcher.Rand(),
+		mu:       lockorder.New(tables.OrderCall),
+		shards:   make([]shardState, len(req.Service.Shards)),
+		done:     make(chan struct{}),
+	}
+	for i, sh := range req.Service.Shards {
+		c.shards[i].shard = sh
+	}
+	return c
+}
+
+// run starts the attempts and waits for the end of the call, the deadline, or the caller's cancellation.
+func (c *call) run(ctx context.Context) Answer {
+	// Attempts outlive the caller's context, so that they are cancelled on the server by message and not by closing
+	// their connections; the deadline bounds them.
+	attempts, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.req.Deadline.Add(cancelGrace))
+	c.start(attempts, cancel)
+	select {
+	case <-c.done:
+	case <-ctx.Done():
+	}
+	return c.finish()
+}
+
+func (c *call) start(ctx context.Context, release context.CancelFunc) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ctx, c.release = ctx, release
+	for i := range c.shards {
+		c.searcher.Dispatcher.Budgets.OnRequest(now)
+		c.sendTo(i, now)
+	}
+	timer := c.searcher.Dispatcher.Timer
+	c.deadline = timer.Schedule(c.req.Deadline.Add(-answerMargin), c.end)
+	c.scheduleHedge()
+	c.evaluate(now)
+}
+
+// sendTo starts one attempt for a shard at the best replica that was not tried yet, and tells whether there was one.
+func (c *call) sendTo(i int, now time.Time) bool {
+	sh := &c.shards[i]
+	c.candidates, c.records = c.searcher.Dispatcher.Candidates(c.candidates, c.records, sh.shard, now)
+	excludeTried(c.candidates, sh.tried)
+	j, ok := routing.Choose(c.candidates, c.rnd)
+	if !ok {
+		return false
+	}
+	if c.candidates[j].Probe {
+		c.records[j].StartProbe()
+	}
+	c.send(i, c.records[j], now)
+	return true
+}
+
+func excludeTried(cs []routing.Candidate, tried []model.ServerName) {
+	for i := range cs {
+		for _, name := range tried {
+			if cs[i].Server.Name == name {
+				cs[i].Usable, cs[i].Probe = false, false
+			}
+		}
+	}
+}
+
+func (c *call) send(i int, server *tables.Server, now time.Time) {
+	sh := &c.shards[i]
+	c.attempts++
+	sh.attempts++
+	sh.tried = append(sh.tried, server.Name())
+	q := &dispatch.QueryAttempt{
+		Server: server,
+		Rank:   c.req.Rank,
+		Request: backend.QueryRequest{
+			ID:          backend.AttemptID{Request: c.id, Incarnation: c.searcher.Incarnation, Attempt: c.attempts},
+			Service:     c.req.Service.Name,
+			Shard:       sh.shard.Name,
+			Epoch:       c.req.Service.Epoch,
+			WantVersion: sh.want,
+			Text:        c.req.Text,
+			Limit:       c.req.Limit,
+			Deadline:    c.req.Deadline,
+		},
+		Done: func(q *dispatch.QueryAttempt, r backend.QueryResult) { c.onEnd(i, q, r) },
+	}
+	sh.pending = append(sh.pending, q)
+	c.searcher.Dispatcher.StartQuery(c.ctx, q, now)
+	sh.hedgeAt = c.hedgeTime(now)
+}
+
+// onEnd takes the result of one attempt.
+func (c *call) onEnd(i int, q *dispatch.QueryAttempt, r backend.QueryResult) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sh := &c.shards[i]
+	sh.removePending(q)
+	if c.ended {
+		c.releaseIfIdle()
+		return
+	}
+	switch r.Status {
+	case backend.StatusOK:
+		c.onReply(sh, q, r.Reply)
+	case backend.StatusVersionNotHeld:
+		sh.held = append(sh.held, r.Retained...)
+		c.retry(i, now)
+	case backend.StatusCancelled, backend.StatusDeadlinePassed:
+	case backend.StatusUnreachable, backend.StatusShed, backend.StatusDraining, backend.StatusLost,
+		backend.StatusMismatched, backend.StatusFailed:
+		c.retry(i, now)
+	}
+	c.evaluate(now)
+}
+
+func (c *call) onReply(sh *shardState, q *dispatch.QueryAttempt, reply backend.QueryReply) {
+	if reply.Epoch != c.req.Service.Epoch {
+		return
+	}
+	sh.replies = append(sh.replies, shardReply{version: reply.Version, items: reply.Items})
+	sh.held = append(sh.held, reply.Version)
+	sh.held = append(sh.held, reply.Retained...)
+	sh.cancelPending(func(other *dispatch.QueryAttempt) bool {
+		return other.Request.WantVersion == q.Request.WantVersion
+	})
+}
+
+// retry sends a failed sub-request to another replica if the rules and the budget allow it.
+func (c *call) retry(i int, now time.Time) {
+	sh := &c.shards[i]
+	if len(sh.pending) > 0 || sh.answers(sh.want) {
+		return
+	}
+	if sh.attempts >= c.req.Topology.Rules.Retry.MaxAttempts {
+		return
+	}
+	if !c.searcher.Dispatcher.Budgets.SpendRetry(now) {
+		return
+	}
+	c.sendTo(i, now)
+}
+
+// evaluate ends the call, or asks shards again for the chosen version, once no attempt is pending.
+func (c *call) evaluate(now time.Time) {
+	for i := range c.shards {
+		if len(c.shards[i].pending) > 0 && !c.shards[i].answers(c.shards[i].want) {
+			return
+		}
+	}
+	plan, ok := snapshot.Choose(c.versions())
+	if !ok || len(plan.Reask) == 0 || c.rounds >= maxVersionRounds || !c.reask(plan, now) {
+		c.endLocked()
+	}
+}
+
+// reask asks the plan's shards again for its version and tells whether any attempt was started.
+func (c *call) reask(plan snapshot.Plan, now time.Time) bool {
+	c.rounds++
+	started := false
+	for _, i := range plan.Reask {
+		sh := &c.shards[i]
+		sh.want = plan.Version
+		sh.tried = nil
+		if c.sendTo(i, now) {
+			started = true
+		}
+	}
+	return started
+}
+
+func (c *call) versions() []snapshot.Shard {
+	out := make([]snapshot.Shard, len(c.shards))
+	for i := range c.shards {
+		sh := &c.shards[i]
+		out[i].Fraction = sh.shard.Fraction()
+		out[i].Held = sh.held
+		for _, r := range sh.replies {
+			out[i].Answered = append(out[i].Answered, r.version)
+		}
+	}
+	return out
+}
+
+// end ends the call with what is in hand; the timer calls it shortly before the deadline.
+func (c *call) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endLocked()
+}
+
+func (c *call) endLocked() {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	for i := range c.shards {
+		c.shards[i].cancelPending(func(*dispatch.QueryAttempt) bool { return true })
+	}
+	c.releaseIfIdle()
+	close(c.done)
+}
+
+// releaseIfIdle frees the attempts' context once none of them is pending.
+func (c *call) releaseIfIdle() {
+	for i := range c.shards {
+		if len(c.shards[i].pending) > 0 {
+			return
+		}
+	}
+	c.release()
+}
+
+// cancelPending cancels the selected attempts and forgets those that were never sent.
+func (s *shardState) cancelPending(selected func(*dispatch.QueryAttempt) bool) {
+	s.pending = slices.DeleteFunc(s.pending, func(q *dispatch.QueryAttempt) bool {
+		return selected(q) && q.Cancel()
+	})
+}
+
+func (s *shardState) removePending(q *dispatch.QueryAttempt) {
+	s.pending = slices.DeleteFunc(s.pending, func(p *dispatch.QueryAttempt) bool { return p == q })
+}
+
+// answers tells whether a reply of the version is in hand; 0 stands for any.
+func (s *shardState) answers(v model.IndexVersion) bool {
+	for _, r := range s.replies {
+		if v == 0 || r.version == v {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/query/scatter/hedge.go
@@ -0,0 +1,98 @@
+package scatter
+
+import (
+	"time"
+
+	"oleandersill.example/oleandersill/internal/decision/routing"
+	"oleandersill.example/oleandersill/internal/tables"
+)
+
+// hedgeTime returns when a hedge of an attempt started now is worth sending: after the quantile of the shard's fastest
+// replica, whose records the call's scratch slices hold. It returns zero if hedging is off or nothing was observed.
+func (c *call) hedgeTime(now time.Time) time.Time {
+	rule := c.req.Topology.Rules.Hedge
+	if rule.MaxRatio <= 0 {
+		return time.Time{}
+	}
+	delay := time.Duration(0)
+	for _, r := range c.records {
+		if d := r.HedgeDelay(); d > 0 && (delay == 0 || d < delay) {
+			delay = d
+		}
+	}
+	if delay == 0 {
+		return time.Time{}
+	}
+	return now.Add(max(delay, time.Duration(rule.MinDelayMs)*time.Millisecond))
+}
+
+// scheduleHedge sets the timer for the earliest hedge that is due, replacing an earlier one.
+func (c *call) scheduleHedge() {
+	timer := c.searcher.Dispatcher.Timer
+	if c.hedge != nil {
+		timer.Cancel(c.hedge)
+		c.hedge = nil
+	}
+	var next time.Time
+	for i := range c.shards {
+		at := c.shards[i].hedgeAt
+		if at.IsZero() || len(c.shards[i].pending) == 0 {
+			continue
+		}
+		if next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	if !next.IsZero() && next.Before(c.req.Deadline) {
+		c.hedge = timer.Schedule(next, c.onHedgeTimer)
+	}
+}
+
+func (c *call) onHedgeTimer() {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return
+	}
+	for i := range c.shards {
+		sh := &c.shards[i]
+		if sh.hedgeAt.IsZero() || sh.hedgeAt.After(now) {
+			continue
+		}
+		sh.hedgeAt = time.Time{}
+		if len(sh.pending) == 1 && !sh.answers(sh.want) {
+			c.hedgeShard(i, now)
+		}
+	}
+	c.scheduleHedge()
+}
+
+// hedgeShard sends a second attempt to a replica that has headroom now, so that hedges add nothing under overload.
+func (c *call) hedgeShard(i int, now time.Time) {
+	sh := &c.shards[i]
+	c.candidates, c.records = c.searcher.Dispatcher.Candidates(c.candidates, c.records, sh.shard, now)
+	excludeTried(c.candidates, sh.tried)
+	target := idleCandidate(c.candidates, c.records)
+	if target == nil || !c.searcher.Dispatcher.Budgets.SpendHedge(now) {
+		return
+	}
+	c.send(i, target, now)
+	sh.hedgeAt = time.Time{}
+}
+
+func idleCandidate(cs []routing.Candidate, records []*tables.Server) *tables.Server {
+	best := -1
+	for i := range cs {
+		if !cs[i].Usable || cs[i].Pending >= cs[i].Limit {
+			continue
+		}
+		if best < 0 || cs[i].Cost() < cs[best].Cost() {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	return records[best]
+}
--- /dev/null
+++ b/internal/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads the daemon's own settings from YAML.
+package settings
--- /dev/null
+++ b/internal/standin/doc.go
@@ -0,0 +1,3 @@
+// Package standin is the parent of the stand-ins for the platform and for backend servers. Tests, the quickstart and
+// the measurement driver use them; daemons meet them only over HTTP.
+package standin
