--- a/internal/command/report/recorder.go
+++ b/internal/command/report/recorder.go
@@ -11,6 +11,9 @@
 	"oleandersill.example/oleandersill/internal/tables"
 )
 
+// unlimited is the admission limit of the baseline policy.
+const unlimited = 1 << 20
+
 // Recorder implements dispatch.Observer.
 type Recorder struct {
 	Config     *tables.Config
@@ -18,6 +21,7 @@
 	Admissions *tables.Admissions
 	Budgets    *tables.Budgets
 	Connector  backend.Connector
+	Policy     model.Policy
 
 	capacity atomic.Pointer[map[model.ServiceName]*serviceCapacity]
 }
@@ -31,8 +35,13 @@
 
 func (c *serviceCapacity) admitted() int { return max(1, int(c.limits.Load()/max(1, c.shards))) }
 
-// ObserveAttempt records the end of an attempt.
-func (r *Recorder) ObserveAttempt(s *tables.Server, status backend.Status, latency time.Duration, load backend.Load) {
+// ObserveAttempt records the end of an attempt and returns its slowdown.
+func (r *Recorder) ObserveAttempt(
+	s *tables.Server, status backend.Status, latency time.Duration, load backend.Load,
+) float64 {
+	if r.Policy == model.PolicyBaseline {
+		return 0
+	}
 	t := r.Config.Current()
 	o := tables.Observation{
 		Status:   status,
@@ -41,10 +50,11 @@
 		Quantile: t.Rules.Hedge.Quantile,
 		MayEject: r.mayEject(t, s),
 	}
-	delta := s.Observe(o, time.Now())
-	if delta != 0 {
-		r.changeCapacity(s.Spec().Service, delta)
+	finding := s.Observe(o, time.Now())
+	if finding.LimitDelta != 0 {
+		r.changeCapacity(s.Spec().Service, finding.LimitDelta)
 	}
+	return finding.Slowdown
 }
 
 func (r *Recorder) changeCapacity(service model.ServiceName, delta int) {
@@ -134,6 +144,10 @@
 		ranks[i] = t.RankPolicy(model.Rank(i))
 	}
 	for name, c := range capacity {
-		r.Admissions.Configure(name, admission.Config{Ranks: ranks, Limit: c.admitted()})
+		limit := c.admitted()
+		if r.Policy == model.PolicyBaseline {
+			limit = unlimited
+		}
+		r.Admissions.Configure(name, admission.Config{Ranks: ranks, Limit: limit})
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,11 +55,12 @@
 		platform:  platformhttp.New(s.PlatformAddress),
 		connector: &backendhttp.Connector{},
 	}
-	recorder := &report.Recorder{Config: d.config, Servers: tables.NewServers(), Connector: d.connector}
+	recorder := &report.Recorder{Config: d.config, Servers: tables.NewServers(), Connector: d.connector, Policy: s.Policy}
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Zone:    s.Zone,
 		Region:  s.Region,
 		Workers: s.WorkersPerRank,
+		Policy:  s.Policy,
 		Seed:    uint64(time.Now().UnixNano()),
 	}, d.config, recorder.Servers, recorder)
 	recorder.Admissions, recorder.Budgets = d.dispatcher.Admissions, d.dispatcher.Budgets
--- a/internal/decision/admission/queue.go
+++ b/internal/decision/admission/queue.go
@@ -3,10 +3,14 @@
 import (
 	"time"
 
+	"oleandersill.example/oleandersill/internal/decision/budget"
 	"oleandersill.example/oleandersill/internal/model"
 )
 
 const (
+	// fastQuantile is the quantile of the hold time that a request needs at least: one whose deadline leaves less time
+	// cannot be served.
+	fastQuantile = 0.2
 	// holdWeight is the weight of a new sample in the mean time that an admitted request holds its place.
 	holdWeight = 0.05
 	// initialHold is the assumed hold time before the first sample.
@@ -77,15 +81,18 @@
 // Queue admits the requests of one service. It is not safe for concurrent use. Create it with New.
 type Queue struct {
 	cfg     Config
-	running int
+	running [model.RankCount]int
 	waiting [model.RankCount]lane
 	shares  shares
-	hold    time.Duration
+	pace    pace
+	// hold is the mean time from admission to end, and fast a low quantile of it.
+	hold time.Duration
+	fast budget.Quantile
 }
 
 // New returns an empty queue.
 func New(cfg Config) *Queue {
-	q := &Queue{cfg: cfg, hold: initialHold}
+	q := &Queue{cfg: cfg, hold: initialHold, pace: pace{limit: float64(cfg.Limit), slowdown: 1}}
 	for i := range q.waiting {
 		q.waiting[i] = newLane()
 	}
@@ -99,7 +106,13 @@
 func (q *Queue) SetLimit(n int) { q.cfg.Limit = max(1, n) }
 
 // Running returns the number of admitted requests.
-func (q *Queue) Running() int { return q.running }
+func (q *Queue) Running() int {
+	n := 0
+	for _, r := range q.running {
+		n += r
+	}
+	return n
+}
 
 // Waiting returns the number of waiting requests of a rank.
 func (q *Queue) Waiting(r model.Rank) int { return q.waiting[r].size }
@@ -107,10 +120,10 @@
 // Arrive decides on a new request.
 func (q *Queue) Arrive(w *Waiter, now time.Time) Decision {
 	w.arrived = now
-	if now.Add(q.hold).After(w.Deadline) {
+	if q.infeasible(w, now) {
 		return q.refuse(w, ReasonDeadline)
 	}
-	if q.running < q.cfg.Limit && q.totalWaiting() == 0 {
+	if !q.waitingUpTo(w.Rank) && q.mayStart(w.Rank, now) {
 		q.admit(w, now)
 		return Decision{Verdict: Admitted}
 	}
@@ -122,9 +135,39 @@
 	return Decision{Verdict: Queued}
 }
 
+// infeasible tells whether even a fast answer would miss the request's deadline.
+func (q *Queue) infeasible(w *Waiter, now time.Time) bool {
+	return !now.Add(q.fast.Value()).Before(w.Deadline)
+}
+
+// waitingUpTo tells whether a request of the rank or a more urgent one waits.
+func (q *Queue) waitingUpTo(r model.Rank) bool {
+	for i := range int(r) + 1 {
+		if q.waiting[i].size > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// mayStart tells whether a request of the rank may start now. Urgent work is bounded by the limit alone, other work by
+// the pace as well.
+func (q *Queue) mayStart(r model.Rank, now time.Time) bool {
+	if q.Running() >= q.cfg.Limit {
+		return false
+	}
+	if r == model.RankUrgent {
+		return true
+	}
+	at, ok := q.pace.next(q.runningBelowUrgent(), q.hold)
+	return ok && !at.After(now)
+}
+
+func (q *Queue) runningBelowUrgent() int { return q.Running() - q.running[model.RankUrgent] }
+
 func (q *Queue) checkRoom(w *Waiter, now time.Time) Decision {
 	wait := q.expectedWait(w.Rank)
-	if now.Add(wait + q.hold).After(w.Deadline) {
+	if now.Add(wait + q.fast.Value()).After(w.Deadline) {
 		return q.refuse(w, ReasonDeadline)
 	}
 	lane := &q.waiting[w.Rank]
@@ -141,7 +184,7 @@
 // Next admits waiting requests while there is room, and ends those that waited too long or can no longer meet their
 // deadline. It appends to the given slices and returns them.
 func (q *Queue) Next(now time.Time, admitted, refused []*Waiter) (newAdmitted, newRefused []*Waiter) {
-	for q.running < q.cfg.Limit {
+	for q.Running() < q.cfg.Limit {
 		w := q.pick(now)
 		if w == nil {
 			break
@@ -157,14 +200,32 @@
 	return admitted, refused
 }
 
-// Finish records that an admitted request ended. Call Next afterwards.
-func (q *Queue) Finish(w *Waiter, now time.Time) {
+// Finish records that an admitted request ended and which slowdown its servers showed (the ratio of latency to
+// uncongested latency), or 0 if that is not known. Call Next afterwards.
+func (q *Queue) Finish(w *Waiter, slowdown float64, now time.Time) {
 	if w.state != stateRunning {
 		panic("admission: finished a request that is not running")
 	}
 	w.state = stateEnded
-	q.running--
-	q.hold += time.Duration(float64(now.Sub(w.admitted)-q.hold) * holdWeight)
+	q.running[w.Rank]--
+	held := now.Sub(w.admitted)
+	q.hold += time.Duration(float64(held-q.hold) * holdWeight)
+	q.fast.Observe(held, fastQuantile)
+	q.pace.onFinish(slowdown, q.hold, q.cfg.Limit, now)
+}
+
+// WakeAt returns when Next should be called although nothing ended, because waiting work is spaced in time; zero if it
+// need not be.
+func (q *Queue) WakeAt() time.Time {
+	waiting := q.totalWaiting() - q.waiting[model.RankUrgent].size
+	if waiting == 0 || q.Running() >= q.cfg.Limit {
+		return time.Time{}
+	}
+	at, ok := q.pace.next(q.runningBelowUrgent(), q.hold)
+	if !ok {
+		return time.Time{}
+	}
+	return at
 }
 
 // Abandon removes a waiting request, and tells whether it was still waiting.
@@ -188,8 +249,11 @@
 func (q *Queue) admit(w *Waiter, now time.Time) {
 	w.state = stateRunning
 	w.admitted = now
-	q.running++
+	q.running[w.Rank]++
 	q.shares.add(w.Rank, now)
+	if w.Rank != model.RankUrgent {
+		q.pace.started = now
+	}
 }
 
 func (q *Queue) tooLate(w *Waiter, now time.Time) bool {
@@ -197,11 +261,12 @@
 	if policy.MaxQueue > 0 && now.Sub(w.arrived) > policy.MaxQueue {
 		return true
 	}
-	return now.Add(q.hold).After(w.Deadline)
+	return q.infeasible(w, now)
 }
 
 // pick removes and returns the request to start next, or nil. A rank with waiting work whose share of the recent
-// admissions is furthest below its minimum goes first; if there is none, the most urgent rank with waiting work.
+// admissions is furthest below its minimum goes first, whatever the pace; if there is none, the most urgent rank with
+// waiting work that may start.
 func (q *Queue) pick(now time.Time) *Waiter {
 	best, bestRatio := -1, 1.0
 	for r := range q.waiting {
@@ -218,7 +283,7 @@
 		return q.waiting[best].pop()
 	}
 	for r := range q.waiting {
-		if q.waiting[r].size > 0 {
+		if q.waiting[r].size > 0 && q.mayStart(model.Rank(r), now) {
 			return q.waiting[r].pop()
 		}
 	}
@@ -232,7 +297,7 @@
 	for i := 0; i <= int(r); i++ {
 		ahead += q.waiting[i].size
 	}
-	perRequest := q.hold / time.Duration(max(1, q.cfg.Limit))
+	perRequest := q.perRequest(r)
 	wait := time.Duration(ahead+1) * perRequest
 	if s := q.cfg.Ranks[r].MinShare; s > 0 {
 		byShare := time.Duration(float64(q.waiting[r].size+1) * float64(perRequest) / s)
@@ -247,8 +312,16 @@
 	if policy.MaxQueue <= 0 {
 		return minWaitingRoom
 	}
-	perRequest := max(1, q.hold/time.Duration(max(1, q.cfg.Limit)))
-	return max(minWaitingRoom, int(policy.MaxQueue/perRequest))
+	return max(minWaitingRoom, int(policy.MaxQueue/max(1, q.perRequest(r))))
+}
+
+// perRequest returns the mean time between two starts of requests of the rank while requests wait.
+func (q *Queue) perRequest(r model.Rank) time.Duration {
+	parallel := float64(max(1, q.cfg.Limit))
+	if r != model.RankUrgent {
+		parallel = min(parallel, max(minPace, q.pace.limit))
+	}
+	return time.Duration(float64(q.hold) / parallel)
 }
 
 func (q *Queue) totalWaiting() int {
--- /dev/null
+++ b/internal/decision/admission/queue_test.go
@@ -0,0 +1,222 @@
+package admission_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"oleandersill.example/oleandersill/internal/decision/admission"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/testing/suite"
+)
+
+func TestAdmission(t *testing.T) { suite.Run(t, "./internal/decision/admission") }
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func config(limit int) admission.Config {
+	return admission.Config{Limit: limit, Ranks: [model.RankCount]model.RankPolicy{
+		{MinShare: 0.5, MaxQueue: 100 * time.Millisecond},
+		{MinShare: 0.2, MaxQueue: 300 * time.Millisecond},
+		{MinShare: 0.1, MaxQueue: time.Second},
+	}}
+}
+
+// load drives a queue in steps of one millisecond: each rank offers its arrivals a second from one caller, and every
+// admitted request holds its place for hold. It returns the number of admissions by rank.
+type load struct {
+	arrivals [model.RankCount]float64
+	hold     time.Duration
+	limit    int
+	duration time.Duration
+	callers  int
+}
+
+type running struct {
+	waiter *admission.Waiter
+	ends   time.Time
+}
+
+func (l load) run(seed uint64) (admitted [model.RankCount]int, byCaller map[model.CallerName]int) {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	q := admission.New(config(l.limit))
+	byCaller = map[model.CallerName]int{}
+	var active []running
+	begin := func(w *admission.Waiter, now time.Time) {
+		admitted[w.Rank]++
+		byCaller[w.Caller]++
+		active = append(active, running{w, now.Add(l.hold)})
+	}
+	for now := start; now.Before(start.Add(l.duration)); now = now.Add(time.Millisecond) {
+		kept := active[:0]
+		for _, a := range active {
+			if a.ends.After(now) {
+				kept = append(kept, a)
+				continue
+			}
+			q.Finish(a.waiter, 1, now)
+		}
+		active = kept
+		for r := range l.arrivals {
+			for p := l.arrivals[r] / 1000; p > 0; p-- {
+				if rnd.Float64() >= p {
+					continue
+				}
+				caller := model.CallerName(fmt.Sprint(rnd.IntN(max(1, l.callers))))
+				w := &admission.Waiter{Rank: model.Rank(r), Caller: caller, Deadline: now.Add(2 * time.Second)}
+				if q.Arrive(w, now).Verdict == admission.Admitted {
+					begin(w, now)
+				}
+			}
+		}
+		started, _ := q.Next(now, nil, nil)
+		for _, w := range started {
+			begin(w, now)
+		}
+	}
+	return admitted, byCaller
+}
+
+var _ = Describe("Queue", func() {
+	const hold = 20 * time.Millisecond
+
+	DescribeTable("keeps every rank's minimum share in a flood of another and does the work that fits",
+		func(flood, victim model.Rank) {
+			l := load{hold: hold, limit: 4, duration: 10 * time.Second}
+			capacity := float64(l.limit) / hold.Seconds()
+			l.arrivals[flood] = 3 * capacity
+			l.arrivals[victim] = capacity
+			admitted, _ := l.run(1)
+			total := 0
+			for _, n := range admitted {
+				total += n
+			}
+			Expect(float64(total)).To(BeNumerically(">=", 0.9*capacity*l.duration.Seconds()), "goodput")
+			share := config(1).Ranks[victim].MinShare
+			Expect(float64(admitted[victim])).To(BeNumerically(">=", 0.95*share*float64(total)))
+		},
+		Entry("urgent floods, deferred keeps its share", model.RankUrgent, model.RankDeferred),
+		Entry("urgent floods, standard keeps its share", model.RankUrgent, model.RankStandard),
+		Entry("deferred floods, urgent goes first", model.RankDeferred, model.RankUrgent),
+		Entry("standard floods, deferred keeps its share", model.RankStandard, model.RankDeferred),
+	)
+
+	It("does not let one caller take its whole rank", func() {
+		// A caller that offers 20 times as much as another gets its turn no more often while both wait.
+		q := admission.New(config(1))
+		first := &admission.Waiter{Caller: "loud", Deadline: start.Add(time.Minute)}
+		Expect(q.Arrive(first, start).Verdict).To(Equal(admission.Admitted))
+		for range 20 {
+			q.Arrive(&admission.Waiter{Caller: "loud", Deadline: start.Add(time.Minute)}, start)
+		}
+		quiet := &admission.Waiter{Caller: "quiet", Deadline: start.Add(time.Minute)}
+		Expect(q.Arrive(quiet, start).Verdict).To(Equal(admission.Queued))
+		running, turns := first, 0
+		for running != quiet {
+			q.Finish(running, 1, start.Add(time.Millisecond))
+			next, _ := q.Next(start.Add(time.Millisecond), nil, nil)
+			Expect(next).To(HaveLen(1))
+			running = next[0]
+			turns++
+		}
+		Expect(turns).To(BeNumerically("<=", 2))
+	})
+
+	It("refuses on arrival what cannot meet its deadline", func() {
+		q := admission.New(config(1))
+		w := &admission.Waiter{Deadline: start.Add(time.Second)}
+		Expect(q.Arrive(w, start).Verdict).To(Equal(admission.Admitted))
+		q.Finish(w, 1, start.Add(100*time.Millisecond))
+		d := q.Arrive(&admission.Waiter{Deadline: start.Add(150 * time.Millisecond)}, start.Add(100*time.Millisecond))
+		Expect(d.Verdict).To(Equal(admission.Refused))
+		Expect(d.Reason).To(Equal(admission.ReasonDeadline))
+		Expect(d.RetryAfter).To(BeNumerically(">", 0))
+	})
+
+	It("slows work below the urgent rank down when replies show congestion, and urgent work not at all", func() {
+		// Guards against a flood of deferred work that fills the servers' queues ahead of urgent work.
+		q := admission.New(config(8))
+		now := start
+		for range 100 {
+			w := &admission.Waiter{Rank: model.RankDeferred, Deadline: now.Add(time.Minute)}
+			if q.Arrive(w, now).Verdict == admission.Admitted {
+				now = now.Add(hold)
+				q.Finish(w, 4, now)
+			} else {
+				q.Abandon(w)
+				now = now.Add(hold)
+			}
+		}
+		Expect(q.Arrive(&admission.Waiter{Rank: model.RankDeferred, Deadline: now.Add(time.Minute)}, now).Verdict).
+			To(Equal(admission.Queued))
+		for range 8 {
+			d := q.Arrive(&admission.Waiter{Rank: model.RankUrgent, Deadline: now.Add(time.Minute)}, now)
+			Expect(d.Verdict).To(Equal(admission.Admitted))
+		}
+	})
+
+	It("never runs more than the limit and never starts a request that it refused", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			limit := rapid.IntRange(1, 5).Draw(t, "limit")
+			q := admission.New(config(limit))
+			now := start
+			state := map[*admission.Waiter]string{}
+			for range rapid.IntRange(1, 200).Draw(t, "steps") {
+				now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+				switch rapid.IntRange(0, 2).Draw(t, "op") {
+				case 0:
+					w := &admission.Waiter{
+						Rank:     model.Rank(rapid.IntRange(0, 2).Draw(t, "rank")),
+						Deadline: now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "deadline")) * time.Millisecond),
+					}
+					state[w] = [...]string{"running", "waiting", "refused"}[q.Arrive(w, now).Verdict]
+				case 1:
+					finishOne(q, state, now)
+				case 2:
+					abandonOne(q, state)
+				}
+				admitted, refused := q.Next(now, nil, nil)
+				for _, w := range admitted {
+					if state[w] != "waiting" {
+						t.Fatalf("started a request that was %s", state[w])
+					}
+					state[w] = "running"
+				}
+				for _, w := range refused {
+					if state[w] != "waiting" {
+						t.Fatalf("refused a request that was %s", state[w])
+					}
+					state[w] = "refused"
+				}
+				if q.Running() > limit {
+					t.Fatalf("%d running with a limit of %d", q.Running(), limit)
+				}
+			}
+		})
+	})
+})
+
+func finishOne(q *admission.Queue, state map[*admission.Waiter]string, now time.Time) {
+	for w, s := range state {
+		if s == "running" {
+			q.Finish(w, 1, now)
+			state[w] = "ended"
+			return
+		}
+	}
+}
+
+func abandonOne(q *admission.Queue, state map[*admission.Waiter]string) {
+	for w, s := range state {
+		if s == "waiting" {
+			q.Abandon(w)
+			state[w] = "ended"
+			return
+		}
+	}
+}
--- a/internal/decision/limit/adaptive.go
+++ b/internal/decision/limit/adaptive.go
@@ -38,13 +38,17 @@
 	a.clamp()
 }
 
-// OnReply records a reply after latency while inFlight attempts were in flight.
-func (a *Adaptive) OnReply(latency time.Duration, inFlight int) {
+// Baseline returns the latency of the server without congestion, or 0 if none was observed.
+func (a *Adaptive) Baseline() time.Duration { return a.baseline }
+
+// OnReply records a reply after latency while inFlight attempts were in flight. It returns the ratio of the latency to
+// the uncongested one, at least 1.
+func (a *Adaptive) OnReply(latency time.Duration, inFlight int) (slowdown float64) {
 	if a.baseline == 0 || latency < a.baseline {
 		a.baseline = latency
 	}
 	a.baseline += time.Duration(float64(latency-a.baseline) * baselineDecay)
-	slowdown := float64(latency) / float64(max(a.baseline, 1))
+	slowdown = max(1, float64(latency)/float64(max(a.baseline, 1)))
 	switch {
 	case slowdown > congestedSlowdown:
 		a.limit -= (1 - shrinkFactor) / max(1, a.limit)
@@ -52,6 +56,7 @@
 		a.limit += growStep / max(1, a.limit)
 	}
 	a.clamp()
+	return slowdown
 }
 
 // OnOverload records that the server shed an attempt.
--- a/internal/decision/routing/choose.go
+++ b/internal/decision/routing/choose.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -76,6 +77,34 @@
 	return service
 }
 
+// ChooseRandom returns the index of a candidate drawn at random, whatever is known about it, or false if none is usable.
+func ChooseRandom(cs []Candidate, rnd *rand.Rand) (int, bool) {
+	chosen, usable := -1, 0
+	for i := range cs {
+		if !cs[i].Usable {
+			continue
+		}
+		usable++
+		if rnd.IntN(usable) == 0 {
+			chosen = i
+		}
+	}
+	return chosen, chosen >= 0
+}
+
+// staleHalfLife is the time after which an observed latency that was not renewed counts half, so that a server that
+// was slow is tried again.
+const staleHalfLife = 5 * time.Second
+
+// FadeLatency returns an observed latency as it counts after age without a new sample, but at least floor.
+func FadeLatency(observed, floor, age time.Duration) time.Duration {
+	if observed <= floor {
+		return observed
+	}
+	f := math.Exp2(-float64(age) / float64(staleHalfLife))
+	return max(floor, time.Duration(float64(observed)*f))
+}
+
 // Choose returns the index of the candidate that should get the next attempt, or false if none is usable. A candidate
 // due a probe is taken first, so that an ejected server is tried once and its attempt can be hedged or retried elsewhere.
 func Choose(cs []Candidate, rnd *rand.Rand) (int, bool) {
--- a/internal/decision/routing/ejection.go
+++ b/internal/decision/routing/ejection.go
@@ -5,9 +5,13 @@
 const (
 	// failuresToEject is the number of consecutive failures that ejects a server.
 	failuresToEject = 3
-	// baseEjection is the time of the first ejection; it doubles with each further one up to maxEjection.
+	// baseEjection is the time of the first ejection; it doubles with each further one up to maxEjection, which leaves a
+	// server that is reachable again unused for at most that long.
 	baseEjection = 500 * time.Millisecond
-	maxEjection  = 8 * time.Second
+	maxEjection  = 2 * time.Second
+	// deadAfter is the time without any reply after which repeated failures eject a server whatever the shard's cap says:
+	// its requests would only wait for their deadlines.
+	deadAfter = time.Second
 	// MaxEjectedFraction caps the part of a shard's servers that may be ejected at a time.
 	MaxEjectedFraction = 0.5
 )
@@ -18,18 +22,20 @@
 	failures  int
 	ejections int
 	until     time.Time
+	replied   time.Time
 	ejected   bool
 	probing   bool
 }
 
 // OnSuccess records a reply and ends an ejection.
-func (h *Health) OnSuccess() { *h = Health{} }
+func (h *Health) OnSuccess(now time.Time) { *h = Health{replied: now} }
 
 // OnFailure records an attempt without a reply. mayEject tells whether the shard's ejection cap leaves room.
 func (h *Health) OnFailure(now time.Time, mayEject bool) {
 	h.probing = false
 	h.failures++
-	if h.ejected || (h.failures >= failuresToEject && mayEject) {
+	dead := now.Sub(h.replied) >= deadAfter
+	if h.ejected || (h.failures >= failuresToEject && (mayEject || dead)) {
 		h.eject(now)
 	}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -15,8 +15,9 @@
 
 // Observer is told what attempts showed about servers. It is called on a worker, without locks.
 type Observer interface {
-	// ObserveAttempt records the end of an attempt.
-	ObserveAttempt(server *tables.Server, status backend.Status, latency time.Duration, load backend.Load)
+	// ObserveAttempt records the end of an attempt. It returns the ratio of its latency to the server's uncongested one,
+	// or 0 without a reply.
+	ObserveAttempt(server *tables.Server, status backend.Status, latency time.Duration, load backend.Load) float64
 }
 
 // Config places a dispatcher and sizes its pools.
@@ -25,6 +26,8 @@
 	Region model.Region
 	// Workers is the number of workers of each rank's pool.
 	Workers int
+	// Policy is the policy of replica choice and limits.
+	Policy model.Policy
 	// Seed makes the replica draws reproducible.
 	Seed uint64
 }
@@ -83,6 +86,17 @@
 	return rand.New(rand.NewPCG(d.cfg.Seed, d.draws.Add(1))) //nolint:gosec // replica draws need no secrecy
 }
 
+// Policy returns the dispatcher's policy.
+func (d *Dispatcher) Policy() model.Policy { return d.cfg.Policy }
+
+// Choose returns the index of the candidate that should get the next attempt, or false if none is usable.
+func (d *Dispatcher) Choose(cs []routing.Candidate, rnd *rand.Rand) (int, bool) {
+	if d.cfg.Policy == model.PolicyBaseline {
+		return routing.ChooseRandom(cs, rnd)
+	}
+	return routing.Choose(cs, rnd)
+}
+
 // Candidates fills cs with the replicas of a shard; len(cs) must be at least the number of its servers. Records are in
 // the same order.
 func (d *Dispatcher) Candidates(cs []routing.Candidate, records []*tables.Server, sh *model.Shard, now time.Time) (
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -20,12 +20,14 @@
 	Done func(*QueryAttempt, backend.QueryResult)
 
 	Started time.Time
-	d       *Dispatcher
-	attempt tables.Attempt
-	sent    atomic.Bool
-	ctx     context.Context //nolint:containedctx // the attempt's own lifetime, cancelled by Cancel
-	stop    context.CancelFunc
-	once    sync.Once
+	// Slowdown is the ratio of the attempt's latency to the server's uncongested one, set before Done is called.
+	Slowdown float64
+	d        *Dispatcher
+	attempt  tables.Attempt
+	sent     atomic.Bool
+	ctx      context.Context //nolint:containedctx // the attempt's own lifetime, cancelled by Cancel
+	stop     context.CancelFunc
+	once     sync.Once
 }
 
 // StartQuery sends the attempt when its server and a worker are free. ctx must carry the request's deadline.
@@ -48,6 +50,8 @@
 			return
 		}
 		if q.sent.Load() && q.d.sendCancel(q.Server, q.Rank, q.Request.ID) {
+			// A server that does not act on the cancellation loses the connection.
+			q.d.Timer.Schedule(time.Now().Add(cancelTimeout), q.stop)
 			return
 		}
 		q.stop()
@@ -59,7 +63,7 @@
 	q.sent.Store(true)
 	begin := time.Now()
 	result := q.Server.Client().Query(q.ctx, q.Request)
-	q.d.observer.ObserveAttempt(q.Server, result.Status, time.Since(begin), result.Reply.Load)
+	q.Slowdown = q.d.observer.ObserveAttempt(q.Server, result.Status, time.Since(begin), result.Reply.Load)
 	q.stop()
 	q.d.release(q.Server)
 	q.Done(q, result)
--- a/internal/model/identity.go
+++ b/internal/model/identity.go
@@ -70,3 +70,15 @@
 	}
 	return 0, false
 }
+
+// Policy selects how a daemon decides about queries.
+type Policy string
+
+// The policies.
+const (
+	// PolicyDefault is the product's own policy.
+	PolicyDefault Policy = "default"
+	// PolicyBaseline is kept for comparison: random replica, first-in first-out, fixed timeout, two retries, no hedge, no
+	// ranks, no adaptive limits.
+	PolicyBaseline Policy = "baseline"
+)
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -21,6 +21,8 @@
 	answerMargin = 5 * time.Millisecond
 	// cancelGrace is the time that servers have to end attempts after the caller's deadline.
 	cancelGrace = 50 * time.Millisecond
+	// probeGrace is the time that an answer waits for shards whose only replicas are ejected, once the others answered.
+	probeGrace = 30 * time.Millisecond
 	// maxVersionRounds bounds how often differing shards are asked again for one version.
 	maxVersionRounds = 3
 )
@@ -39,9 +41,12 @@
 	attempts uint32
 	rounds   int
 	ended    bool
-	deadline *pool.Entry
-	hedge    *pool.Entry
-	done     chan struct{}
+	// slowdowns are those of the replies so far.
+	slowdowns []float64
+	deadline  *pool.Entry
+	hedge     *pool.Entry
+	probes    *pool.Entry
+	done      chan struct{}
 
 	candidates []routing.Candidate
 	records    []*tables.Server
@@ -57,6 +62,8 @@
 	attempts int
 	// want is the version asked for; 0 means the current one.
 	want model.IndexVersion
+	// optional marks a shard whose only replicas are ejected: its attempt is a probe that the answer need not wait for.
+	optional bool
 	// hedgeAt is when a hedge is worth sending; zero if none is.
 	hedgeAt time.Time
 }
@@ -115,17 +122,22 @@
 	sh := &c.shards[i]
 	c.candidates, c.records = c.searcher.Dispatcher.Candidates(c.candidates, c.records, sh.shard, now)
 	excludeTried(c.candidates, sh.tried)
-	j, ok := routing.Choose(c.candidates, c.rnd)
+	j, ok := c.searcher.Dispatcher.Choose(c.candidates, c.rnd)
 	if !ok {
 		return false
 	}
 	if c.candidates[j].Probe {
 		c.records[j].StartProbe()
+		sh.optional = !anyUsable(c.candidates)
 	}
 	c.send(i, c.records[j], now)
 	return true
 }
 
+func anyUsable(cs []routing.Candidate) bool {
+	return slices.ContainsFunc(cs, func(c routing.Candidate) bool { return c.Usable })
+}
+
 func excludeTried(cs []routing.Candidate, tried []model.ServerName) {
 	for i := range cs {
 		for _, name := range tried {
@@ -174,13 +186,16 @@
 	}
 	switch r.Status {
 	case backend.StatusOK:
+		c.slowdowns = append(c.slowdowns, q.Slowdown)
 		c.onReply(sh, q, r.Reply)
 	case backend.StatusVersionNotHeld:
 		sh.held = append(sh.held, r.Retained...)
 		c.retry(i, now)
 	case backend.StatusCancelled, backend.StatusDeadlinePassed:
-	case backend.StatusUnreachable, backend.StatusShed, backend.StatusDraining, backend.StatusLost,
-		backend.StatusMismatched, backend.StatusFailed:
+	case backend.StatusUnreachable, backend.StatusDraining:
+		// The server spent nothing on the attempt, so that another one adds no load and needs no budget.
+		c.resend(i, now)
+	case backend.StatusShed, backend.StatusLost, backend.StatusMismatched, backend.StatusFailed:
 		c.retry(i, now)
 	}
 	c.evaluate(now)
@@ -200,30 +215,76 @@
 
 // retry sends a failed sub-request to another replica if the rules and the budget allow it.
 func (c *call) retry(i int, now time.Time) {
+	if c.mayResend(i) && c.searcher.spendRetry(now) {
+		c.sendAgain(i, now)
+	}
+}
+
+// resend sends a sub-request that cost its server nothing to another replica if the rules allow it.
+func (c *call) resend(i int, now time.Time) {
+	if c.mayResend(i) {
+		c.sendAgain(i, now)
+	}
+}
+
+// sendAgain prefers a replica that was not tried; once all were, any of them may have recovered.
+func (c *call) sendAgain(i int, now time.Time) {
+	if !c.sendTo(i, now) {
+		c.shards[i].tried = nil
+		c.sendTo(i, now)
+	}
+}
+
+func (c *call) mayResend(i int) bool {
 	sh := &c.shards[i]
 	if len(sh.pending) > 0 || sh.answers(sh.want) {
-		return
+		return false
 	}
-	if sh.attempts >= c.req.Topology.Rules.Retry.MaxAttempts {
+	return sh.attempts < c.req.Topology.Rules.Retry.MaxAttempts
+}
+
+// evaluate ends the call, or asks shards again for the chosen version, once no attempt is pending.
+func (c *call) evaluate(now time.Time) {
+	if c.waitsFor(func(sh *shardState) bool { return !sh.optional }) {
 		return
 	}
-	if !c.searcher.Dispatcher.Budgets.SpendRetry(now) {
+	if c.waitsFor(func(sh *shardState) bool { return sh.optional }) {
+		c.awaitProbes(now)
 		return
 	}
-	c.sendTo(i, now)
+	plan, ok := snapshot.Choose(c.versions())
+	if !ok || len(plan.Reask) == 0 || c.rounds >= maxVersionRounds || !c.reask(plan, now) {
+		c.endLocked()
+	}
 }
 
-// evaluate ends the call, or asks shards again for the chosen version, once no attempt is pending.
-func (c *call) evaluate(now time.Time) {
+// waitsFor tells whether a selected shard has an attempt pending and no answer yet.
+func (c *call) waitsFor(selected func(*shardState) bool) bool {
 	for i := range c.shards {
-		if len(c.shards[i].pending) > 0 && !c.shards[i].answers(c.shards[i].want) {
-			return
+		sh := &c.shards[i]
+		if selected(sh) && len(sh.pending) > 0 && !sh.answers(sh.want) {
+			return true
 		}
 	}
-	plan, ok := snapshot.Choose(c.versions())
-	if !ok || len(plan.Reask) == 0 || c.rounds >= maxVersionRounds || !c.reask(plan, now) {
-		c.endLocked()
+	return false
+}
+
+// awaitProbes ends the call soon although probes of ejected servers are pending.
+func (c *call) awaitProbes(now time.Time) {
+	if c.probes == nil {
+		c.probes = c.searcher.Dispatcher.Timer.Schedule(now.Add(probeGrace), c.end)
+	}
+}
+
+// slowdown returns the median slowdown of the replies, or 0 if there were none.
+func (c *call) slowdown() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.slowdowns) == 0 {
+		return 0
 	}
+	slices.Sort(c.slowdowns)
+	return c.slowdowns[len(c.slowdowns)/2]
 }
 
 // reask asks the plan's shards again for its version and tells whether any attempt was started.
--- a/internal/query/scatter/hedge.go
+++ b/internal/query/scatter/hedge.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"oleandersill.example/oleandersill/internal/decision/routing"
+	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/tables"
 )
 
@@ -11,7 +12,7 @@
 // replica, whose records the call's scratch slices hold. It returns zero if hedging is off or nothing was observed.
 func (c *call) hedgeTime(now time.Time) time.Time {
 	rule := c.req.Topology.Rules.Hedge
-	if rule.MaxRatio <= 0 {
+	if rule.MaxRatio <= 0 || c.searcher.Dispatcher.Policy() == model.PolicyBaseline {
 		return time.Time{}
 	}
 	delay := time.Duration(0)
--- a/internal/query/scatter/merge.go
+++ b/internal/query/scatter/merge.go
@@ -6,6 +6,7 @@
 
 	"oleandersill.example/oleandersill/internal/decision/snapshot"
 	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/pool"
 )
 
 // finish ends the call and builds the answer from the replies of one version.
@@ -15,8 +16,10 @@
 	timer.Cancel(c.deadline)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.hedge != nil {
-		timer.Cancel(c.hedge)
+	for _, e := range []*pool.Entry{c.hedge, c.probes} {
+		if e != nil {
+			timer.Cancel(e)
+		}
 	}
 	a := Answer{
 		RequestID: c.id,
--- a/internal/query/scatter/searcher.go
+++ b/internal/query/scatter/searcher.go
@@ -9,7 +9,6 @@
 	"oleandersill.example/oleandersill/internal/decision/admission"
 	"oleandersill.example/oleandersill/internal/dispatch"
 	"oleandersill.example/oleandersill/internal/model"
-	"oleandersill.example/oleandersill/internal/tables"
 )
 
 // Request is one query. Its Topology is pinned for the whole answer.
@@ -53,48 +52,20 @@
 	id := model.RequestID(fmt.Sprintf("%s-%x-%x", s.Instance, uint64(s.Incarnation), s.sequence.Add(1))) //nolint:gosec // an identifier
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	ticket := s.Dispatcher.Admissions.Arrive(req.Service.Name, admission.Waiter{
-		Caller: req.Caller, Rank: req.Rank, Deadline: req.Deadline,
-	}, time.Now())
-	decision := s.await(ctx, ticket, req)
-	if decision.Verdict != admission.Admitted {
-		return notRun(id, req, decision)
+	if s.Dispatcher.Policy() == model.PolicyBaseline {
+		req.Rank = model.RankStandard
+	}
+	waiter := admission.Waiter{Caller: req.Caller, Rank: req.Rank, Deadline: req.Deadline}
+	entry := s.Dispatcher.Enter(ctx, req.Service.Name, waiter, req.Topology.RankPolicy(req.Rank).MaxQueue)
+	if !entry.Admitted() {
+		return notRun(id, req, entry.Decision)
 	}
 	c := newCall(s, id, req)
 	answer := c.run(ctx)
-	s.Dispatcher.Admissions.Finish(ticket, time.Now())
+	s.Dispatcher.Leave(req.Service.Name, entry, c.slowdown())
 	return answer
 }
 
-// await waits for the admission decision, at most for the rank's longest queueing time.
-func (s *Searcher) await(ctx context.Context, ticket *tables.Ticket, req Request) admission.Decision {
-	wait := time.Until(req.Deadline)
-	if m := req.Topology.RankPolicy(req.Rank).MaxQueue; m > 0 {
-		wait = min(wait, m)
-	}
-	timeout := time.NewTimer(wait)
-	defer timeout.Stop()
-	select {
-	case d := <-ticket.Ready():
-		return d
-	case <-timeout.C:
-	case <-ctx.Done():
-	}
-	return s.abandon(ticket, req)
-}
-
-// abandon withdraws a request that waited too long. If it was decided on in the meantime, the decision stands.
-func (s *Searcher) abandon(ticket *tables.Ticket, req Request) admission.Decision {
-	if !s.Dispatcher.Admissions.Abandon(ticket) {
-		return <-ticket.Ready()
-	}
-	return admission.Decision{
-		Verdict:    admission.Refused,
-		Reason:     admission.ReasonQueueTime,
-		RetryAfter: s.Dispatcher.Admissions.RetryAfter(req.Service.Name, req.Rank),
-	}
-}
-
 func notRun(id model.RequestID, req Request, d admission.Decision) Answer {
 	a := Answer{
 		RequestID:  id,
@@ -110,3 +81,8 @@
 	}
 	return a
 }
+
+// spendRetry tells whether the budget allows a retry; the baseline policy bounds retries by their number alone.
+func (s *Searcher) spendRetry(now time.Time) bool {
+	return s.Dispatcher.Policy() == model.PolicyBaseline || s.Dispatcher.Budgets.SpendRetry(now)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,8 +23,10 @@
 	// Peers are peers' addresses to start from while the platform is unreachable.
 	Peers []string `yaml:"peers"`
 	// WorkersPerRank is the size of each rank's pool.
-	WorkersPerRank int    `yaml:"workers_per_rank"`
-	LogLevel       string `yaml:"log_level"`
+	WorkersPerRank int `yaml:"workers_per_rank"`
+	// Policy is "default", or "baseline" for comparison.
+	Policy   model.Policy `yaml:"policy"`
+	LogLevel string       `yaml:"log_level"`
 	// DrainTimeoutMs bounds a graceful shutdown, in milliseconds.
 	DrainTimeoutMs int `yaml:"drain_timeout_ms"`
 	// OperatorToken and PeerToken are the credentials of the operators' and the peers' ports.
@@ -34,7 +36,7 @@
 
 // Defaults are the settings that a file need not give.
 func Defaults() Settings {
-	return Settings{WorkersPerRank: 128, LogLevel: "info", DrainTimeoutMs: 25_000}
+	return Settings{WorkersPerRank: 128, Policy: model.PolicyDefault, LogLevel: "info", DrainTimeoutMs: 25_000}
 }
 
 // Load reads settings from a file, strictly.
--- a/internal/tables/admissions.go
+++ b/internal/tables/admissions.go
@@ -10,9 +10,11 @@
 
 // Admissions holds one admission queue for each service. Owner: dispatch.
 type Admissions struct {
-	mu       lockorder.Mutex
-	queues   map[model.ServiceName]*admission.Queue
-	tickets  map[*admission.Waiter]*Ticket
+	mu      lockorder.Mutex
+	queues  map[model.ServiceName]*admission.Queue
+	tickets map[*admission.Waiter]*Ticket
+	// wakes holds the time for which an Advance of a service is scheduled, so that only one is at a time.
+	wakes    map[model.ServiceName]time.Time
 	draining bool
 }
 
@@ -32,6 +34,7 @@
 		mu:      lockorder.New(OrderAdmissions),
 		queues:  map[model.ServiceName]*admission.Queue{},
 		tickets: map[*admission.Waiter]*Ticket{},
+		wakes:   map[model.ServiceName]time.Time{},
 	}
 }
 
@@ -74,13 +77,48 @@
 	return ticket
 }
 
-// Finish ends an admitted request and admits the next ones.
-func (t *Admissions) Finish(ticket *Ticket, now time.Time) {
+// Finish ends an admitted request, with the slowdown that it saw or 0, and admits the next ones. It returns when Advance
+// is due; zero if it is not.
+func (t *Admissions) Finish(ticket *Ticket, slowdown float64, now time.Time) time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	q := t.queues[ticket.service]
-	q.Finish(&ticket.waiter, now)
+	q.Finish(&ticket.waiter, slowdown, now)
 	t.advance(q, now)
+	return t.wakeAt(ticket.service, q)
+}
+
+// Advance admits requests that were spaced in time. It returns when it is due again; zero if it is not.
+func (t *Admissions) Advance(service model.ServiceName, now time.Time) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	q := t.queues[service]
+	if q == nil {
+		return time.Time{}
+	}
+	delete(t.wakes, service)
+	t.advance(q, now)
+	return t.wakeAt(service, q)
+}
+
+// Schedule returns when Advance is due after an arrival; zero if it is not, or is scheduled already.
+func (t *Admissions) Schedule(service model.ServiceName) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if q := t.queues[service]; q != nil {
+		return t.wakeAt(service, q)
+	}
+	return time.Time{}
+}
+
+func (t *Admissions) wakeAt(service model.ServiceName, q *admission.Queue) time.Time {
+	at := q.WakeAt()
+	scheduled, ok := t.wakes[service]
+	if at.IsZero() || (ok && !scheduled.After(at)) {
+		return time.Time{}
+	}
+	t.wakes[service] = at
+	return at
 }
 
 // Abandon withdraws a request and tells whether it was still waiting; if not, its decision is on the channel.
--- a/internal/tables/server.go
+++ b/internal/tables/server.go
@@ -28,6 +28,7 @@
 	queued   int
 	health   routing.Health
 	latency  time.Duration
+	observed time.Time
 	quantile budget.Quantile
 	joined   time.Time
 	leaving  time.Time
@@ -74,7 +75,7 @@
 	c.Server = s.spec
 	c.Pending = s.inFlight + s.queued
 	c.Limit = s.limit.Limit()
-	c.Latency = s.latency
+	c.Latency = routing.FadeLatency(s.latency, s.limit.Baseline(), now.Sub(s.observed))
 	c.Admission = routing.Admission(s.joined, now)
 	open := s.leaving.IsZero() && !s.spec.Leaving && s.budget > 0
 	c.Usable = open && !s.health.Ejected()
@@ -188,22 +189,31 @@
 	MayEject bool
 }
 
-// Observe records the end of an attempt and returns the change of the in-flight limit.
-func (s *Server) Observe(o Observation, now time.Time) (limitDelta int) {
+// Finding is what an observation changed.
+type Finding struct {
+	// LimitDelta is the change of the in-flight limit.
+	LimitDelta int
+	// Slowdown is the ratio of the attempt's latency to the server's uncongested one; 0 without a reply.
+	Slowdown float64
+}
+
+// Observe records the end of an attempt.
+func (s *Server) Observe(o Observation, now time.Time) Finding {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.limit.Limit()
-	s.observe(o, now)
-	return s.limit.Limit() - before
+	f := Finding{Slowdown: s.observe(o, now)}
+	f.LimitDelta = s.limit.Limit() - before
+	return f
 }
 
-func (s *Server) observe(o Observation, now time.Time) {
+func (s *Server) observe(o Observation, now time.Time) (slowdown float64) {
 	switch o.Status {
 	case backend.StatusOK:
-		s.health.OnSuccess()
-		s.limit.OnReply(o.Latency, s.inFlight)
+		s.health.OnSuccess(now)
+		slowdown = s.limit.OnReply(o.Latency, s.inFlight)
 		s.quantile.Observe(o.Latency, o.Quantile)
-		s.observeLatency(o.Latency)
+		s.observeLatency(o.Latency, now)
 		s.load = o.Load
 		if o.Load.Draining {
 			s.markLeaving(now)
@@ -219,15 +229,17 @@
 	case backend.StatusCancelled:
 		// A cancelled attempt took at least this long, which is evidence of a slow server.
 		if o.Latency > s.latency {
-			s.observeLatency(o.Latency)
+			s.observeLatency(o.Latency, now)
 		}
 		s.health.EndProbe()
 	case backend.StatusDeadlinePassed, backend.StatusVersionNotHeld:
 		s.health.EndProbe()
 	}
+	return slowdown
 }
 
-func (s *Server) observeLatency(d time.Duration) {
+func (s *Server) observeLatency(d time.Duration, now time.Time) {
+	s.observed = now
 	if s.latency == 0 {
 		s.latency = d
 		return
