--- /dev/null
+++ b/internal/decision/budget/budget_test.go
@@ -0,0 +1,71 @@
+package budget_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"oleandersill.example/oleandersill/internal/decision/budget"
+	"oleandersill.example/oleandersill/internal/testing/suite"
+)
+
+func TestBudget(t *testing.T) { suite.Run(t, "./internal/decision/budget") }
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var _ = Describe("Window", func() {
+	It("never allows more extras than the ratio of the sub-requests of the window that ends with them", func() {
+		const span, ratio = 10 * time.Second, 0.05
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			w := budget.NewWindow(ratio, span, start)
+			now := start
+			var base, extra []time.Time
+			for range rapid.IntRange(1, 400).Draw(t, "steps") {
+				now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+				for range rapid.IntRange(0, 40).Draw(t, "requests") {
+					w.OnRequest(now)
+					base = append(base, now)
+				}
+				if !w.Spend(now) {
+					// A window that ends later can hold fewer sub-requests when the load falls; no budget can foresee that.
+					continue
+				}
+				extra = append(extra, now)
+				from := now.Add(-span)
+				if n := since(extra, from); float64(n) > ratio*float64(since(base, from)) {
+					t.Fatalf("%d extras for %d sub-requests", n, since(base, from))
+				}
+			}
+		})
+	})
+})
+
+func since(times []time.Time, from time.Time) int {
+	n := 0
+	for _, t := range times {
+		if !t.Before(from) {
+			n++
+		}
+	}
+	return n
+}
+
+var _ = Describe("Quantile", func() {
+	It("approaches the quantile of its samples", func() {
+		rnd := rand.New(rand.NewPCG(1, 2))
+		var q budget.Quantile
+		var samples []time.Duration
+		for range 20_000 {
+			d := time.Duration((5 + rnd.ExpFloat64()*5) * float64(time.Millisecond))
+			samples = append(samples, d)
+			q.Observe(d, 0.95)
+		}
+		slices.Sort(samples)
+		Expect(q.Value()).To(BeNumerically("~", samples[len(samples)*95/100], 4*time.Millisecond))
+	})
+})
--- a/internal/decision/budget/window.go
+++ b/internal/decision/budget/window.go
@@ -2,8 +2,13 @@
 
 import "time"
 
-// buckets divides the window; the ratio holds over any window to within one bucket.
-const buckets = 20
+// buckets divides the window. Sub-requests are counted over buckets-1 whole buckets and the current one, which is at
+// most the window; extras over one bucket more, which is at least the window. The ratio therefore holds over every
+// window that ends with an extra.
+const (
+	buckets      = 20
+	extraBuckets = buckets + 1
+)
 
 // Window allows extra attempts up to a ratio of the sub-requests of the last span. Create it with NewWindow. It is not
 // safe for concurrent use.
@@ -14,7 +19,7 @@
 	// slot is the number of the newest bucket since origin.
 	slot   int64
 	base   [buckets]int
-	extra  [buckets]int
+	extra  [extraBuckets]int
 	baseN  int
 	extraN int
 }
@@ -37,24 +42,24 @@
 	if float64(w.extraN+1) > w.ratio*float64(w.baseN) {
 		return false
 	}
-	w.extra[w.slot%buckets]++
+	w.extra[w.slot%extraBuckets]++
 	w.extraN++
 	return true
 }
 
 func (w *Window) advance(now time.Time) {
 	target := int64(now.Sub(w.origin) / w.width)
-	if target-w.slot >= buckets {
-		w.base, w.extra = [buckets]int{}, [buckets]int{}
+	if target-w.slot >= extraBuckets {
+		w.base, w.extra = [buckets]int{}, [extraBuckets]int{}
 		w.baseN, w.extraN = 0, 0
 		w.slot = target
 		return
 	}
 	for w.slot < target {
 		w.slot++
-		i := w.slot % buckets
+		i, j := w.slot%buckets, w.slot%extraBuckets
 		w.baseN -= w.base[i]
-		w.extraN -= w.extra[i]
-		w.base[i], w.extra[i] = 0, 0
+		w.extraN -= w.extra[j]
+		w.base[i], w.extra[j] = 0, 0
 	}
 }
--- /dev/null
+++ b/internal/decision/routing/routing_test.go
@@ -0,0 +1,122 @@
+package routing_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oleandersill.example/oleandersill/internal/decision/routing"
+	"oleandersill.example/oleandersill/internal/testing/suite"
+)
+
+func TestRouting(t *testing.T) { suite.Run(t, "./internal/decision/routing") }
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func usable(latency time.Duration) routing.Candidate {
+	return routing.Candidate{Usable: true, Limit: 2, Latency: latency, Admission: 1}
+}
+
+var _ = Describe("Choose", func() {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	slow, fast := usable(50*time.Millisecond), usable(5*time.Millisecond)
+	busy := usable(5 * time.Millisecond)
+	busy.Pending = 40
+	cold := usable(5 * time.Millisecond)
+	cold.Admission = 0.05
+	probe := routing.Candidate{Probe: true}
+	ejected := routing.Candidate{}
+	near, far := usable(0), usable(0)
+	far.Place = routing.OtherRegion
+
+	DescribeTable("takes the better of two replicas",
+		func(cs []routing.Candidate, want int) {
+			for range 50 {
+				i, ok := routing.Choose(cs, rnd)
+				Expect(ok).To(BeTrue())
+				Expect(i).To(Equal(want))
+			}
+		},
+		Entry("a straggler is avoided", []routing.Candidate{slow, fast}, 1),
+		Entry("a slow server beats one with a long queue", []routing.Candidate{slow, busy}, 0),
+		Entry("a cold server gets little", []routing.Candidate{cold, fast}, 1),
+		Entry("an ejected server gets nothing", []routing.Candidate{fast, ejected}, 0),
+		Entry("a probe that is due goes first", []routing.Candidate{fast, probe}, 1),
+		Entry("the near one before anything was observed", []routing.Candidate{far, near}, 1),
+	)
+
+	It("reports that no replica is usable", func() {
+		_, ok := routing.Choose([]routing.Candidate{ejected, ejected}, rnd)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("draws every pair of replicas", func() {
+		cs := []routing.Candidate{usable(1), usable(1), usable(1), usable(1)}
+		counts := make([]int, len(cs))
+		for range 4000 {
+			i, _ := routing.Choose(cs, rnd)
+			counts[i]++
+		}
+		for _, n := range counts {
+			Expect(n).To(BeNumerically("~", 1000, 200))
+		}
+	})
+})
+
+var _ = Describe("Health", func() {
+	fail := func(h *routing.Health, n int, now time.Time, mayEject bool) {
+		for range n {
+			h.OnFailure(now, mayEject)
+		}
+	}
+
+	It("ejects after three failures, probes once, and ends the ejection with a reply", func() {
+		var h routing.Health
+		h.OnSuccess(start)
+		fail(&h, 2, start, true)
+		Expect(h.Ejected()).To(BeFalse())
+		fail(&h, 1, start, true)
+		Expect(h.Ejected()).To(BeTrue())
+		Expect(h.ProbeDue(start.Add(499 * time.Millisecond))).To(BeFalse())
+		Expect(h.ProbeDue(start.Add(500 * time.Millisecond))).To(BeTrue())
+		h.StartProbe()
+		Expect(h.ProbeDue(start.Add(time.Minute))).To(BeFalse(), "one probe at a time")
+		h.OnSuccess(start.Add(time.Minute))
+		Expect(h.Ejected()).To(BeFalse())
+	})
+
+	It("tries an ejected server again within 2 s, however often it failed", func() {
+		// Guards the bound of 5 s for being whole again after a partition.
+		var h routing.Health
+		h.OnSuccess(start)
+		now := start
+		fail(&h, 3, now, true)
+		for range 20 {
+			now = now.Add(2 * time.Second)
+			Expect(h.ProbeDue(now)).To(BeTrue())
+			h.StartProbe()
+			h.OnFailure(now, true)
+		}
+	})
+
+	It("keeps a failing server in use while the shard's cap is reached, until it has been silent for 1 s", func() {
+		var h routing.Health
+		h.OnSuccess(start)
+		fail(&h, 10, start.Add(999*time.Millisecond), false)
+		Expect(h.Ejected()).To(BeFalse())
+		fail(&h, 1, start.Add(time.Second), false)
+		Expect(h.Ejected()).To(BeTrue())
+	})
+})
+
+var _ = Describe("FadeLatency", func() {
+	It("lets a slow observation fade to the uncongested latency", func() {
+		// Guards against a server that was slow once and is never tried again.
+		Expect(routing.FadeLatency(100*time.Millisecond, 5*time.Millisecond, 0)).To(Equal(100 * time.Millisecond))
+		Expect(routing.FadeLatency(100*time.Millisecond, 5*time.Millisecond, 5*time.Second)).To(Equal(50 * time.Millisecond))
+		Expect(routing.FadeLatency(100*time.Millisecond, 5*time.Millisecond, time.Hour)).To(Equal(5 * time.Millisecond))
+	})
+})
--- /dev/null
+++ b/internal/decision/snapshot/snapshot_test.go
@@ -0,0 +1,76 @@
+package snapshot_test
+
+import (
+	"slices"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"oleandersill.example/oleandersill/internal/decision/snapshot"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/testing/suite"
+)
+
+func TestSnapshot(t *testing.T) { suite.Run(t, "./internal/decision/snapshot") }
+
+type versions = []model.IndexVersion
+
+var _ = Describe("Choose", func() {
+	DescribeTable("takes the version that can reach most coverage and asks only the shards that differ",
+		func(shards []snapshot.Shard, version int, reask []int) {
+			for i := range shards {
+				shards[i].Fraction = 0.25
+			}
+			plan, ok := snapshot.Choose(shards)
+			Expect(ok).To(BeTrue())
+			Expect(plan.Version).To(Equal(model.IndexVersion(version)))
+			Expect(plan.Reask).To(Equal(reask))
+		},
+		Entry("all agree", []snapshot.Shard{{Answered: versions{1}}, {Answered: versions{1}}}, 1, nil),
+		Entry("one is ahead and keeps the old version",
+			[]snapshot.Shard{{Answered: versions{1}}, {Answered: versions{1}}, {Answered: versions{2}, Held: versions{1, 2}}},
+			1, []int{2}),
+		Entry("most are ahead and dropped the old version",
+			[]snapshot.Shard{{Answered: versions{1}}, {Answered: versions{2}}, {Answered: versions{2}}}, 2, nil),
+		Entry("a tie takes the newer version",
+			[]snapshot.Shard{{Answered: versions{1}}, {Answered: versions{2}}}, 2, nil),
+		Entry("a missing shard changes nothing", []snapshot.Shard{{}, {Answered: versions{3}}}, 3, nil),
+	)
+
+	It("has no version without an answer", func() {
+		_, ok := snapshot.Choose([]snapshot.Shard{{Held: versions{1}}})
+		Expect(ok).To(BeFalse())
+	})
+
+	It("reaches at least the coverage of any single version in hand", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			shards := make([]snapshot.Shard, rapid.IntRange(1, 10).Draw(t, "shards"))
+			for i := range shards {
+				shards[i].Fraction = 1 / float64(len(shards))
+				for v := model.IndexVersion(1); v <= 3; v++ {
+					if rapid.Bool().Draw(t, "answered") {
+						shards[i].Answered = append(shards[i].Answered, v)
+					}
+				}
+			}
+			settled, ok := snapshot.Settle(shards)
+			for v := model.IndexVersion(1); v <= 3; v++ {
+				if ok && count(shards, v) > count(shards, settled) {
+					t.Fatalf("settled on version %d although %d covers more", settled, v)
+				}
+			}
+		})
+	})
+})
+
+func count(shards []snapshot.Shard, v model.IndexVersion) int {
+	n := 0
+	for _, s := range shards {
+		if slices.Contains(s.Answered, v) {
+			n++
+		}
+	}
+	return n
+}
