Give the backend stand-in faults, a queue, cancellation and a record

Cause: tests and measurements need a backend server whose faults can be set while it runs, and a count of what it started that does not depend on what daemons were told.

Change: backendserver runs requests on a pool of as many workers as it has slots, sheds beyond a bounded queue, honours cancellation, deadlines and index versions, and crashes and restarts on one address (netfault.Endpoint). Record lists every started request.

--- /dev/null
+++ b/internal/standin/backendserver/exchange.go
@@ -0,0 +1,212 @@
+package backendserver
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/backend/backendhttp"
+)
+
+const (
+	maxBodyBytes = 1 << 20
+	// statusClientClosed answers a request that was cancelled.
+	statusClientClosed = 499
+)
+
+// exchange is one request with its reply on the wire.
+type exchange struct {
+	server *Server
+	w      http.ResponseWriter
+	r      *http.Request
+	id     backend.AttemptID
+}
+
+func (s *Server) exchange(w http.ResponseWriter, r *http.Request, id backend.AttemptID) *exchange {
+	return &exchange{server: s, w: w, r: r, id: id}
+}
+
+// travel applies the network's faults and tells whether the request arrived.
+func (x *exchange) travel() bool {
+	f := x.server.state.current()
+	if f.Silent || f.cutsOff(x.id) {
+		<-x.r.Context().Done()
+		return false
+	}
+	return pause(x.r.Context(), f.Latency)
+}
+
+// arrive applies the network's faults and refuses the request while draining or after its deadline.
+func (x *exchange) arrive(deadlineMs int64) bool {
+	if !x.travel() {
+		return false
+	}
+	if x.server.state.current().Draining {
+		x.refuse(http.StatusServiceUnavailable, backendhttp.RefusalBody{Reason: "draining"})
+		return false
+	}
+	deadline := deadlineOf(deadlineMs)
+	if !deadline.IsZero() && !time.Now().Before(deadline) {
+		x.refuse(http.StatusRequestTimeout, backendhttp.RefusalBody{Reason: "deadline_passed"})
+		return false
+	}
+	return true
+}
+
+// runToEnd queues a job, waits for it, and answers unless it ran to its end.
+func (x *exchange) runToEnd(j *job) bool {
+	q := x.server.queue
+	if !q.push(j) {
+		x.refuse(http.StatusTooManyRequests, backendhttp.RefusalBody{
+			Reason: "shed", RetryAfterMs: x.server.cfg.RetryAfter.Milliseconds(),
+		})
+		return false
+	}
+	select {
+	case <-j.done:
+	case <-x.r.Context().Done():
+		q.stop(j, EndCut)
+		<-j.done
+	}
+	end, started := q.result(j)
+	switch end {
+	case EndCompleted:
+		return true
+	case EndCancelled:
+		x.refuse(statusClientClosed, backendhttp.RefusalBody{Reason: "cancelled", Ran: started})
+	case EndDeadline:
+		x.refuse(http.StatusRequestTimeout, backendhttp.RefusalBody{Reason: "deadline_passed", Ran: started})
+	case EndCut, EndCrashed, EndRunning:
+		panic(http.ErrAbortHandler)
+	}
+	return false
+}
+
+func (x *exchange) refuse(status int, body backendhttp.RefusalBody) {
+	x.write(status, x.id, body)
+}
+
+// reply sends the reply of a request that ran, with the given fault. id is the attempt that the reply names.
+func (x *exchange) reply(fault replyFault, id backend.AttemptID, body any) {
+	switch fault {
+	case replyLost:
+		panic(http.ErrAbortHandler)
+	case replyFailed:
+		x.write(http.StatusInternalServerError, id, backendhttp.RefusalBody{Reason: "failed", Ran: true})
+	case replyLate:
+		if pause(x.r.Context(), x.server.state.current().LateBy) {
+			x.write(http.StatusOK, id, body)
+		}
+	case replyDuplicated:
+		x.writeTwice(id, body)
+	case replyIntact, replyCrossed:
+		x.write(http.StatusOK, id, body)
+	}
+}
+
+func (x *exchange) write(status int, id backend.AttemptID, body any) {
+	if !pause(x.r.Context(), x.server.state.current().Latency) {
+		return
+	}
+	x.w.Header().Set(backendhttp.HeaderAttempt, backendhttp.AttemptHeader(id))
+	writeJSON(x.w, status, body)
+}
+
+// writeTwice sends the reply, and sends it again when the next request on the connection has arrived. The connection
+// ends then.
+func (x *exchange) writeTwice(id backend.AttemptID, body any) {
+	conn, buffered, err := http.NewResponseController(x.w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = conn.Close() }()
+	encoded := encode(body)
+	if writeRaw(conn, id, encoded) != nil {
+		return
+	}
+	next, err := http.ReadRequest(buffered.Reader)
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, next.Body); err == nil {
+		// The connection is closed next, whether or not the client is still there.
+		_ = writeRaw(conn, id, encoded)
+	}
+}
+
+func writeRaw(w io.Writer, id backend.AttemptID, body []byte) error {
+	resp := http.Response{
+		StatusCode: http.StatusOK, ProtoMajor: 1, ProtoMinor: 1,
+		Header:        http.Header{},
+		ContentLength: int64(len(body)),
+		Body:          io.NopCloser(bytes.NewReader(body)),
+	}
+	resp.Header.Set("Content-Type", "application/json")
+	resp.Header.Set(backendhttp.HeaderAttempt, backendhttp.AttemptHeader(id))
+	return resp.Write(w)
+}
+
+// reachable applies the network's faults to a request for a report.
+func (s *Server) reachable(r *http.Request) bool {
+	f := s.state.current()
+	if f.Silent {
+		<-r.Context().Done()
+		return false
+	}
+	return pause(r.Context(), 2*f.Latency)
+}
+
+// pause waits for d and tells whether ctx is still alive.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// deadlineOf returns the time of an absolute deadline in Unix milliseconds; the zero time if there is none.
+func deadlineOf(ms int64) time.Time {
+	if ms <= 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
+
+// decode reads the whole body, so that net/http notices from then on when the client closes its connection.
+func decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err == nil {
+		err = json.Unmarshal(data, into)
+	}
+	if err != nil {
+		writeJSON(w, http.StatusBadRequest, backendhttp.RefusalBody{Reason: "bad_request"})
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The client is gone if the write fails.
+	_, _ = w.Write(encode(body))
+}
+
+func encode(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic("backendserver: reply cannot be encoded: " + err.Error())
+	}
+	return b
+}
--- /dev/null
+++ b/internal/standin/backendserver/items.go
@@ -0,0 +1,55 @@
+package backendserver
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+// Content names what a server answers from. Equal contents give equal items on every server.
+type Content struct {
+	Shard   model.ShardName
+	Epoch   model.ShardMapEpoch
+	Version model.IndexVersion
+	Text    string
+	// Items is the number of matches in the shard.
+	Items int
+}
+
+// Generate returns the best limit items of a content, by descending score and then by key. The body of an item names
+// its shard, epoch, version and text.
+func Generate(c Content, limit int) []model.Item {
+	h := fnv.New64a()
+	// Writing to a hash returns no error.
+	_, _ = fmt.Fprintf(h, "%s/%d/%d", c.Shard, c.Epoch, c.Version)
+	rnd := rand.New(rand.NewPCG(h.Sum64(), 1)) //nolint:gosec // reproducible items
+	items := make([]model.Item, c.Items)
+	for i := range items {
+		items[i] = model.Item{
+			Key:   fmt.Sprintf("%s-%d", c.Shard, i),
+			Score: rnd.Float64(),
+			Body:  fmt.Sprintf("%s/%d/%d/%s", c.Shard, c.Epoch, c.Version, c.Text),
+		}
+	}
+	return best(items, limit)
+}
+
+// Merged returns the right answer for a query that all the contents answer.
+func Merged(contents []Content, limit int) []model.Item {
+	var all []model.Item
+	for _, c := range contents {
+		all = append(all, Generate(c, limit)...)
+	}
+	return best(all, limit)
+}
+
+func best(items []model.Item, limit int) []model.Item {
+	slices.SortFunc(items, func(a, b model.Item) int {
+		return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.Key, b.Key))
+	})
+	return items[:max(0, min(limit, len(items)))]
+}
--- a/internal/standin/backendserver/server.go
+++ b/internal/standin/backendserver/server.go
@@ -1,69 +1,88 @@
 package backendserver
 
 import (
-	"encoding/json"
-	"fmt"
 	"net/http"
 	"time"
 
 	"oleandersill.example/oleandersill/internal/backend"
 	"oleandersill.example/oleandersill/internal/backend/backendhttp"
-	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/pool"
+	"oleandersill.example/oleandersill/internal/standin/netfault"
 )
 
-// Config describes one server.
-type Config struct {
-	Shard   model.ShardName
-	Epoch   model.ShardMapEpoch
-	Version model.IndexVersion
-	Slots   int
-	// ServiceTime is how long a request holds a slot.
-	ServiceTime time.Duration
-	// Items is the number of matches in the shard.
-	Items int
-}
-
-// Server is the stand-in. Create it with New and serve it as an http.Handler.
+// Server is the stand-in. Create it with New, serve it with Start (or as an http.Handler) and end it with Close. Start,
+// Crash, Restart and Close must not be called at the same time; everything else may.
 type Server struct {
-	cfg   Config
-	mux   *http.ServeMux
-	slots chan struct{}
+	cfg      Config
+	mux      *http.ServeMux
+	state    *state
+	queue    *queue
+	workers  *pool.Pool
+	endpoint *netfault.Endpoint
 }
 
-// New returns a server.
+// New returns a server whose workers run.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg, mux: http.NewServeMux(), slots: make(chan struct{}, cfg.Slots)}
+	cfg = cfg.withDefaults()
+	s := &Server{
+		cfg:   cfg,
+		mux:   http.NewServeMux(),
+		state: newState(cfg),
+		queue: newQueue(cfg.Slots + cfg.Queue),
+	}
 	s.mux.HandleFunc("POST "+backendhttp.PathQuery, s.query)
+	s.mux.HandleFunc("GET "+backendhttp.PathHealth, s.health)
+	s.mux.HandleFunc("GET "+backendhttp.PathLoad, s.load)
+	s.mux.HandleFunc("POST "+backendhttp.PathExecute, s.execute)
+	s.mux.HandleFunc("POST "+backendhttp.PathCancel, s.cancel)
+	s.endpoint = netfault.NewEndpoint(s, netfault.Config{
+		MaxConnections: cfg.Connections,
+		ConnectionCost: cfg.ConnectionCost,
+	})
+	s.workers = pool.Start(cfg.Slots, func() (func(), bool) {
+		j, ok := s.queue.take()
+		return func() { s.run(j) }, ok
+	})
 	return s
 }
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
-func (s *Server) query(w http.ResponseWriter, r *http.Request) {
-	var body backendhttp.QueryBody
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	w.Header().Set(backendhttp.HeaderAttempt, backendhttp.AttemptHeader(body.ID))
-	s.slots <- struct{}{}
-	defer func() { <-s.slots }()
-	time.Sleep(s.cfg.ServiceTime)
-	reply := backendhttp.QueryReplyBody{
-		ID: body.ID, Shard: s.cfg.Shard, Epoch: s.cfg.Epoch, Version: s.cfg.Version,
-		Items: s.items(body.Limit), Load: backend.Load{Running: len(s.slots)},
-	}
-	w.Header().Set("Content-Type", "application/json")
-	// The client is gone if the write fails.
-	_ = json.NewEncoder(w).Encode(reply)
+// Start listens on the address, host:port, and serves. Port 0 picks a free port, which Restart keeps.
+func (s *Server) Start(address string) error { return s.endpoint.Open(address) }
+
+// Address returns the address that the server listens on, or listened on before it crashed.
+func (s *Server) Address() string { return s.endpoint.Address() }
+
+// Close ends the server and its workers and waits for them.
+func (s *Server) Close() {
+	s.queue.close()
+	s.queue.stopAll(EndCrashed)
+	s.endpoint.Shut()
+	s.workers.Wait()
 }
 
-func (s *Server) items(limit int) []model.Item {
-	n := min(limit, s.cfg.Items)
-	out := make([]model.Item, n)
-	for i := range out {
-		out[i] = model.Item{Key: fmt.Sprintf("%s-%d", s.cfg.Shard, i), Score: float64(s.cfg.Items - i)}
+// run holds a slot for a job until its service time has passed or it is stopped. It runs on a worker.
+func (s *Server) run(j *job) {
+	begin := time.Now()
+	running := s.cfg.Record.begin(j.exec)
+	service := s.state.serviceTime(begin)
+	end := EndCompleted
+	if !j.deadline.IsZero() {
+		if left := j.deadline.Sub(begin); left < service {
+			service, end = left, EndDeadline
+		}
 	}
-	return out
+	timer := time.NewTimer(service)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-j.stop:
+	}
+	end = s.queue.finish(j, end)
+	s.cfg.Record.end(running, end, time.Now())
+	close(j.done)
 }
+
+func (s *Server) actualLoad() backend.Load { return s.queue.load() }
