Give the platform stand-in leases and faults, with contract suites

Cause: what an error of the store says about the effect of a write decides whether a request may run, and nothing checked it. Marks of cockroachdb/errors on ErrUnknown and ErrUnavailable were not seen by the standard errors.Is.

Change: memplatform holds the data (compare-and-swap, leases, watches, stale reads, a lagging list) and serves unit tests; platformserver puts it on the wire with outages, silence by zone or instance, lost replies, rate limits and counters. contract.Store and contract.InstanceList run against both. platformhttp wraps both errors, follows no redirect, states who calls (Identify) and counts a connection that was given up unwritten as not used. backendhttp takes a refusal as not run only if it says so, and closes the connection of every mismatched reply.

No measurement.

--- a/internal/backend/backendhttp/client.go
+++ b/internal/backend/backendhttp/client.go
@@ -1,13 +1,10 @@
 package backendhttp
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
 	"time"
 
@@ -35,11 +32,14 @@
 func (c *Connector) Connect(server *model.Server, connections int) backend.Server {
 	return &client{
 		server: server,
-		http:   &http.Client{Transport: c.transport(max(1, connections))},
+		http:   &http.Client{Transport: c.transport(max(1, connections)), CheckRedirect: refuseRedirect},
 		base:   "http://" + server.Address,
 	}
 }
 
+// refuseRedirect keeps net/http from sending a request a second time, to the place that a redirect names.
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Close closes the idle connections of all clients.
 func (c *Connector) Close() {
 	c.mu.Lock()
@@ -82,13 +82,11 @@
 		Text: req.Text, Limit: req.Limit, DeadlineMs: req.Deadline.UnixMilli(),
 	}
 	var reply QueryReplyBody
-	status, refusal := c.post(ctx, PathQuery, req.ID, body, &reply)
+	x := exchange{id: req.ID, matches: func() bool { return reply.ID == req.ID && reply.Shard == req.Shard }}
+	status, refusal := c.post(ctx, PathQuery, &x, body, &reply)
 	if status != backend.StatusOK {
 		return backend.QueryResult{Status: status, RetryAfter: refusal.retryAfter(), Retained: refusal.Retained}
 	}
-	if reply.ID != req.ID || reply.Shard != req.Shard {
-		return backend.QueryResult{Status: backend.StatusMismatched}
-	}
 	return backend.QueryResult{Status: backend.StatusOK, Reply: backend.QueryReply(reply)}
 }
 
@@ -99,20 +97,19 @@
 		DeadlineMs: req.Deadline.UnixMilli(),
 	}
 	var reply ExecuteReplyBody
-	status, refusal := c.post(ctx, PathExecute, req.ID, body, &reply)
+	x := exchange{id: req.ID, matches: func() bool { return reply.ID == req.ID }}
+	status, refusal := c.post(ctx, PathExecute, &x, body, &reply)
 	if status != backend.StatusOK {
 		return backend.ExecuteResult{Status: status, RetryAfter: refusal.retryAfter()}
 	}
-	if reply.ID != req.ID {
-		return backend.ExecuteResult{Status: backend.StatusMismatched}
-	}
 	return backend.ExecuteResult{Status: backend.StatusOK, Result: reply.Result}
 }
 
 // Cancel implements backend.Server.
 func (c *client) Cancel(ctx context.Context, id backend.AttemptID) bool {
 	var none struct{}
-	status, _ := c.post(ctx, PathCancel, id, CancelBody{ID: id}, &none)
+	x := exchange{id: id, matches: func() bool { return true }}
+	status, _ := c.post(ctx, PathCancel, &x, CancelBody{ID: id}, &none)
 	return status == backend.StatusOK
 }
 
@@ -162,89 +159,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Newf("backendhttp: %s %s: status %d", c.server.Name, path, resp.StatusCode)
 	}
-	return errors.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(into), "backendhttp: decoding")
-}
-
-// post sends one request and decodes its reply. It never sets an Idempotency-Key header: net/http would then resend a
-// request whose connection broke, and a non-idempotent request could run twice.
-func (c *client) post(ctx context.Context, path string, id backend.AttemptID, body, into any) (
-	backend.Status, RefusalBody,
-) {
-	encoded, err := json.Marshal(body)
-	if err != nil {
-		panic("backendhttp: message cannot be encoded: " + err.Error())
-	}
-	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, c.base+path,
-		bytes.NewReader(encoded))
-	if err != nil {
-		return backend.StatusUnreachable, RefusalBody{}
-	}
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return failureStatus(ctx, connected), RefusalBody{}
-	}
-	defer closeBody(resp.Body)
-	if resp.Header.Get(HeaderAttempt) != AttemptHeader(id) {
-		// The body stays unread, so that net/http closes the connection.
-		return backend.StatusMismatched, RefusalBody{}
-	}
-	return decodeReply(ctx, resp, into)
-}
-
-func failureStatus(ctx context.Context, connected bool) backend.Status {
-	switch {
-	case !connected && ctx.Err() == nil:
-		return backend.StatusUnreachable
-	case errors.Is(ctx.Err(), context.Canceled):
-		return backend.StatusCancelled
-	case !connected:
-		return backend.StatusUnreachable
-	}
-	return backend.StatusLost
-}
-
-func decodeReply(ctx context.Context, resp *http.Response, into any) (backend.Status, RefusalBody) {
-	body := io.LimitReader(resp.Body, maxReplyBytes)
-	if resp.StatusCode == http.StatusOK {
-		if err := json.NewDecoder(body).Decode(into); err != nil {
-			return failureStatus(ctx, true), RefusalBody{}
-		}
-		return backend.StatusOK, RefusalBody{}
-	}
-	var refusal RefusalBody
-	if err := json.NewDecoder(body).Decode(&refusal); err != nil {
-		return failureStatus(ctx, true), RefusalBody{}
-	}
-	return refusalStatus(resp.StatusCode, refusal), refusal
-}
-
-// statusClientClosed is the widely used status for a request that its client cancelled.
-const statusClientClosed = 499
-
-func refusalStatus(code int, refusal RefusalBody) backend.Status {
-	if refusal.Ran {
-		return backend.StatusFailed
-	}
-	switch code {
-	case http.StatusTooManyRequests:
-		return backend.StatusShed
-	case http.StatusServiceUnavailable:
-		return backend.StatusDraining
-	case http.StatusRequestTimeout:
-		return backend.StatusDeadlinePassed
-	case http.StatusConflict:
-		return backend.StatusVersionNotHeld
-	case statusClientClosed:
-		return backend.StatusCancelled
-	}
-	return backend.StatusFailed
-}
-
-func (r *RefusalBody) retryAfter() time.Duration {
-	return time.Duration(r.RetryAfterMs) * time.Millisecond
+	return errors.Wrap(readJSON(resp.Body, into), "backendhttp: decoding")
 }
 
 func closeBody(b io.Closer) {
--- /dev/null
+++ b/internal/backend/backendhttp/exchange.go
@@ -0,0 +1,139 @@
+package backendhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"oleandersill.example/oleandersill/internal/backend"
+)
+
+const (
+	// statusClientClosed is the widely used status for a request that its client cancelled.
+	statusClientClosed = 499
+	maxRetryAfter      = time.Minute
+)
+
+// exchange is one request with its reply. Its fields other than id and matches belong to post.
+type exchange struct {
+	id backend.AttemptID
+	// matches tells whether the decoded reply is for the attempt.
+	matches func() bool
+	// conn is the connection that the request was given to; nil while there is none.
+	conn net.Conn
+}
+
+// post sends one request and decodes its reply. It never sets an Idempotency-Key header: net/http would then resend a
+// request whose connection broke, and a non-idempotent request could run twice.
+func (c *client) post(ctx context.Context, path string, x *exchange, body, into any) (backend.Status, RefusalBody) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		panic("backendhttp: message cannot be encoded: " + err.Error())
+	}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, x.trace()), http.MethodPost, c.base+path,
+		bytes.NewReader(encoded))
+	if err != nil {
+		return backend.StatusUnreachable, RefusalBody{}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return x.failure(ctx), RefusalBody{}
+	}
+	defer closeBody(resp.Body)
+	if resp.Header.Get(HeaderAttempt) != AttemptHeader(x.id) {
+		x.cut()
+		return backend.StatusMismatched, RefusalBody{}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return x.refusal(ctx, resp)
+	}
+	if err := readJSON(resp.Body, into); err != nil {
+		return x.failure(ctx), RefusalBody{}
+	}
+	if !x.matches() {
+		x.cut()
+		return backend.StatusMismatched, RefusalBody{}
+	}
+	return backend.StatusOK, RefusalBody{}
+}
+
+func (x *exchange) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		// net/http asks for another connection only if nothing was written on the one before.
+		GetConn: func(string) { x.conn = nil },
+		GotConn: func(info httptrace.GotConnInfo) { x.conn = info.Conn },
+	}
+}
+
+// cut closes the connection of a reply that does not belong to the attempt: what else comes on it cannot be trusted.
+func (x *exchange) cut() {
+	// The connection may be closed already.
+	_ = x.conn.Close()
+}
+
+// failure tells what is known about a request without a whole reply.
+func (x *exchange) failure(ctx context.Context) backend.Status {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return backend.StatusCancelled
+	case x.conn == nil:
+		return backend.StatusUnreachable
+	}
+	return backend.StatusLost
+}
+
+// refusal decodes a reply that is not 200. Only an explicit "ran": false proves that the server did not run the request.
+func (x *exchange) refusal(ctx context.Context, resp *http.Response) (backend.Status, RefusalBody) {
+	var body struct {
+		RefusalBody
+		Ran *bool `json:"ran"`
+	}
+	if err := readJSON(resp.Body, &body); err != nil {
+		return x.failure(ctx), RefusalBody{}
+	}
+	body.RefusalBody.Ran = body.Ran == nil || *body.Ran
+	return refusalStatus(resp.StatusCode, body.RefusalBody), body.RefusalBody
+}
+
+func refusalStatus(code int, refusal RefusalBody) backend.Status {
+	if code == statusClientClosed {
+		return backend.StatusCancelled
+	}
+	if refusal.Ran {
+		return backend.StatusFailed
+	}
+	switch code {
+	case http.StatusTooManyRequests:
+		return backend.StatusShed
+	case http.StatusServiceUnavailable:
+		return backend.StatusDraining
+	case http.StatusRequestTimeout:
+		return backend.StatusDeadlinePassed
+	case http.StatusConflict:
+		return backend.StatusVersionNotHeld
+	}
+	return backend.StatusFailed
+}
+
+// retryAfter returns the server's hint, bounded because servers may send anything.
+func (r *RefusalBody) retryAfter() time.Duration {
+	ms := min(max(r.RetryAfterMs, 0), maxRetryAfter.Milliseconds())
+	return time.Duration(ms) * time.Millisecond
+}
+
+// readJSON reads a body to its end, so that net/http can reuse the connection, and decodes it.
+func readJSON(body io.Reader, into any) error {
+	data, err := io.ReadAll(io.LimitReader(body, maxReplyBytes))
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, into)
+}
--- a/internal/platform/platformhttp/client.go
+++ b/internal/platform/platformhttp/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/platform"
 )
 
@@ -25,8 +27,10 @@
 
 // Client implements platform.Store and platform.InstanceList.
 type Client struct {
-	base string
-	http *http.Client
+	base     string
+	http     *http.Client
+	instance model.InstanceID
+	zone     model.AvailabilityZone
 }
 
 // New returns a client of the platform at address, host:port.
@@ -38,10 +42,18 @@
 			MaxConnsPerHost:     maxConnections,
 			MaxIdleConnsPerHost: maxConnections,
 			DisableCompression:  true,
-		}},
+		}, CheckRedirect: refuseRedirect},
 	}
 }
 
+// refuseRedirect keeps net/http from sending a write a second time, to the place that a redirect names.
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Identify makes the client state who calls, in HeaderInstance and HeaderZone. Call it before the client is used.
+func (c *Client) Identify(instance model.InstanceID, zone model.AvailabilityZone) {
+	c.instance, c.zone = instance, zone
+}
+
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -136,11 +148,17 @@
 		reader = bytes.NewReader(encoded)
 	}
 	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	trace := &httptrace.ClientTrace{
+		// net/http asks for another connection only if nothing was written on the one before, writes being not replayable.
+		GetConn: func(string) { connected = false },
+		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.base+path, reader)
 	if err != nil {
 		return errors.Wrap(err, "platformhttp: building request")
 	}
+	req.Header.Set(HeaderInstance, string(c.instance))
+	req.Header.Set(HeaderZone, string(c.zone))
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return failure(err, method, connected)
@@ -149,12 +167,14 @@
 	return decode(resp, method, into)
 }
 
-// failure marks an error by what is known about the effect of the request.
+// failure wraps an error in what is known about the effect of the request. It wraps both errors, because a mark of
+// cockroachdb/errors is not seen by the standard library's errors.Is.
 func failure(err error, method string, connected bool) error {
+	meaning := platform.ErrUnavailable
 	if connected && method != http.MethodGet {
-		return errors.Mark(errors.Wrap(err, "platformhttp"), platform.ErrUnknown)
+		meaning = platform.ErrUnknown
 	}
-	return errors.Mark(errors.Wrap(err, "platformhttp"), platform.ErrUnavailable)
+	return fmt.Errorf("platformhttp: %w: %w", meaning, err)
 }
 
 func decode(resp *http.Response, method string, into any) error {
@@ -163,7 +183,12 @@
 		if into == nil {
 			return nil
 		}
-		if err := json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(into); err != nil {
+		// Reading to the end lets net/http reuse the connection.
+		data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+		if err == nil {
+			err = json.Unmarshal(data, into)
+		}
+		if err != nil {
 			return failure(err, method, true)
 		}
 		return nil
--- a/internal/platform/platformhttp/wire.go
+++ b/internal/platform/platformhttp/wire.go
@@ -14,6 +14,12 @@
 	PathInstances = "/v1/instances"
 )
 
+// Headers by which a client states who calls.
+const (
+	HeaderInstance = "X-Instance"
+	HeaderZone     = "X-Zone"
+)
+
 // EntryBody is one key with its value, which JSON carries as base64.
 type EntryBody struct {
 	Key          string           `json:"key"`
@@ -22,6 +28,11 @@
 	ModifiedAtMs int64            `json:"modified_at_ms"`
 }
 
+// EntryBodyOf returns the wire form of an entry.
+func EntryBodyOf(e platform.Entry) EntryBody {
+	return EntryBody{Key: e.Key, Value: e.Value, Version: e.Version, ModifiedAtMs: e.ModifiedAt.UnixMilli()}
+}
+
 // Entry returns the typed form.
 func (e EntryBody) Entry() platform.Entry {
 	return platform.Entry{
--- a/internal/standin/platformserver/server.go
+++ b/internal/standin/platformserver/server.go
@@ -1,160 +1,90 @@
 package platformserver
 
 import (
-	"encoding/json"
 	"net/http"
-	"slices"
-	"strconv"
-	"strings"
-	"sync"
 	"time"
 
+	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/platform"
 	"oleandersill.example/oleandersill/internal/platform/platformhttp"
+	"oleandersill.example/oleandersill/internal/standin/netfault"
+	"oleandersill.example/oleandersill/internal/testing/memplatform"
 )
 
-// Server is the stand-in. Create it with New and serve it as an http.Handler.
-type Server struct {
-	mux *http.ServeMux
+// Config describes a platform. The zero value is ready to use.
+type Config struct {
+	// Now is the clock of leases, rate limits, stale reads and the lagging list; nil means time.Now.
+	Now func() time.Time
+	// Seed makes fault draws reproducible.
+	Seed uint64
+}
 
-	mu        sync.Mutex
-	entries   map[string]platformhttp.EntryBody
-	changed   chan struct{}
-	instances []platform.Instance
+// Server is the stand-in. Create it with New, serve it with Listen (or as an http.Handler).
+type Server struct {
+	mux  *http.ServeMux
+	desk *desk
+	data *memplatform.Platform
+	now  func() time.Time
 }
 
 // New returns an empty platform.
-func New() *Server {
-	s := &Server{mux: http.NewServeMux(), entries: map[string]platformhttp.EntryBody{}, changed: make(chan struct{})}
-	s.mux.HandleFunc("GET /v1/kv/{key}", s.get)
-	s.mux.HandleFunc("PUT /v1/kv/{key}", s.put)
-	s.mux.HandleFunc("DELETE /v1/kv/{key}", s.del)
-	s.mux.HandleFunc("GET /v1/kv", s.list)
-	s.mux.HandleFunc("GET /v1/watch/{key}", s.watch)
-	s.mux.HandleFunc("GET /v1/instances", s.listInstances)
+func New() *Server { return NewWith(Config{}) }
+
+// NewWith returns an empty platform with the given configuration.
+func NewWith(cfg Config) *Server {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	s := &Server{mux: http.NewServeMux(), desk: newDesk(cfg.Seed), data: memplatform.New(cfg.Now), now: cfg.Now}
+	s.handle("GET "+platformhttp.PathKV+"/{key}", KindGet, s.get)
+	s.handle("GET "+platformhttp.PathKV, KindList, s.list)
+	s.handle("GET "+platformhttp.PathWatch+"{key}", KindWatch, s.watch)
+	s.handle("GET "+platformhttp.PathInstances, KindInstances, s.instances)
+	s.handle("PUT "+platformhttp.PathKV+"/{key}", KindPut, s.put)
+	s.handle("DELETE "+platformhttp.PathKV+"/{key}", KindDelete, s.del)
+	s.handle("POST "+platformhttp.PathLeases, KindGrant, s.grant)
+	s.handle("POST "+platformhttp.PathLeases+"/{id}/renew", KindRenew, s.renew)
+	s.handle("DELETE "+platformhttp.PathLeases+"/{id}", KindRevoke, s.revoke)
 	return s
 }
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
-// SetInstances replaces the list of instances.
-func (s *Server) SetInstances(list []platform.Instance) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.instances = slices.Clone(list)
-}
-
-func (s *Server) get(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	e, ok := s.entries[r.PathValue("key")]
-	s.mu.Unlock()
-	if !ok {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	reply(w, http.StatusOK, e)
-}
-
-func (s *Server) put(w http.ResponseWriter, r *http.Request) {
-	var body platformhttp.PutBody
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	if len(body.Value) > platform.MaxValueBytes {
-		w.WriteHeader(http.StatusRequestEntityTooLarge)
-		return
-	}
-	expect, _ := strconv.ParseUint(r.URL.Query().Get("expect"), 10, 64)
-	key := r.PathValue("key")
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	current := s.entries[key].Version
-	if current != platform.Version(expect) {
-		reply(w, http.StatusConflict, platformhttp.VersionBody{Version: current})
-		return
-	}
-	s.entries[key] = platformhttp.EntryBody{
-		Key: key, Value: body.Value, Version: current + 1, ModifiedAtMs: time.Now().UnixMilli(),
+// Listen serves on the address, host:port, until the endpoint is shut; port 0 picks a free port. All calls that come
+// through it count as calls from the zone, unless the zone is empty. Shutting the endpoint refuses connections.
+func (s *Server) Listen(address string, zone model.AvailabilityZone) (*netfault.Endpoint, error) {
+	e := netfault.NewEndpoint(s.from(zone), netfault.Config{})
+	if err := e.Open(address); err != nil {
+		return nil, err
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
-	reply(w, http.StatusOK, platformhttp.VersionBody{Version: current + 1})
+	return e, nil
 }
 
-func (s *Server) del(w http.ResponseWriter, r *http.Request) {
-	expect, _ := strconv.ParseUint(r.URL.Query().Get("expect"), 10, 64)
-	key := r.PathValue("key")
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.entries[key].Version != platform.Version(expect) {
-		w.WriteHeader(http.StatusConflict)
-		return
-	}
-	delete(s.entries, key)
-	w.WriteHeader(http.StatusOK)
-}
-
-func (s *Server) list(w http.ResponseWriter, r *http.Request) {
-	prefix := r.URL.Query().Get("prefix")
-	out := []platformhttp.EntryBody{}
-	s.mu.Lock()
-	for key, e := range s.entries {
-		if strings.HasPrefix(key, prefix) {
-			e.Value = nil
-			out = append(out, e)
+func (s *Server) from(zone model.AvailabilityZone) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if zone != "" {
+			r.Header.Set(platformhttp.HeaderZone, string(zone))
 		}
-	}
-	s.mu.Unlock()
-	slices.SortFunc(out, func(a, b platformhttp.EntryBody) int { return strings.Compare(a.Key, b.Key) })
-	reply(w, http.StatusOK, out)
+		s.ServeHTTP(w, r)
+	})
 }
 
-func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
-	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	waitMs, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
-	timeout := time.NewTimer(time.Duration(waitMs) * time.Millisecond)
-	defer timeout.Stop()
-	for {
-		s.mu.Lock()
-		e, ok := s.entries[r.PathValue("key")]
-		changed := s.changed
-		s.mu.Unlock()
-		if ok && e.Version > platform.Version(after) {
-			reply(w, http.StatusOK, e)
-			return
-		}
-		select {
-		case <-changed:
-		case <-timeout.C:
-			w.WriteHeader(http.StatusNotFound)
-			return
-		case <-r.Context().Done():
-			return
-		}
-	}
+// SetFaults replaces the faults in force.
+func (s *Server) SetFaults(f Faults) {
+	s.desk.set(f)
+	// This also wakes the watches, which then see the new faults.
+	s.data.SetFaults(memplatform.Faults{Down: f.Down, StaleBy: f.StaleBy, ListLag: f.ListLag})
 }
 
-func (s *Server) listInstances(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	out := []platform.Instance{}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, in := range s.instances {
-		if matches(q.Get("role"), string(in.Role)) && matches(q.Get("zone"), string(in.Zone)) &&
-			matches(q.Get("state"), string(in.State)) {
-			out = append(out, in)
-		}
-	}
-	reply(w, http.StatusOK, out)
-}
+// SetInstances replaces the list of instances.
+func (s *Server) SetInstances(list []platform.Instance) { s.data.SetInstances(list) }
 
-func matches(want, have string) bool { return want == "" || want == have }
+// Faults returns the faults in force.
+func (s *Server) Faults() Faults { return s.desk.current() }
 
-func reply(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	// The client is gone if the write fails.
-	_ = json.NewEncoder(w).Encode(v)
-}
+// Counts returns the counters by kind of call.
+func (s *Server) Counts() map[Kind]Counts { return s.desk.snapshot() }
+
+// Data returns the platform's data, on which a test may act without the faults of the wire.
+func (s *Server) Data() *memplatform.Platform { return s.data }
