Run non-idempotent requests at most once

A request's key is claimed in the store by compare-and-swap before anything is sent, the claim window is checked on the worker immediately before the request is written, and the result or the release is recorded afterwards.

--- /dev/null
+++ b/internal/command/commandhttp/execute.go
@@ -0,0 +1,125 @@
+package commandhttp
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"oleandersill.example/oleandersill/internal/command/execute"
+	"oleandersill.example/oleandersill/internal/httpapi"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/tables"
+)
+
+// HeaderFirstAttempt is the caller's statement, "true", that it never sent the idempotency key before, or only with the
+// outcome not_run. Without it, a request that ends before its claim is held is answered unknown and not not_run.
+const HeaderFirstAttempt = "X-First-Attempt"
+
+// ExecuteRequest is the body of a non-idempotent request.
+type ExecuteRequest struct {
+	// RoutingKey selects the shard; without it, the idempotency key does.
+	RoutingKey string `json:"routing_key,omitempty"`
+	// Body is passed to the server as it is.
+	Body string `json:"body"`
+}
+
+// ExecuteResponse is the body of the answer.
+type ExecuteResponse struct {
+	RequestID model.RequestID `json:"request_id"`
+	Outcome   model.Outcome   `json:"outcome"`
+	Reason    string          `json:"reason,omitempty"`
+	Revision  model.Revision  `json:"config_revision"`
+	// Result is the server's result, for the outcome complete.
+	Result string `json:"result"`
+	// Recorded tells that the request ran earlier and its recorded result is returned.
+	Recorded     bool  `json:"recorded"`
+	RetryAfterMs int64 `json:"retry_after_ms,omitempty"`
+}
+
+// Executor runs non-idempotent requests; execute.Executor implements it.
+type Executor interface {
+	Execute(ctx context.Context, req execute.Request) execute.Answer
+}
+
+// Execute serves POST /v1/services/{service}/execute.
+type Execute struct {
+	Config   *tables.Config
+	Executor Executor
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Execute) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	topology := h.Config.Current()
+	call, problem := httpapi.ReadCall(r, topology)
+	if problem != nil {
+		httpapi.WriteProblem(w, problem)
+		return
+	}
+	first, problem := readFirstAttempt(r.Header.Get(HeaderFirstAttempt))
+	if problem != nil {
+		httpapi.WriteProblem(w, problem)
+		return
+	}
+	var body ExecuteRequest
+	if problem := httpapi.DecodeBody(w, r, &body); problem != nil {
+		httpapi.WriteProblem(w, problem)
+		return
+	}
+	answer := h.Executor.Execute(r.Context(), execute.Request{
+		Caller:       call.Caller,
+		Rank:         call.Rank,
+		Service:      call.Service,
+		Topology:     topology,
+		Key:          r.Header.Get(httpapi.HeaderKey),
+		RoutingKey:   body.RoutingKey,
+		Body:         body.Body,
+		Deadline:     call.Deadline,
+		FirstAttempt: first,
+	})
+	if answer.Rejection != execute.RejectNone {
+		httpapi.WriteProblem(w, httpapi.BadRequest(string(answer.Rejection), rejectionDetail(answer.Rejection)))
+		return
+	}
+	writeExecuted(w, topology.Revision, answer)
+}
+
+func readFirstAttempt(value string) (bool, *httpapi.Problem) {
+	switch value {
+	case "", "false":
+		return false, nil
+	case "true":
+		return true, nil
+	}
+	return false, httpapi.BadRequest("bad_first_attempt", HeaderFirstAttempt+" must be true or false")
+}
+
+func rejectionDetail(r execute.Rejection) string {
+	switch r {
+	case execute.RejectMissingKey:
+		return httpapi.HeaderKey + " is required"
+	case execute.RejectMalformedKey:
+		return httpapi.HeaderKey + " must be a UUIDv7"
+	case execute.RejectKeyFromFuture:
+		return "the time of the key is more than 5 minutes ahead"
+	case execute.RejectOtherContent:
+		return "the key was used for a request with other content"
+	case execute.RejectNone:
+	}
+	return ""
+}
+
+func writeExecuted(w http.ResponseWriter, revision model.Revision, a execute.Answer) {
+	w.Header().Set(httpapi.HeaderOutcome, string(a.Outcome))
+	if a.RetryAfter > 0 {
+		w.Header().Set("Retry-After", httpapi.RetryAfterSeconds(a.RetryAfter))
+	}
+	httpapi.WriteJSON(w, httpapi.StatusOf(a.Outcome), ExecuteResponse{
+		RequestID:    a.RequestID,
+		Outcome:      a.Outcome,
+		Reason:       a.Reason,
+		Revision:     revision,
+		Result:       a.Result,
+		Recorded:     a.Recorded,
+		RetryAfterMs: int64(a.RetryAfter / time.Millisecond),
+	})
+}
--- /dev/null
+++ b/internal/command/execute/doc.go
@@ -0,0 +1,7 @@
+// Package execute runs non-idempotent requests at most once. A request's idempotency key is claimed in the platform's
+// store by compare-and-swap before anything is sent; the claim's state decides what a repeated request is told.
+//
+// What a caller is told is always proven. Complete: a server's own reply, or a recorded one. Not run: this request holds
+// the claim, so that no earlier one ran, and nothing was sent or every server said that it did not start; or nothing was
+// done and the caller states that this is the key's first attempt. Unknown: everything else.
+package execute
--- /dev/null
+++ b/internal/command/execute/executor.go
@@ -0,0 +1,183 @@
+package execute
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"oleandersill.example/oleandersill/internal/decision/admission"
+	"oleandersill.example/oleandersill/internal/decision/claim"
+	"oleandersill.example/oleandersill/internal/decision/lease"
+	"oleandersill.example/oleandersill/internal/dispatch"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/tables"
+)
+
+// defaultRetryAfter is the hint given when nothing better is known.
+const defaultRetryAfter = time.Second
+
+// Config makes an Executor.
+type Config struct {
+	Dispatcher  *dispatch.Dispatcher
+	Executions  *tables.Executions
+	Claims      ClaimStore
+	Instance    model.InstanceID
+	Incarnation model.Incarnation
+	Log         zerolog.Logger
+	// Window is the time in which a claim's holder may send; 0 means claim.Window.
+	Window time.Duration
+	// Now is the clock; nil means time.Now. Its times must carry a monotonic reading.
+	Now func() time.Time
+}
+
+// Executor runs the non-idempotent requests of one daemon. Create it with New, end it with Close.
+type Executor struct {
+	cfg      Config
+	recorder *recorder
+	sequence atomic.Uint64
+}
+
+// New returns a running executor.
+func New(cfg Config) *Executor {
+	if cfg.Window == 0 {
+		cfg.Window = claim.Window
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	return &Executor{cfg: cfg, recorder: newRecorder(cfg.Claims, cfg.Log)}
+}
+
+// Close ends the executor once the records in hand are written. Call it when no request is in progress.
+func (e *Executor) Close() { e.recorder.close() }
+
+// Execute runs a request and returns when it is answered. It goes on when ctx is cancelled, because a request that was
+// sent has to be recorded; the request's deadline bounds it.
+func (e *Executor) Execute(ctx context.Context, req Request) Answer {
+	c := &call{Request: req, id: e.requestID()}
+	if rejection := e.prepare(c); rejection != RejectNone {
+		return Answer{RequestID: c.id, Rejection: rejection}
+	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.Deadline)
+	defer cancel()
+	result := e.runOnce(ctx, c)
+	if result.Rejected {
+		return Answer{RequestID: c.id, Rejection: RejectOtherContent}
+	}
+	return Answer{RequestID: c.id, ExecutionResult: result}
+}
+
+func (e *Executor) requestID() model.RequestID {
+	return model.RequestID(fmt.Sprintf("%s-%x-x%x", e.cfg.Instance, uint64(e.cfg.Incarnation), e.sequence.Add(1))) //nolint:gosec // an identifier
+}
+
+// prepare derives the key, the digest and the shard.
+func (e *Executor) prepare(c *call) Rejection {
+	if c.Key == "" {
+		return RejectMissingKey
+	}
+	key, err := claim.ParseKey(c.Key)
+	if err != nil {
+		return RejectMalformedKey
+	}
+	if claim.ClassifyKey(key.Time(), e.cfg.Now()) == claim.KeyFromFuture {
+		return RejectKeyFromFuture
+	}
+	c.key = key
+	c.digest = claim.Digest(string(c.Service.Name), c.RoutingKey, c.Body)
+	if c.RoutingKey == "" {
+		c.RoutingKey = key.String()
+	}
+	c.shard = c.Service.ShardOf(int(xxhash.Sum64String(c.RoutingKey) % model.KeySpace))
+	return RejectNone
+}
+
+// runOnce runs the request, or waits for the one with the same key that this daemon is running already.
+func (e *Executor) runOnce(ctx context.Context, c *call) tables.ExecutionResult {
+	execution, created := e.cfg.Executions.Begin(c.entry(), c.digest)
+	if !created {
+		return join(ctx, c, execution)
+	}
+	result := e.admitAndRun(ctx, c)
+	e.cfg.Executions.Finish(c.entry(), execution, result)
+	if result.Outcome == model.OutcomeUnknown {
+		e.cfg.Log.Warn().Str("service", string(c.Service.Name)).Str("key", c.key.String()).
+			Str("reason", result.Reason).Msg("claim_unknown")
+	}
+	return result
+}
+
+func join(ctx context.Context, c *call, execution *tables.Execution) tables.ExecutionResult {
+	if !execution.SameContent(c.digest) {
+		return tables.ExecutionResult{Rejected: true}
+	}
+	select {
+	case <-execution.Done():
+		return execution.Result()
+	case <-ctx.Done():
+	}
+	return unknown(ReasonStillRunning)
+}
+
+func (e *Executor) admitAndRun(ctx context.Context, c *call) tables.ExecutionResult {
+	if claim.ClassifyKey(c.key.Time(), e.cfg.Now()) == claim.KeyTooOld {
+		return tables.ExecutionResult{Outcome: model.OutcomeUnknown, Reason: ReasonKeyTooOld}
+	}
+	if c.shard == nil {
+		return c.nothingDone(ReasonNoServer, defaultRetryAfter)
+	}
+	waiter := admission.Waiter{Caller: c.Caller, Rank: c.Rank, Deadline: c.Deadline}
+	entry := e.cfg.Dispatcher.Enter(ctx, c.Service.Name, waiter, c.Topology.RankPolicy(c.Rank).MaxQueue)
+	if !entry.Admitted() {
+		return c.nothingDone(string(entry.Reason), entry.RetryAfter)
+	}
+	result := e.run(ctx, c)
+	e.cfg.Dispatcher.Leave(c.Service.Name, entry, c.slowdown)
+	return result
+}
+
+// run claims the key, sends the request and records what came of it.
+func (e *Executor) run(ctx context.Context, c *call) tables.ExecutionResult {
+	held, result, ok := e.acquire(ctx, c)
+	if !ok {
+		return result
+	}
+	window := lease.Window{Granted: held.granted, TTL: e.cfg.Window}
+	result = e.send(ctx, c, window)
+	switch result.Outcome {
+	case model.OutcomeComplete:
+		e.recorder.record(ctx, recordJob{key: held.key, version: held.version, next: held.record.Done(result.Result)})
+	case model.OutcomeNotRun:
+		e.recorder.record(ctx, recordJob{key: held.key, version: held.version, next: held.record.Released()})
+	case model.OutcomePartial, model.OutcomeFailed, model.OutcomeUnknown:
+		// The claim stays as it is, so that the request is never sent again.
+	}
+	return result
+}
+
+func (e *Executor) newRecord(c *call) claim.Record {
+	return claim.Record{
+		State:       claim.StateClaimed,
+		Nonce:       uuid.NewString(),
+		Instance:    e.cfg.Instance,
+		Incarnation: e.cfg.Incarnation,
+		Digest:      c.digest,
+		CreatedMs:   e.cfg.Now().UnixMilli(),
+	}
+}
+
+func unknown(reason string) tables.ExecutionResult {
+	return tables.ExecutionResult{Outcome: model.OutcomeUnknown, Reason: reason, RetryAfter: defaultRetryAfter}
+}
+
+func notRun(reason string, retryAfter time.Duration) tables.ExecutionResult {
+	if retryAfter <= 0 {
+		retryAfter = defaultRetryAfter
+	}
+	return tables.ExecutionResult{Outcome: model.OutcomeNotRun, Reason: reason, RetryAfter: retryAfter}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"oleandersill.example/oleandersill/internal/backend/backendhttp"
 	"oleandersill.example/oleandersill/internal/command/commandhttp"
 	"oleandersill.example/oleandersill/internal/command/configure"
+	"oleandersill.example/oleandersill/internal/command/execute"
 	"oleandersill.example/oleandersill/internal/command/fleet"
 	"oleandersill.example/oleandersill/internal/command/report"
 	"oleandersill.example/oleandersill/internal/dispatch"
@@ -37,6 +38,7 @@
 	log        zerolog.Logger
 	config     *tables.Config
 	dispatcher *dispatch.Dispatcher
+	executor   *execute.Executor
 	platform   *platformhttp.Client
 	connector  *backendhttp.Connector
 	callers    *http.Server
@@ -76,13 +78,16 @@
 }
 
 func (d *Daemon) listen() error {
+	incarnation := model.Incarnation(time.Now().UnixNano())
 	searcher := &scatter.Searcher{
 		Dispatcher:  d.dispatcher,
 		Instance:    d.settings.Instance,
-		Incarnation: model.Incarnation(time.Now().UnixNano()),
+		Incarnation: incarnation,
 	}
+	d.startExecutor(incarnation)
 	callers := http.NewServeMux()
 	callers.Handle("POST /v1/services/{service}/query", &queryhttp.Search{Config: d.config, Searcher: searcher})
+	d.handleExecute(callers)
 	callers.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	callers.HandleFunc("GET /readyz", d.readyz)
 	operators := http.NewServeMux()
@@ -143,6 +148,7 @@
 	}
 	d.cancel()
 	d.wg.Wait()
+	d.executor.Close()
 	d.dispatcher.Close()
 	d.connector.Close()
 	d.platform.Close()
--- /dev/null
+++ b/internal/daemon/execute.go
@@ -0,0 +1,27 @@
+package daemon
+
+import (
+	"net/http"
+
+	"oleandersill.example/oleandersill/internal/command/commandhttp"
+	"oleandersill.example/oleandersill/internal/command/execute"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/tables"
+)
+
+// startExecutor starts the part that runs non-idempotent requests.
+func (d *Daemon) startExecutor(incarnation model.Incarnation) {
+	d.executor = execute.New(execute.Config{
+		Dispatcher:  d.dispatcher,
+		Executions:  tables.NewExecutions(),
+		Claims:      &execute.StoreClaims{Store: d.platform},
+		Instance:    d.settings.Instance,
+		Incarnation: incarnation,
+		Log:         d.log,
+	})
+}
+
+// handleExecute serves non-idempotent requests on the callers' port.
+func (d *Daemon) handleExecute(callers *http.ServeMux) {
+	callers.Handle("POST /v1/services/{service}/execute", &commandhttp.Execute{Config: d.config, Executor: d.executor})
+}
--- a/internal/decision/claim/claim.go
+++ b/internal/decision/claim/claim.go
@@ -6,12 +6,21 @@
 	"oleandersill.example/oleandersill/internal/model"
 )
 
-// Retention is how long claims are kept; a key older than that is answered as unknown, because its claim may be gone.
+// Retention is the greatest age of a key that is decided on; an older key is answered as unknown, because its claim may
+// be gone.
 const Retention = 24 * time.Hour
 
-// MaxSkew is how far in the future a key's time may lie.
+// MaxSkew is how far in the future a key's time may lie, and how far the clocks of two daemons may differ.
 const MaxSkew = 5 * time.Minute
 
+// Keep is the least time that a claim stays in the store. It exceeds Retention: a key made MaxSkew ahead is accepted
+// until its claim is Retention + MaxSkew old, and for MaxSkew longer by a daemon whose clock is behind. A claim removed
+// before that would let the key run again.
+const Keep = Retention + 2*MaxSkew
+
+// Window is the time in which the holder of a claim may send its request, counted from before the claim was written.
+const Window = 3 * time.Second
+
 // State is the state of a claim record.
 type State string
 
@@ -35,10 +44,22 @@
 	// Digest identifies the request's content: a key that comes back with other content is rejected.
 	Digest string `json:"digest"`
 	Result string `json:"result,omitempty"`
-	// CreatedMs is the holder's wall clock in Unix milliseconds, for garbage collection only.
+	// CreatedMs is the holder's wall clock in Unix milliseconds, for people who read the record.
 	CreatedMs int64 `json:"created_ms"`
 }
 
+// Done returns the record that replaces r once its request ran.
+func (r Record) Done(result string) Record {
+	r.State, r.Result = StateDone, result
+	return r
+}
+
+// Released returns the record that replaces r once its holder has ended without running the request.
+func (r Record) Released() Record {
+	r.State = StateReleased
+	return r
+}
+
 // Action is what a daemon may do about a request whose claim it read.
 type Action int
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -126,6 +126,13 @@
 	}
 }
 
+// end reports the end of an attempt that was sent at begin, gives its headroom back and returns its slowdown.
+func (d *Dispatcher) end(s *tables.Server, status backend.Status, begin time.Time, load backend.Load) float64 {
+	slowdown := d.observer.ObserveAttempt(s, status, time.Since(begin), load)
+	d.release(s)
+	return slowdown
+}
+
 // cancelTimeout bounds the wait for a server's acknowledgement of a cancellation.
 const cancelTimeout = 200 * time.Millisecond
 
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -63,8 +63,7 @@
 	q.sent.Store(true)
 	begin := time.Now()
 	result := q.Server.Client().Query(q.ctx, q.Request)
-	q.Slowdown = q.d.observer.ObserveAttempt(q.Server, result.Status, time.Since(begin), result.Reply.Load)
+	q.Slowdown = q.d.end(q.Server, result.Status, begin, result.Reply.Load)
 	q.stop()
-	q.d.release(q.Server)
 	q.Done(q, result)
 }
