Test at-most-once execution with fault tables and a property test

The fault cases and the random state machine run on a virtual clock. The property test fails when a lost reply counts as not run, when another's claim is taken over, when a lost claim reply counts as held, and when a store outage is answered not_run without the caller's statement that no earlier attempt may have run.

--- /dev/null
+++ b/internal/command/execute/property_test.go
@@ -0,0 +1,96 @@
+package execute_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"oleandersill.example/oleandersill/internal/command/execute"
+	"oleandersill.example/oleandersill/internal/lockorder"
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+// TestAtMostOnce drives two daemons with random faults of the store and the servers, and random pauses. It guards
+// against a second run of a key, a false not_run and a false complete.
+func TestAtMostOnce(t *testing.T) {
+	lockorder.EnableCheck()
+	synctest.Test(t, func(t *testing.T) {
+		// rapid asks a *testing.T for its deadline, which a bubble does not allow.
+		rapid.Check(struct{ rapid.TB }{t}, func(rt *rapid.T) {
+			m := &machine{world: newWorld(), mayHaveRun: map[string]bool{}}
+			defer m.world.close()
+			m.keys = []string{keyAt(time.Now()), keyAt(time.Now()), keyAt(time.Now())}
+			rt.Repeat(map[string]func(*rapid.T){
+				"request":        m.request,
+				"two at a time":  m.race,
+				"delayed effect": func(*rapid.T) { m.world.settle() },
+			})
+		})
+	})
+}
+
+type machine struct {
+	world *world
+	keys  []string
+	// mayHaveRun is what a caller knows: whether an answer other than not_run was given.
+	mayHaveRun map[string]bool
+}
+
+func (m *machine) request(t *rapid.T) {
+	key := m.draw(t)
+	first := !m.mayHaveRun[key]
+	a := m.world.daemons[rapid.IntRange(0, 1).Draw(t, "daemon")].do(key, "b", first)
+	m.check(t, key, a, false)
+}
+
+// race sends one key through both daemons at a time; neither is a first attempt, since the caller sends two.
+func (m *machine) race(t *rapid.T) {
+	key := m.draw(t)
+	var answers [2]execute.Answer
+	ended := make(chan struct{})
+	for i, d := range m.world.daemons {
+		go func() {
+			answers[i] = d.do(key, "b", false)
+			ended <- struct{}{}
+		}()
+	}
+	<-ended
+	<-ended
+	for _, a := range answers {
+		m.check(t, key, a, true)
+	}
+}
+
+func (m *machine) draw(t *rapid.T) string {
+	storeFaults := rapid.SampledFrom([]fault{fine, fine, down, before, after, late, slow, paused})
+	readFaults := rapid.SampledFrom([]fault{fine, down, stale})
+	serverFaults := rapid.SampledFrom([]fault{fine, fine, down, before, after, late, slow, shed, drains, crossed, failed})
+	m.world.mu.Lock()
+	defer m.world.mu.Unlock()
+	m.world.puts.faults = rapid.SliceOfN(storeFaults, 0, 6).Draw(t, "store")
+	m.world.gets.faults = rapid.SliceOfN(readFaults, 0, 4).Draw(t, "reads")
+	m.world.serves.faults = rapid.SliceOfN(serverFaults, 0, 3).Draw(t, "servers")
+	return rapid.SampledFrom(m.keys).Draw(t, "key")
+}
+
+// check compares an answer with the servers' record. After not_run was told, a request that was sent at the same time may
+// have taken the released claim over.
+func (m *machine) check(t *rapid.T, key string, a execute.Answer, racing bool) {
+	m.world.mu.Lock()
+	runs := m.world.runs[key]
+	m.world.mu.Unlock()
+	if runs > 1 {
+		t.Fatalf("%d runs", runs)
+	}
+	if a.Outcome == model.OutcomeNotRun && runs != 0 && !racing {
+		t.Fatalf("told not_run (%s) after %d runs", a.Reason, runs)
+	}
+	if a.Outcome == model.OutcomeComplete && runs != 1 {
+		t.Fatalf("told complete after %d runs", runs)
+	}
+	if a.Outcome != model.OutcomeNotRun {
+		m.mayHaveRun[key] = true
+	}
+}
