--- a/internal/testing/fakebackend/fake.go
+++ b/internal/testing/fakebackend/fake.go
@@ -40,7 +40,9 @@
 }
 
 // Connect implements backend.Connector.
-func (c *Connector) Connect(s *model.Server, _ int) backend.Server { return &server{c: c, name: s.Name} }
+func (c *Connector) Connect(s *model.Server, _ int) backend.Server {
+	return &server{c: c, name: s.Name}
+}
 
 // Queries returns the number of queries that a server got.
 func (c *Connector) Queries(name model.ServerName) int {
@@ -131,7 +133,9 @@
 	return true
 }
 
-func (s *server) Health(context.Context) (backend.Health, error) { return backend.Health{Serving: true}, nil }
-func (s *server) Load(context.Context) (backend.Load, error)     { return backend.Load{}, nil }
-func (s *server) Warm(context.Context, int) error                { return nil }
-func (s *server) Close()                                         {}
+func (s *server) Health(context.Context) (backend.Health, error) {
+	return backend.Health{Serving: true}, nil
+}
+func (s *server) Load(context.Context) (backend.Load, error) { return backend.Load{}, nil }
+func (s *server) Warm(context.Context, int) error            { return nil }
+func (s *server) Close()                                     {}
