Let a daemon's composition take a dialer

Connections to servers and the platform are therefore opened with a dialer that daemon.WithDialer replaces; the default is unchanged.

--- a/internal/backend/backendhttp/client.go
+++ b/internal/backend/backendhttp/client.go
@@ -24,6 +24,9 @@
 // Connector makes clients. Servers with the same connection budget share a transport, which bounds the connections to
 // each of them. The zero value is ready to use.
 type Connector struct {
+	// Dial opens connections; nil stands for a plain TCP dialer. Set it before the first Connect.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 	mu         sync.Mutex
 	transports map[int]*http.Transport
 }
@@ -58,8 +61,12 @@
 	if c.transports == nil {
 		c.transports = map[int]*http.Transport{}
 	}
+	dial := c.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dial,
 		MaxConnsPerHost:     connections,
 		MaxIdleConnsPerHost: connections,
 		IdleConnTimeout:     idleTimeout,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -49,13 +49,14 @@
 }
 
 // Start starts a daemon and returns once its listeners are open.
-func Start(s settings.Settings, log zerolog.Logger) (*Daemon, error) {
+func Start(s settings.Settings, log zerolog.Logger, options ...Option) (*Daemon, error) {
+	o := newOptions(options)
 	d := &Daemon{
 		settings:  s,
 		log:       log.With().Str("instance", string(s.Instance)).Logger(),
 		config:    tables.NewConfig(),
-		platform:  platformhttp.New(s.PlatformAddress),
-		connector: &backendhttp.Connector{},
+		platform:  platformhttp.NewWithDialer(s.PlatformAddress, o.dial),
+		connector: &backendhttp.Connector{Dial: o.dial},
 	}
 	recorder := &report.Recorder{Config: d.config, Servers: tables.NewServers(), Connector: d.connector, Policy: s.Policy}
 	d.dispatcher = dispatch.New(dispatch.Config{
--- a/internal/platform/platformhttp/client.go
+++ b/internal/platform/platformhttp/client.go
@@ -35,10 +35,15 @@
 
 // New returns a client of the platform at address, host:port.
 func New(address string) *Client {
+	return NewWithDialer(address, (&net.Dialer{Timeout: dialTimeout}).DialContext)
+}
+
+// NewWithDialer returns a client of the platform at address that opens its connections with dial.
+func NewWithDialer(address string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
 	return &Client{
 		base: "http://" + address,
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:         dial,
 			MaxConnsPerHost:     maxConnections,
 			MaxIdleConnsPerHost: maxConnections,
 			DisableCompression:  true,
