--- a/internal/standin/backendserver/record.go
+++ b/internal/standin/backendserver/record.go
@@ -69,7 +69,7 @@
 }
 
 func (r *Record) begin(e Execution) *Execution {
-	e.End = EndRunning
+	e.Start, e.End = time.Now(), EndRunning
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.started++
