Add the measurement driver with its first scenarios

Violations and extra load come from the items of the answers and from the stand-ins' records.

Scenarios that take a server from a shard offer 40% of capacity: a shard of two servers keeps half of its capacity, so that 60% could not be served whole by any policy.

--- /dev/null
+++ b/internal/measure/cluster/config.go
@@ -0,0 +1,27 @@
+package cluster
+
+import (
+	"time"
+
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+// Config describes a cluster.
+type Config struct {
+	Inventory model.Inventory
+	Rules     model.Rules
+	// Policy is the daemons' policy.
+	Policy model.Policy
+	// Daemons is the number of daemons, placed over the inventory's zones in turn.
+	Daemons int
+	// ServiceTime is how long a sub-request holds a slot. Spread is the mean of an exponential addition to it.
+	ServiceTime time.Duration
+	Spread      time.Duration
+	// Items is the number of matches in each shard.
+	Items int
+	Seed  uint64
+	// Cold names servers that are started cold: they take ColdFactor times as long for ColdFor.
+	Cold       map[model.ServerName]bool
+	ColdFor    time.Duration
+	ColdFactor float64
+}
--- /dev/null
+++ b/internal/measure/cluster/configure.go
@@ -0,0 +1,74 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"oleandersill.example/oleandersill/internal/command/commandhttp"
+	"oleandersill.example/oleandersill/internal/command/configure"
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+// Apply applies a configuration through the first daemon's operators' port.
+func (c *Cluster) Apply(ctx context.Context, inv model.Inventory, rules model.Rules) error {
+	body, err := json.Marshal(commandhttp.ApplyRequest{
+		Inventory: inv, Rules: rules, Expect: c.revision, Editor: "oleandersill-measure", Reason: "measurement",
+	})
+	if err != nil {
+		return errors.Wrap(err, "cluster: encoding configuration")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost,
+		"http://"+c.daemons[0].OperatorAddress()+"/v1/config/apply", bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "cluster: building request")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "cluster: applying configuration")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var reply commandhttp.ApplyResponse
+	if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil {
+		return errors.Wrapf(err, "cluster: applying configuration, status %d", resp.StatusCode)
+	}
+	if reply.Verdict != configure.Accepted {
+		return errors.Newf("cluster: configuration %s: %s", reply.Verdict, reply.Detail)
+	}
+	c.revision = reply.Root.Revision
+	c.inventory = inv
+	return nil
+}
+
+// awaitRevision waits until every daemon is ready.
+func (c *Cluster) awaitRevision(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, d := range c.daemons {
+		for !ready(ctx, d.CallerAddress()) {
+			if err := sleep(readyPoll, ctx.Done()); err != nil {
+				return errors.Wrap(err, "cluster: a daemon is not ready")
+			}
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/internal/measure/cluster/faults.go
@@ -0,0 +1,145 @@
+package cluster
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/standin/backendserver"
+)
+
+// Fault is something that goes wrong in a cluster. Inject returns once its course is over; what it changed may stay.
+type Fault interface {
+	Inject(ctx context.Context, c *Cluster, service model.ServiceName, rnd *rand.Rand) error
+}
+
+// Straggler makes one server in OneIn so many times slower.
+type Straggler struct {
+	OneIn  int
+	Factor float64
+}
+
+// Inject implements Fault.
+func (f Straggler) Inject(_ context.Context, c *Cluster, service model.ServiceName, rnd *rand.Rand) error {
+	servers := c.serviceServers(service)
+	rnd.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+	for _, s := range servers[:max(1, len(servers)/f.OneIn)] {
+		s.UpdateFaults(func(now *backendserver.Faults) { now.SlowFactor = f.Factor })
+	}
+	return nil
+}
+
+// ReplicaLoss crashes one server in each of a share of the shards.
+type ReplicaLoss struct {
+	Share float64
+}
+
+// Inject implements Fault.
+func (f ReplicaLoss) Inject(_ context.Context, c *Cluster, service model.ServiceName, rnd *rand.Rand) error {
+	shards := c.service(service).Shards
+	for _, i := range rnd.Perm(len(shards))[:portion(len(shards), f.Share)] {
+		victim := shards[i].Servers[rnd.IntN(len(shards[i].Servers))]
+		c.servers[victim.Name].Crash()
+	}
+	return nil
+}
+
+// VersionRoll moves the servers to the next index version, one by one. Each keeps the previous version.
+type VersionRoll struct {
+	Over time.Duration
+}
+
+// Inject implements Fault.
+func (f VersionRoll) Inject(ctx context.Context, c *Cluster, service model.ServiceName, rnd *rand.Rand) error {
+	servers := c.serviceServers(service)
+	rnd.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+	for _, s := range servers {
+		s.SetVersion(nextVersion, 1)
+		if err := sleep(f.Over/time.Duration(len(servers)), ctx.Done()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// nextVersion follows the version that servers start with.
+const nextVersion = 2
+
+// ZoneCut parts one zone from the others and from the platform for a while.
+type ZoneCut struct {
+	// Zone is the index of the zone in the inventory.
+	Zone int
+	For  time.Duration
+}
+
+// Inject implements Fault.
+func (f ZoneCut) Inject(ctx context.Context, c *Cluster, _ model.ServiceName, _ *rand.Rand) error {
+	zone := c.inventory.Zones[f.Zone].Name
+	c.Network.Cut(zone)
+	defer c.Network.Heal(zone)
+	return sleep(f.For, ctx.Done())
+}
+
+// FalseReports makes health and load reports wrong on a quarter of the servers each: not serving, overloaded, idle, and
+// frozen.
+type FalseReports struct{}
+
+// Inject implements Fault.
+func (FalseReports) Inject(_ context.Context, c *Cluster, service model.ServiceName, rnd *rand.Rand) error {
+	const overload = 1000
+	lies := []backendserver.Faults{
+		{Health: &backend.Health{Serving: false}},
+		{Load: &backend.Load{Running: overload, Waiting: overload}},
+		{Load: &backend.Load{}, Health: &backend.Health{Serving: true}},
+		{FrozenReports: true},
+	}
+	servers := c.serviceServers(service)
+	rnd.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+	for i, s := range servers {
+		lie := lies[i%len(lies)]
+		s.UpdateFaults(func(now *backendserver.Faults) {
+			now.Health, now.Load, now.FrozenReports = lie.Health, lie.Load, lie.FrozenReports
+		})
+	}
+	return nil
+}
+
+// Sequence injects faults one after the other.
+type Sequence []Fault
+
+// Inject implements Fault.
+func (f Sequence) Inject(ctx context.Context, c *Cluster, service model.ServiceName, rnd *rand.Rand) error {
+	for _, part := range f {
+		if err := part.Inject(ctx, c, service, rnd); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func portion(n int, share float64) int {
+	return min(n, max(1, int(math.Round(float64(n)*share))))
+}
+
+func (c *Cluster) service(name model.ServiceName) *model.ServiceSpec {
+	for i := range c.inventory.Services {
+		if c.inventory.Services[i].Name == name {
+			return &c.inventory.Services[i]
+		}
+	}
+	panic("cluster: no service " + string(name))
+}
+
+// serviceServers returns the stand-ins of a service, in inventory order.
+func (c *Cluster) serviceServers(name model.ServiceName) []*backendserver.Server {
+	var out []*backendserver.Server
+	for _, sh := range c.service(name).Shards {
+		for _, s := range sh.Servers {
+			out = append(out, c.servers[s.Name])
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/measure/deployment.go
@@ -0,0 +1,86 @@
+package measure
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+	"go.yaml.in/yaml/v3"
+
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+// deployment is an inventory with its rules and the service that is queried.
+type deployment struct {
+	name      string
+	inventory model.Inventory
+	rules     model.Rules
+	service   *model.ServiceSpec
+}
+
+func loadDeployment(name string, service model.ServiceName) (*deployment, error) {
+	dir := name
+	if filepath.Base(name) == name {
+		dir = filepath.Join("examples", name)
+	}
+	d := &deployment{name: filepath.Base(name)}
+	if err := loadYAML(filepath.Join(dir, "inventory.yaml"), &d.inventory); err != nil {
+		return nil, err
+	}
+	if err := loadYAML(filepath.Join(dir, "rules.yaml"), &d.rules); err != nil {
+		return nil, err
+	}
+	for i := range d.inventory.Services {
+		if service == "" || d.inventory.Services[i].Name == service {
+			d.service = &d.inventory.Services[i]
+			return d, nil
+		}
+	}
+	return nil, errors.Wrapf(ErrUsage, "no service %q in %s", service, dir)
+}
+
+func loadYAML(path string, into any) error {
+	data, err := os.ReadFile(path) //nolint:gosec // the operator names the file
+	if err != nil {
+		return errors.Wrap(err, "measure")
+	}
+	dec := yaml.NewDecoder(bytes.NewReader(data))
+	dec.KnownFields(true)
+	return errors.Wrapf(dec.Decode(into), "measure: %s", path)
+}
+
+// capacity returns the queries per second that the service's slots sustain: the least over its shards, since a query
+// needs all of them.
+func capacity(service *model.ServiceSpec, meanServiceSeconds float64) float64 {
+	least := 0.0
+	for _, sh := range service.Shards {
+		slots := 0
+		for _, s := range sh.Servers {
+			slots += s.Slots
+		}
+		if c := float64(slots) / meanServiceSeconds; least == 0 || c < least {
+			least = c
+		}
+	}
+	return least
+}
+
+// callers returns the callers of each rank by the rules. A rank that only unnamed callers have is offered by one of
+// them.
+func callers(rules model.Rules) [model.RankCount][]model.CallerName {
+	const unnamed = "unnamed"
+	var out [model.RankCount][]model.CallerName
+	for _, c := range rules.Callers {
+		rank, ok := model.ParseRank(c.Rank)
+		if !ok {
+			continue
+		}
+		name := c.Caller
+		if name == model.AnyCaller {
+			name = unnamed
+		}
+		out[rank] = append(out[rank], name)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/measure/locks/doc.go
@@ -0,0 +1,21 @@
+// Package locks holds the lock order of the measurement driver. It starts above the orders of the daemon (package tables)
+// and of the stand-ins (package standin), since the driver's dialer runs below both.
+package locks
+
+import "oleandersill.example/oleandersill/internal/lockorder"
+
+// The orders. No two of them are held at a time.
+const (
+	// OrderNetwork: cluster.Network, places and partitions.
+	OrderNetwork lockorder.Order = iota + 201
+	// OrderConnection: one delayed connection.
+	OrderConnection
+	// OrderLateness: load, the count of late sends.
+	OrderLateness
+	// OrderCollector: observe.Collector, samples and violations.
+	OrderCollector
+	// OrderCounter: the count of a calibration.
+	OrderCounter
+	// OrderLeaves: cluster.Cluster, when servers began to leave.
+	OrderLeaves
+)
--- /dev/null
+++ b/internal/measure/observe/violations.go
@@ -0,0 +1,106 @@
+package observe
+
+import (
+	"math"
+	"strconv"
+
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+// coverageTolerance allows for the six digits of the X-Coverage header.
+const coverageTolerance = 1e-6
+
+// Violations counts violations of the guarantees.
+type Violations struct {
+	// MixedSnapshot: an answer with items of more than one index version or shard map.
+	MixedSnapshot int `json:"mixed_snapshot"`
+	// FalseCoverage: an answer whose stated coverage or outcome differs from its items.
+	FalseCoverage int `json:"false_coverage"`
+	// CrossedAnswer: an answer with items of another query.
+	CrossedAnswer int `json:"crossed_answer"`
+	// FalseNotRun: a request said not to have been run that a server started.
+	FalseNotRun int `json:"false_not_run"`
+	// DoubleRun: a non-idempotent request that ran more than once.
+	DoubleRun int `json:"double_run"`
+	// WorkAfterLeave: an execution that a server started more than 3 s after it began to leave.
+	WorkAfterLeave int `json:"work_after_leave"`
+	// CutOff: a request that got no whole response.
+	CutOff int `json:"cut_off"`
+	// ConfigReverted: an answer at a lower revision than an earlier one of the same daemon.
+	ConfigReverted int `json:"config_reverted"`
+}
+
+// Add adds the counts of other.
+func (v *Violations) Add(other Violations) {
+	v.MixedSnapshot += other.MixedSnapshot
+	v.FalseCoverage += other.FalseCoverage
+	v.CrossedAnswer += other.CrossedAnswer
+	v.FalseNotRun += other.FalseNotRun
+	v.DoubleRun += other.DoubleRun
+	v.WorkAfterLeave += other.WorkAfterLeave
+	v.CutOff += other.CutOff
+	v.ConfigReverted += other.ConfigReverted
+}
+
+// Total returns the sum of all counts.
+func (v *Violations) Total() int {
+	return v.MixedSnapshot + v.FalseCoverage + v.CrossedAnswer + v.FalseNotRun + v.DoubleRun + v.WorkAfterLeave +
+		v.CutOff + v.ConfigReverted
+}
+
+// CheckAnswer compares an answer with its own items. The query's limit must admit all items of all shards.
+func CheckAnswer(a *Answer, maps ShardMaps) Violations {
+	var v Violations
+	if !a.Whole {
+		v.CutOff = 1
+		return v
+	}
+	seen := map[model.ShardName]bool{}
+	for _, item := range a.Body.Items {
+		origin, ok := parseItem(item)
+		if !ok || origin.text != a.Text {
+			v.CrossedAnswer = 1
+			continue
+		}
+		if origin.version != a.Body.Version || origin.epoch != a.Body.Epoch {
+			v.MixedSnapshot = 1
+		}
+		seen[origin.shard] = true
+	}
+	if !coverageHolds(a, maps[a.Body.Epoch], seen) {
+		v.FalseCoverage = 1
+	}
+	return v
+}
+
+// coverageHolds tells whether body and header state the coverage that the items show.
+func coverageHolds(a *Answer, shards map[model.ShardName]float64, seen map[model.ShardName]bool) bool {
+	cov := a.Body.Coverage
+	if a.HeaderOutcome != string(a.Body.Outcome) {
+		return false
+	}
+	if h, err := strconv.ParseFloat(a.HeaderCoverage, 64); err != nil || math.Abs(h-cov.Fraction) > coverageTolerance {
+		return false
+	}
+	switch a.Body.Outcome {
+	case model.OutcomeNotRun, model.OutcomeFailed, model.OutcomeUnknown:
+		return len(seen) == 0 && cov.Fraction == 0 && !cov.Complete
+	case model.OutcomeComplete, model.OutcomePartial:
+	}
+	missing := make(map[model.ShardName]bool, len(cov.Missing))
+	for _, name := range cov.Missing {
+		missing[name] = true
+	}
+	fraction := 0.0
+	for name, f := range shards {
+		if seen[name] == missing[name] {
+			return false
+		}
+		if seen[name] {
+			fraction += f
+		}
+	}
+	whole := len(seen) == len(shards)
+	return cov.ShardsAnswered == len(seen) && cov.Complete == whole &&
+		(a.Body.Outcome == model.OutcomeComplete) == whole && math.Abs(cov.Fraction-fraction) <= coverageTolerance
+}
--- /dev/null
+++ b/internal/measure/row.go
@@ -0,0 +1,121 @@
+package measure
+
+import (
+	"slices"
+
+	"oleandersill.example/oleandersill/internal/measure/observe"
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+// rowRank is the rank of a row: a rank's name, or all.
+type rowRank string
+
+// The ranks of rows.
+const (
+	urgent   rowRank = "urgent"
+	standard rowRank = "standard"
+	deferred rowRank = "deferred"
+	all      rowRank = "all"
+)
+
+var rowRanks = []rowRank{urgent, standard, deferred, all}
+
+func (r rowRank) keeps(s *observe.Sample) bool {
+	return r == all || string(r) == s.Rank.String()
+}
+
+// Row is the result of a scenario for one policy and rank: medians over the rounds, and sums of the violations.
+type Row struct {
+	Scenario   string       `json:"scenario"`
+	Deployment string       `json:"deployment"`
+	Policy     model.Policy `json:"policy"`
+	Seed       uint64       `json:"seed"`
+	Rounds     int          `json:"rounds"`
+	Rank       rowRank      `json:"rank"`
+
+	Offered  int `json:"offered"`
+	Complete int `json:"complete"`
+	Partial  int `json:"partial"`
+	NotRun   int `json:"not_run"`
+	Failed   int `json:"failed"`
+	Unknown  int `json:"unknown"`
+
+	P50  float64 `json:"p50_ms"`
+	P99  float64 `json:"p99_ms"`
+	P999 float64 `json:"p999_ms"`
+
+	// Coverage is the mean over queries that were run, CoverageOffered over all, with 0 for those not run.
+	Coverage        float64 `json:"coverage"`
+	CoverageOffered float64 `json:"coverage_offered"`
+	ExtraLoad       float64 `json:"extra_load"`
+	// Goodput and OfferedRate are in queries per second.
+	Goodput     float64 `json:"goodput_qps"`
+	OfferedRate float64 `json:"offered_qps"`
+	// LastIncompleteS is the send time of the last incompletely answered query, in seconds from the start.
+	LastIncompleteS float64 `json:"last_incomplete_s"`
+
+	// Violations are summed over the rounds. Those that only the stand-ins' records show stand in the row of all ranks.
+	Violations observe.Violations `json:"violations"`
+
+	// CapacityQPS is worked out from slots and service time; CalibratedQPS is what the stand-ins sustained directly.
+	CapacityQPS   float64 `json:"capacity_qps"`
+	CalibratedQPS float64 `json:"calibrated_qps"`
+	DurationS     float64 `json:"duration_s"`
+	// LateSends counts sends that the generator's workers began late, and MaxLateMs the longest delay.
+	LateSends int     `json:"late_sends"`
+	MaxLateMs float64 `json:"max_late_ms"`
+	Process   string  `json:"process"`
+
+	Bounds []BoundResult `json:"bounds,omitempty"`
+}
+
+// median returns the middle value of a list, or the mean of the two middle ones.
+func median(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	mid := len(sorted) / 2
+	if len(sorted)%2 == 1 {
+		return sorted[mid]
+	}
+	return (sorted[mid-1] + sorted[mid]) / 2
+}
+
+// fill sets a row's figures to the medians of the rounds.
+func (r *Row) fill(rounds []*round) {
+	of := func(get func(*round, observe.Figures) float64) float64 {
+		values := make([]float64, 0, len(rounds))
+		for _, x := range rounds {
+			values = append(values, get(x, x.figures[r.Rank]))
+		}
+		return median(values)
+	}
+	count := func(o model.Outcome) int {
+		return int(of(func(_ *round, f observe.Figures) float64 { return float64(f.Outcomes[o]) }))
+	}
+	r.Offered = int(of(func(_ *round, f observe.Figures) float64 { return float64(f.Offered) }))
+	r.Complete = count(model.OutcomeComplete)
+	r.Partial = count(model.OutcomePartial)
+	r.NotRun = count(model.OutcomeNotRun)
+	r.Failed = count(model.OutcomeFailed)
+	r.Unknown = count(model.OutcomeUnknown)
+	r.P50 = of(func(_ *round, f observe.Figures) float64 { return f.P50 })
+	r.P99 = of(func(_ *round, f observe.Figures) float64 { return f.P99 })
+	r.P999 = of(func(_ *round, f observe.Figures) float64 { return f.P999 })
+	r.Coverage = of(func(_ *round, f observe.Figures) float64 { return f.Coverage })
+	r.CoverageOffered = of(func(_ *round, f observe.Figures) float64 { return f.CoverageOffered })
+	r.ExtraLoad = of(func(_ *round, f observe.Figures) float64 { return f.ExtraLoad })
+	r.Goodput = of(func(_ *round, f observe.Figures) float64 { return f.Goodput })
+	r.LastIncompleteS = of(func(_ *round, f observe.Figures) float64 { return f.LastIncomplete.Seconds() })
+	r.LateSends = int(of(func(x *round, _ observe.Figures) float64 { return float64(x.lateness.Late) }))
+	r.MaxLateMs = of(func(x *round, _ observe.Figures) float64 { return float64(x.lateness.Max.Microseconds()) / 1000 })
+	r.OfferedRate = of(func(x *round, f observe.Figures) float64 { return float64(f.Offered) / x.duration.Seconds() })
+	r.DurationS = of(func(x *round, _ observe.Figures) float64 { return x.duration.Seconds() })
+	for _, x := range rounds {
+		r.Violations.Add(x.figures[r.Rank].Violations)
+		if r.Rank == all {
+			r.Violations.Add(x.recorded)
+		}
+	}
+}
--- /dev/null
+++ b/internal/measure/scenario.go
@@ -0,0 +1,153 @@
+package measure
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"oleandersill.example/oleandersill/internal/measure/cluster"
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+// Shape gives the offered load of each rank as a fraction of capacity.
+type Shape [model.RankCount]float64
+
+// steadyShape offers 60% of capacity.
+var steadyShape = evenShape(0.6)
+
+// lossShape is for faults that take a server from a shard. A shard of two servers keeps half of its capacity then, so 60%
+// of capacity could not be served whole by any policy; 40% loads the server that is left to 80%.
+var lossShape = evenShape(0.4)
+
+func evenShape(total float64) Shape {
+	var s Shape
+	for r := range s {
+		s[r] = total / model.RankCount
+	}
+	return s
+}
+
+// floodFactor is the load of a flooding rank, as a multiple of capacity.
+const floodFactor = 3
+
+func flood(rank model.Rank) Shape {
+	s := steadyShape
+	s[rank] = floodFactor
+	return s
+}
+
+// warmShape is the shape without a flood.
+func warmShape(s Shape) Shape {
+	for r := range s {
+		s[r] = min(s[r], steadyShape[r])
+	}
+	return s
+}
+
+// TimedFault is a fault with its time, from the start of the measured time.
+type TimedFault struct {
+	At    time.Duration
+	Fault cluster.Fault
+}
+
+// Scenario is one load shape with its faults.
+type Scenario struct {
+	Name   string
+	Shape  Shape
+	Faults []TimedFault
+	// Least is the shortest measured time that holds the whole course of the faults.
+	Least  time.Duration
+	Bounds []Bound
+}
+
+const (
+	faultAt      = time.Second
+	rollTime     = 10 * time.Second
+	cutTime      = 10 * time.Second
+	recoveryTime = 7 * time.Second
+)
+
+// steadyName is the scenario that others are compared with.
+const steadyName = "steady"
+
+// scenarios is the table of scenarios, in the order in which "all" runs them.
+func scenarios() []Scenario {
+	return []Scenario{
+		{Name: steadyName, Shape: steadyShape, Bounds: steadyBounds()},
+		{
+			Name: "straggler", Shape: lossShape, Bounds: stragglerBounds(),
+			Faults: []TimedFault{{Fault: cluster.Straggler{OneIn: 20, Factor: 10}}},
+		},
+		{Name: "flood-low", Shape: flood(model.RankDeferred), Bounds: floodLowBounds()},
+		{Name: "flood-urgent", Shape: flood(model.RankUrgent), Bounds: floodUrgentBounds()},
+		{
+			Name: "version-roll", Shape: steadyShape, Bounds: versionRollBounds(), Least: rollTime,
+			Faults: []TimedFault{{Fault: cluster.VersionRoll{Over: rollTime}}},
+		},
+		{
+			Name: "replica-loss", Shape: lossShape, Bounds: replicaLossBounds(),
+			Faults: []TimedFault{{At: faultAt, Fault: cluster.ReplicaLoss{Share: 0.1}}},
+		},
+		{
+			Name: "zone-cut", Shape: lossShape, Bounds: zoneCutBounds(), Least: faultAt + cutTime + recoveryTime,
+			Faults: []TimedFault{{At: faultAt, Fault: cluster.ZoneCut{Zone: 0, For: cutTime}}},
+		},
+		{
+			Name: "false-health", Shape: steadyShape, Bounds: falseHealthBounds(),
+			Faults: []TimedFault{{Fault: cluster.FalseReports{}}},
+		},
+	}
+}
+
+// FindScenario returns the named scenario; NAME+NAME gives both at once, with the violations as the only bound.
+func FindScenario(name string) (Scenario, error) {
+	parts := strings.Split(name, "+")
+	out := Scenario{Name: name}
+	for _, part := range parts {
+		all := scenarios()
+		i := slices.IndexFunc(all, func(s Scenario) bool { return s.Name == part })
+		if i < 0 {
+			return out, errors.Wrapf(ErrUsage, "no scenario %q", part)
+		}
+		if len(parts) == 1 {
+			return all[i], nil
+		}
+		out.join(all[i])
+	}
+	return out, nil
+}
+
+func (s *Scenario) join(other Scenario) {
+	for r := range s.Shape {
+		s.Shape[r] = joinLoad(s.Shape[r], other.Shape[r])
+	}
+	s.Faults = append(s.Faults, other.Faults...)
+	s.Least = max(s.Least, other.Least)
+}
+
+// joinLoad returns a flood if there is one, and the lower of two loads otherwise.
+func joinLoad(a, b float64) float64 {
+	switch {
+	case a == 0 || b == 0 || max(a, b) >= floodFactor:
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
+// expand returns the scenarios to run; "all" stands for the whole table.
+func expand(names []string) ([]Scenario, error) {
+	if slices.Contains(names, "all") {
+		return scenarios(), nil
+	}
+	var out []Scenario
+	for _, name := range names {
+		s, err := FindScenario(name)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, s)
+	}
+	return out, nil
+}
