Check inventory, rules and settings strictly

Inventory, rules and settings were decoded without any check of their values, and an error named neither field nor allowed range.

internal/validation decodes YAML and JSON strictly and collects every problem with file, line, field and allowed values. internal/document checks inventory and rules, also when they were not read from a file, and imports the CSV export of an asset register.

--- /dev/null
+++ b/internal/document/csv_test.go
@@ -0,0 +1,49 @@
+package document_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oleandersill.example/oleandersill/internal/document"
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+const csvExport = `service,shard,Asset Tag,IP,zone,region,slots,connections,connection_cost_ms,owner
+search,s0,a,10.0.0.1:7000,z1,north,2,25,5,x
+search,s0,b,10.0.0.2:7000,z1,north,2,25,5,x
+search,s1,c,10.0.0.3:7000,z1,north,2,25,2.5,"x, y"
+`
+
+func csvOptions() document.CSVOptions {
+	return document.CSVOptions{MaxInstances: 8, Headers: map[document.Column]string{
+		document.ColumnServer: "Asset Tag", document.ColumnAddress: "IP",
+	}}
+}
+
+var _ = Describe("an asset register's export", func() {
+	It("becomes an inventory with even key ranges", func() {
+		inv, problems := document.ImportCSV("a.csv", []byte("\xef\xbb\xbf"+csvExport), csvOptions())
+		Expect(problems).To(BeEmpty())
+		Expect(inv.Services).To(HaveLen(1))
+		shards := inv.Services[0].Shards
+		Expect(shards).To(HaveLen(2))
+		Expect(shards[0].Servers).To(HaveLen(2))
+		Expect(shards[1].KeyFrom).To(Equal(model.KeySpace / 2))
+		Expect(shards[1].Servers[0].ConnectionCostMs).To(Equal(2.5))
+	})
+
+	DescribeTable("with a fault names its row",
+		func(old, replacement, want string) {
+			_, problems := document.ImportCSV("a.csv", edit(csvExport, old, replacement), csvOptions())
+			Expect(problems.Error()).To(ContainSubstring(want))
+		},
+		Entry("missing header", "Asset Tag", "Asset", `a.csv:1: server: there is no header "Asset Tag" (allowed: service, shard, Asset,`),
+		Entry("number", "z1,north,2,", "z1,north,two,", `a.csv:2: slots: is "two" (allowed: a whole number)`),
+		Entry("row too short", ",25,5,x\nsearch,s0,b", ",25,5\nsearch,s0,b", "a.csv:2: the row has 9 fields (allowed: 10)"),
+		Entry("quote", `"x, y"`, `"x, y`, "a.csv:4: "),
+		Entry("two regions of a zone", "z1,north,2,25,2.5", "z1,south,2,25,2.5", `a.csv:4: region: is "south", but an earlier row says "north"`),
+		Entry("duplicate server", "s1,c,", "s1,b,", `a.csv:4: services[0].shards[1].servers[0].name: server "b" is also at`),
+		Entry("address", "10.0.0.3:7000", "host:7000", `a.csv:4: services[0].shards[1].servers[0].address: is "host:7000"`),
+		Entry("empty", csvExport, "", "a.csv:1: the document is empty"),
+	)
+})
--- /dev/null
+++ b/internal/document/fuzz_test.go
@@ -0,0 +1,50 @@
+package document_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"oleandersill.example/oleandersill/internal/document"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/validation"
+)
+
+// Both targets guard against panics on hostile input, and against input that is accepted but does not validate again
+// after a round trip through the stored form.
+func FuzzInventoryYAML(f *testing.F) {
+	f.Add([]byte(inventoryYAML))
+	f.Add([]byte(rulesYAML))
+	f.Add([]byte("a: &a [*a]"))
+	f.Add([]byte("zones: {}\nservices: [1, null, {shards: [{servers: [[]]}]}]"))
+	f.Add([]byte("{\"max_instances\": 1e3}"))
+	f.Add([]byte("? {a: b}\n: c"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		inv, problems := document.DecodeInventory("f", data)
+		checkRoundTrip(t, inv, problems)
+		_, _ = document.DecodeRules("f", data)
+	})
+}
+
+func FuzzInventoryCSV(f *testing.F) {
+	f.Add([]byte(csvExport))
+	f.Add([]byte("service,service\n"))
+	f.Add([]byte("service;shard\n\"a"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		inv, problems := document.ImportCSV("f", data, csvOptions())
+		checkRoundTrip(t, inv, problems)
+	})
+}
+
+func checkRoundTrip(t *testing.T, inv model.Inventory, problems validation.Problems) {
+	if len(problems) > 0 {
+		_ = problems.Error()
+		return
+	}
+	value, err := json.Marshal(inv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, again := document.DecodeInventory("f", value); len(again) > 0 {
+		t.Fatalf("accepted at first, refused as JSON: %v", again)
+	}
+}
--- /dev/null
+++ b/internal/document/keyranges.go
@@ -0,0 +1,46 @@
+package document
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/validation"
+)
+
+// checkKeyRanges reports where the shards' key ranges overlap, and where they leave a part of the key space to no shard.
+// Shards whose own range is invalid are reported elsewhere and passed over.
+func checkKeyRanges(problems *validation.Problems, at string, shards []model.ShardSpec) {
+	order := make([]int, 0, len(shards))
+	for i, sh := range shards {
+		if sh.KeyFrom < 0 || sh.KeyTo > model.KeySpace || sh.KeyFrom >= sh.KeyTo {
+			continue
+		}
+		order = append(order, i)
+	}
+	if len(order) < len(shards) || len(order) == 0 {
+		return
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(shards[a].KeyFrom, shards[b].KeyFrom) })
+	covered, last := 0, -1
+	for _, i := range order {
+		sh := shards[i]
+		field := fmt.Sprintf("%s[%d].key_from", at, i)
+		switch {
+		case sh.KeyFrom < covered:
+			problems.Add(validation.KindOverlap, field, fmt.Sprintf("%d", covered),
+				"is %d, which overlaps shard %q", sh.KeyFrom, shards[last].Name)
+		case sh.KeyFrom > covered:
+			problems.Add(validation.KindGap, field, fmt.Sprintf("%d", covered),
+				"is %d, so no shard holds keys %d to %d", sh.KeyFrom, covered, sh.KeyFrom-1)
+		}
+		if sh.KeyTo > covered {
+			covered, last = sh.KeyTo, i
+		}
+	}
+	if covered < model.KeySpace {
+		problems.Add(validation.KindGap, fmt.Sprintf("%s[%d].key_to", at, last), fmt.Sprintf("%d", model.KeySpace),
+			"is %d, so no shard holds keys %d to %d", covered, covered, model.KeySpace-1)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,13 +1,12 @@
 package settings
 
 import (
-	"bytes"
 	"os"
 
 	"github.com/cockroachdb/errors"
-	"go.yaml.in/yaml/v3"
 
 	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/validation"
 )
 
 // Settings are the daemon's own settings.
@@ -27,9 +26,12 @@
 	LogLevel       string `yaml:"log_level"`
 	// DrainTimeoutMs bounds a graceful shutdown, in milliseconds.
 	DrainTimeoutMs int `yaml:"drain_timeout_ms"`
-	// OperatorToken and PeerToken are the credentials of the operators' and the peers' ports.
+	// OperatorToken is the credential that may change the configuration and drain, and read.
 	OperatorToken string `yaml:"operator_token"`
-	PeerToken     string `yaml:"peer_token"`
+	// OperatorReadToken is the credential that may only read.
+	OperatorReadToken string `yaml:"operator_read_token"`
+	// PeerToken is the credential of the peers' port.
+	PeerToken string `yaml:"peer_token"`
 }
 
 // Defaults are the settings that a file need not give.
@@ -37,17 +39,21 @@
 	return Settings{WorkersPerRank: 128, LogLevel: "info", DrainTimeoutMs: 25_000}
 }
 
-// Load reads settings from a file, strictly.
+// Load reads settings from a file, strictly. Errors of the content are validation.Problems.
 func Load(path string) (Settings, error) {
-	s := Defaults()
 	data, err := os.ReadFile(path) //nolint:gosec // the operator names the file
 	if err != nil {
-		return s, errors.Wrap(err, "settings")
+		return Settings{}, errors.Wrap(err, "settings")
 	}
-	dec := yaml.NewDecoder(bytes.NewReader(data))
-	dec.KnownFields(true)
-	if err := dec.Decode(&s); err != nil {
-		return s, errors.Wrapf(err, "settings: %s", path)
+	return Decode(path, data)
+}
+
+// Decode decodes and checks settings. file names the source in problems.
+func Decode(file string, data []byte) (Settings, error) {
+	s := Defaults()
+	positions, problems := validation.Decode(file, data, &s)
+	if len(problems) > 0 {
+		return s, problems
 	}
-	return s, nil
+	return s, positions.Locate(s.Validate()).Err()
 }
