Notice stragglers sooner and keep hedges for urgent work

Cause: a server that turned ten times slower kept getting attempts until its mean latency had moved by a tenth of each reply, and the hedge budget was spent by all ranks alike. Samples above the mean now weigh half, an overdue attempt counts before it ends, pending attempts lengthen a candidate's cost by slots, and lower ranks may use 70 % and 40 % of the budget.

--- a/internal/decision/budget/budget_test.go
+++ b/internal/decision/budget/budget_test.go
@@ -31,7 +31,7 @@
 					w.OnRequest(now)
 					base = append(base, now)
 				}
-				if !w.Spend(now) {
+				if !w.Spend(1, now) {
 					// A window that ends later can hold fewer sub-requests when the load falls; no budget can foresee that.
 					continue
 				}
--- a/internal/decision/budget/window.go
+++ b/internal/decision/budget/window.go
@@ -36,10 +36,11 @@
 	w.baseN++
 }
 
-// Spend counts one extra attempt if the budget allows it, and tells whether it does.
-func (w *Window) Spend(now time.Time) bool {
+// Spend counts one extra attempt if the budget allows it, and tells whether it does. part, in (0, 1], is the part of the
+// budget that the attempt may use, so that some is left for more important ones.
+func (w *Window) Spend(part float64, now time.Time) bool {
 	w.advance(now)
-	if float64(w.extraN+1) > w.ratio*float64(w.baseN) {
+	if float64(w.extraN+1) > part*w.ratio*float64(w.baseN) {
 		return false
 	}
 	w.extra[w.slot%extraBuckets]++
--- a/internal/decision/routing/choose.go
+++ b/internal/decision/routing/choose.go
@@ -46,20 +46,23 @@
 	// Pending counts attempts in flight and waiting.
 	Pending int
 	Limit   int
+	// Slots is the number of requests that the server runs at a time.
+	Slots int
 	// Latency is the observed mean, network included; 0 if none was observed.
 	Latency time.Duration
 	// Admission is the fraction of its normal load that a cold server takes, in (0, 1].
 	Admission float64
 }
 
-// Cost returns the expected time of an attempt at the candidate.
+// Cost returns the expected time of an attempt at the candidate: its latency, lengthened by the attempts that this
+// daemon has pending there for each of the server's slots.
 func (c *Candidate) Cost() time.Duration {
 	latency := c.Latency
 	if latency == 0 {
 		latency = unobservedLatency(c.Place)
 	}
-	queue := float64(c.Pending+1) / float64(max(1, c.Limit))
-	return time.Duration(float64(latency) * max(1, queue) / max(c.Admission, minAdmission))
+	queue := 1 + float64(c.Pending)/float64(max(1, c.Slots))
+	return time.Duration(float64(latency) * queue / max(c.Admission, minAdmission))
 }
 
 const minAdmission = 0.05
--- a/internal/query/scatter/hedge.go
+++ b/internal/query/scatter/hedge.go
@@ -63,6 +63,8 @@
 		}
 		sh.hedgeAt = time.Time{}
 		if len(sh.pending) == 1 && !sh.answers(sh.want) {
+			q := sh.pending[0]
+			q.Server.ObserveOverdue(now.Sub(q.Started), now)
 			c.hedgeShard(i, now)
 		}
 	}
@@ -75,7 +77,7 @@
 	c.candidates, c.records = c.searcher.Dispatcher.Candidates(c.candidates, c.records, sh.shard, now)
 	excludeTried(c.candidates, sh.tried)
 	target := idleCandidate(c.candidates, c.records)
-	if target == nil || !c.searcher.Dispatcher.Budgets.SpendHedge(now) {
+	if target == nil || !c.searcher.Dispatcher.Budgets.SpendHedge(c.req.Rank, now) {
 		return
 	}
 	c.send(i, target, now)
--- a/internal/tables/budgets.go
+++ b/internal/tables/budgets.go
@@ -39,16 +39,19 @@
 	b.retry.OnRequest(now)
 }
 
-// SpendHedge counts one hedge if the budget allows it.
-func (b *Budgets) SpendHedge(now time.Time) bool {
+// hedgeParts are the parts of the hedge budget that work of each rank may use, so that urgent work always finds some.
+var hedgeParts = [model.RankCount]float64{1, 0.7, 0.4}
+
+// SpendHedge counts one hedge of the rank if the budget allows it.
+func (b *Budgets) SpendHedge(r model.Rank, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.hedge.Spend(now)
+	return b.hedge.Spend(hedgeParts[r], now)
 }
 
 // SpendRetry counts one retry if the budget allows it.
 func (b *Budgets) SpendRetry(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.retry.Spend(now)
+	return b.retry.Spend(1, now)
 }
--- a/internal/tables/server.go
+++ b/internal/tables/server.go
@@ -11,8 +11,12 @@
 	"oleandersill.example/oleandersill/internal/model"
 )
 
-// latencyWeight is the weight of a new sample in a server's mean latency.
-const latencyWeight = 0.1
+const (
+	// slowerWeight and fasterWeight are the weights of a sample above and below a server's mean latency: a straggler is
+	// noticed within two replies, and one fast reply does not clear it.
+	slowerWeight = 0.5
+	fasterWeight = 0.1
+)
 
 // Server is the record of one backend server. Invariants: inFlight never exceeds the connection budget, and an attempt
 // waits only while inFlight is at the limit. Owners: dispatch (in-flight and waiting), command/report (all else).
@@ -75,6 +79,7 @@
 	c.Server = s.spec
 	c.Pending = s.inFlight + s.queued
 	c.Limit = s.limit.Limit()
+	c.Slots = s.spec.Slots
 	c.Latency = routing.FadeLatency(s.latency, s.limit.Baseline(), now.Sub(s.observed))
 	c.Admission = routing.Admission(s.joined, now)
 	open := s.leaving.IsZero() && !s.spec.Leaving && s.budget > 0
@@ -244,7 +249,20 @@
 		s.latency = d
 		return
 	}
-	s.latency += time.Duration(float64(d-s.latency) * latencyWeight)
+	weight := fasterWeight
+	if d > s.latency {
+		weight = slowerWeight
+	}
+	s.latency += time.Duration(float64(d-s.latency) * weight)
+}
+
+// ObserveOverdue records that an attempt has been pending for longer than was expected, before it ends.
+func (s *Server) ObserveOverdue(elapsed time.Duration, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if elapsed > s.latency {
+		s.observeLatency(elapsed, now)
+	}
 }
 
 // MarkLeaving records the first sign that the server is leaving.
