Add the decisions on spreading and the tables of members and leaving servers

Every daemon watched the store, which at 5,600 daemons exceeds the store's rate of reads. The new decisions say whom to exchange digests with, whom to notify, who watches for a zone, and that only a strictly higher revision is taken.

--- /dev/null
+++ b/internal/decision/spread/spread_test.go
@@ -0,0 +1,181 @@
+package spread_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"oleandersill.example/oleandersill/internal/decision/spread"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/testing/suite"
+)
+
+func TestSpread(t *testing.T) { suite.Run(t, "./internal/decision/spread") }
+
+var start = time.Unix(1_800_000_000, 0)
+
+func offers() *rapid.Generator[model.Offer] {
+	return rapid.Custom(func(t *rapid.T) model.Offer {
+		return model.Offer{
+			Revision: model.Revision(rapid.Uint64Range(0, 4).Draw(t, "revision")),
+			Root:     model.RootHash(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "root")),
+		}
+	})
+}
+
+func fleets() *rapid.Generator[[]spread.Known] {
+	return rapid.Custom(func(t *rapid.T) []spread.Known {
+		n := rapid.IntRange(0, 200).Draw(t, "members")
+		out := make([]spread.Known, n)
+		for i := range out {
+			zone := rapid.SampledFrom([]model.AvailabilityZone{"a", "b"}).Draw(t, "zone")
+			silence := time.Duration(rapid.IntRange(0, 20).Draw(t, "silence")) * time.Second
+			out[i] = spread.Known{
+				Member:   model.Member{Instance: model.InstanceID(fmt.Sprintf("i%d", i)), Zone: zone, Address: "x"},
+				Evidence: start.Add(-silence),
+			}
+		}
+		return out
+	})
+}
+
+var self = model.Member{Instance: "self", Zone: "a"}
+
+// Guards against G8 broken by any sequence of offers: stale replicas, old peers and healed partitions are all offers.
+func TestNothingReverts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var inForce model.Offer
+		for _, o := range rapid.SliceOf(offers()).Draw(t, "offers") {
+			before := inForce
+			if spread.Consider(inForce, o) == spread.Take {
+				inForce = o
+			}
+			if inForce != before && inForce.Revision <= before.Revision {
+				t.Fatalf("went from %v to %v", before, inForce)
+			}
+		}
+	})
+}
+
+// Guards against two daemons that trade their roots of one revision back and forth.
+func TestRootsOfOneRevisionAreNotSwapped(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := offers().Draw(t, "a"), offers().Draw(t, "b")
+		b.Revision = a.Revision
+		if spread.Consider(a, b) == spread.Take || spread.Consider(b, a) == spread.Take {
+			t.Fatalf("%v and %v replace each other", a, b)
+		}
+	})
+}
+
+// Guards against a zone without a relay, and against a dead or foreign member that keeps a daemon from the role.
+func TestEveryViewHasARelay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		known := fleets().Draw(t, "known")
+		relays := 0
+		var alive []spread.Known
+		for _, k := range known {
+			if k.Zone == self.Zone && k.Liveness(start) == spread.Alive {
+				alive = append(alive, k)
+			}
+		}
+		all := append([]spread.Known{{Member: self, Evidence: start}}, alive...)
+		for i, k := range all {
+			others := append(append([]spread.Known{}, all[:i]...), all[i+1:]...)
+			if spread.IsRelay(k.Member, others, start) {
+				relays++
+			}
+		}
+		if relays != min(spread.RelaysPerZone, len(all)) {
+			t.Fatalf("%d relays among %d members with one view", relays, len(all))
+		}
+		if spread.IsRelay(self, known, start) != spread.IsRelay(self, alive, start) {
+			t.Fatalf("dead or foreign members count in the election")
+		}
+	})
+}
+
+// Guards against news that goes to the dead, to the same peer twice, or in unbounded size.
+func TestChoicesAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		known := fleets().Draw(t, "known")
+		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		inside, outside := 0, 0
+		seen := map[model.InstanceID]bool{}
+		for _, m := range spread.NoticeTargets(self, known, start, rnd) {
+			if seen[m.Instance] {
+				t.Fatalf("%s is told twice", m.Instance)
+			}
+			seen[m.Instance] = true
+			if m.Zone == self.Zone {
+				inside++
+			} else {
+				outside++
+			}
+		}
+		if inside > spread.NoticesInZone || outside > spread.NoticesOutside {
+			t.Fatalf("%d notices inside, %d outside", inside, outside)
+		}
+		entries := spread.Entries(self, known, start, rnd)
+		if 2*len(entries) > spread.MaxEntries {
+			t.Fatalf("%d entries in one direction", len(entries))
+		}
+		named := map[model.InstanceID]bool{}
+		for _, e := range entries {
+			if named[e.Instance] || e.Silence >= spread.DeadAfter {
+				t.Fatalf("entry %+v is a repetition or dead", e)
+			}
+			named[e.Instance] = true
+		}
+		if _, ok := spread.Partner(self, known, start, rnd); ok != (len(known) > 0) {
+			t.Fatalf("partner found: %t among %d", ok, len(known))
+		}
+	})
+}
+
+// Guards against a mark that daemons prolong for ever by telling each other of it.
+func TestHoldsEndWithoutSigns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		until := [2]time.Time{start.Add(spread.LeavingHold), start.Add(spread.LeavingHold)}
+		now := start
+		for range 100 {
+			transit := time.Duration(rapid.IntRange(0, 2000).Draw(t, "transit")) * time.Millisecond
+			from := rapid.IntRange(0, 1).Draw(t, "from")
+			if hold := until[from].Sub(now); hold > 0 {
+				until[1-from] = spread.ExtendHold(until[1-from], now.Add(transit), hold)
+			}
+			now = now.Add(time.Second)
+		}
+		if until[0].After(now) || until[1].After(now) {
+			t.Fatalf("the mark outlives its sign by %v and %v", until[0].Sub(start), until[1].Sub(start))
+		}
+	})
+}
+
+var _ = Describe("liveness", func() {
+	DescribeTable("follows the silence of a member",
+		func(silence time.Duration, want spread.Liveness) {
+			k := spread.Known{Evidence: start}
+			Expect(k.Liveness(start.Add(silence))).To(Equal(want))
+		},
+		Entry("fresh", 4999*time.Millisecond, spread.Alive),
+		Entry("5 s", 5*time.Second, spread.Suspected),
+		Entry("almost 15 s", 14999*time.Millisecond, spread.Suspected),
+		Entry("15 s", 15*time.Second, spread.Dead),
+	)
+})
+
+var _ = Describe("backoff", func() {
+	// Guards against a shift that overflows after a long outage, and a delay that breaks the propagation target.
+	It("stays between 0 and 4 s at any number of failures", func() {
+		rnd := rand.New(rand.NewPCG(1, 1))
+		for failures := range 200 {
+			Expect(spread.Backoff(failures, rnd)).To(And(BeNumerically(">=", 0), BeNumerically("<", 4*time.Second)))
+		}
+	})
+})
--- a/internal/tables/doc.go
+++ b/internal/tables/doc.go
@@ -7,6 +7,8 @@
 //
 //	OrderConfig      Config        the Topology in force
 //	OrderMembers     Members       known daemons
+//	OrderDepartures  Departures    backend servers that are leaving
+//	OrderPeers       (peer)        open connections between daemons
 //	OrderAdmissions  Admissions    one admission queue a service
 //	OrderExecutions  Executions    non-idempotent requests of this daemon
 //	OrderCall        (scatter)     one lock a scatter-gather call; one call at a time
--- /dev/null
+++ b/internal/tables/fleet_test.go
@@ -0,0 +1,96 @@
+package tables_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oleandersill.example/oleandersill/internal/decision/spread"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/tables"
+	"oleandersill.example/oleandersill/internal/testing/suite"
+)
+
+func TestTables(t *testing.T) { suite.Run(t, "./internal/tables") }
+
+var begin = time.Unix(1_800_000_000, 0)
+
+func member(id model.InstanceID, heartbeat uint64) model.Member {
+	return model.Member{Instance: id, Incarnation: 1, Zone: "a", Address: "x:1", Heartbeat: heartbeat}
+}
+
+func sighting(heartbeat uint64, silence time.Duration) model.Sighting {
+	return model.Sighting{Member: member("i", heartbeat), Silence: silence}
+}
+
+var _ = Describe("Members", func() {
+	liveness := func(t *tables.Members, now time.Time) []spread.Liveness {
+		var out []spread.Liveness
+		for _, k := range t.Snapshot(nil) {
+			out = append(out, k.Liveness(now))
+		}
+		return out
+	}
+
+	It("takes only later news as evidence of life", func() {
+		t := tables.NewMembers(member("self", 0))
+		t.Heard([]model.Sighting{sighting(5, 0)}, begin)
+		t.Heard([]model.Sighting{sighting(5, 0), sighting(4, 0)}, begin.Add(6*time.Second))
+		Expect(liveness(t, begin.Add(6*time.Second))).To(Equal([]spread.Liveness{spread.Suspected}))
+		t.Heard([]model.Sighting{sighting(6, 0)}, begin.Add(7*time.Second))
+		Expect(liveness(t, begin.Add(7*time.Second))).To(Equal([]spread.Liveness{spread.Alive}))
+	})
+
+	// Guards against news of a dead member that lives on among daemons that start one after the other.
+	It("takes over the age of news of an unknown member", func() {
+		t := tables.NewMembers(member("self", 0))
+		t.Heard([]model.Sighting{sighting(5, 14*time.Second)}, begin)
+		Expect(liveness(t, begin.Add(time.Second))).To(Equal([]spread.Liveness{spread.Dead}))
+	})
+
+	It("forgets a silent member once the platform does not list it", func() {
+		t := tables.NewMembers(member("self", 0))
+		t.List("a", []model.Member{member("i", 0)}, begin)
+		t.Forget(begin.Add(time.Hour))
+		Expect(t.Snapshot(nil)).To(HaveLen(1))
+		t.List("b", nil, begin.Add(time.Hour))
+		t.Forget(begin.Add(time.Hour))
+		Expect(t.Snapshot(nil)).To(HaveLen(1), "another zone's list says nothing about it")
+		t.List("a", nil, begin.Add(time.Hour))
+		t.Forget(begin.Add(time.Hour))
+		Expect(t.Snapshot(nil)).To(BeEmpty())
+	})
+
+	It("never holds the daemon itself", func() {
+		t := tables.NewMembers(member("self", 0))
+		t.Contacted(member("self", 9), begin)
+		t.List("", []model.Member{member("self", 0)}, begin)
+		Expect(t.Snapshot(nil)).To(BeEmpty())
+	})
+})
+
+var _ = Describe("Departures", func() {
+	It("ends a mark after its hold, and a further sign puts that off", func() {
+		t := tables.NewDepartures()
+		Expect(t.Sign("srv", begin)).To(BeTrue())
+		Expect(t.Sign("srv", begin.Add(20*time.Second))).To(BeFalse())
+		Expect(t.Expire(begin.Add(spread.LeavingHold))).To(BeEmpty())
+		Expect(t.Expire(begin.Add(20*time.Second + spread.LeavingHold))).To(ConsistOf(model.ServerName("srv")))
+	})
+
+	It("reports a server that a peer told of once", func() {
+		t := tables.NewDepartures()
+		told := []model.Departure{{Server: "srv", Hold: 10 * time.Second}, {Server: "late", Hold: -time.Second}}
+		Expect(t.Heard(told, begin)).To(ConsistOf(model.ServerName("srv")))
+		Expect(t.Heard(told, begin)).To(BeEmpty())
+		Expect(t.Expire(begin.Add(10 * time.Second))).To(ConsistOf(model.ServerName("srv")))
+	})
+
+	It("bounds the hold that a peer can ask for", func() {
+		t := tables.NewDepartures()
+		t.Heard([]model.Departure{{Server: "srv", Hold: time.Hour}}, begin)
+		Expect(t.Expire(begin.Add(spread.LeavingHold))).To(HaveLen(1))
+	})
+})
--- a/internal/tables/order.go
+++ b/internal/tables/order.go
@@ -6,6 +6,8 @@
 const (
 	OrderConfig lockorder.Order = iota + 1
 	OrderMembers
+	OrderDepartures
+	OrderPeers
 	OrderAdmissions
 	OrderExecutions
 	OrderCall
