Add calls between daemons over net/rpc with a token and bounded messages

A server compares the bearer token in constant time, runs one call at a time on a connection and bounds connections; both sides bound the size of a message before it is decoded. The gob codec of net/rpc has no such bound, so the codec here adds it.

--- /dev/null
+++ b/internal/digest/builder.go
@@ -0,0 +1,32 @@
+package digest
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"oleandersill.example/oleandersill/internal/decision/spread"
+	"oleandersill.example/oleandersill/internal/peer"
+	"oleandersill.example/oleandersill/internal/tables"
+)
+
+// Builder builds digests from the tables.
+type Builder struct {
+	Members    *tables.Members
+	Departures *tables.Departures
+	Config     *tables.Config
+}
+
+// Build returns the digest to send at now.
+func (b *Builder) Build(now time.Time, rnd *rand.Rand) peer.Digest {
+	self := b.Members.Self()
+	d := peer.Digest{
+		From:       self,
+		InForce:    b.Config.Document().Offer,
+		Members:    spread.Entries(self, b.Members.Snapshot(nil), now, rnd),
+		Departures: b.Departures.Current(now, peer.MaxDepartures),
+	}
+	if contact := b.Config.StoreContact(); !contact.IsZero() {
+		d.StoreContactMs = contact.UnixMilli()
+	}
+	return d
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,247 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"net/rpc"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"oleandersill.example/oleandersill/internal/configdoc"
+	"oleandersill.example/oleandersill/internal/lockorder"
+)
+
+// ErrRefused means that the peer did not accept the connection's CONNECT.
+var ErrRefused = errors.New("peer: connection refused by the peer")
+
+const (
+	// maxClientConns is the number of connections kept; the least recently used one is closed above it.
+	maxClientConns = 16
+	dialTimeout    = time.Second
+	callTimeout    = 2 * time.Second
+)
+
+// Client calls peers by address over connections that it keeps for further calls.
+type Client struct {
+	token   string
+	traffic *Traffic
+	dialer  DialFunc
+
+	mu    lockorder.Mutex
+	conns map[string]*clientConn
+}
+
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+type clientConn struct {
+	rpc   *rpc.Client
+	calls int
+	used  time.Time
+}
+
+// NewClient returns a client that presents the given token over connections that dial opens; its lock has the given
+// order.
+func NewClient(order lockorder.Order, token string, traffic *Traffic, dial DialFunc) *Client {
+	return &Client{token: token, traffic: traffic, dialer: dial, mu: lockorder.New(order), conns: map[string]*clientConn{}}
+}
+
+// Digest exchanges digests with the peer.
+func (c *Client) Digest(ctx context.Context, address string, d Digest) (Digest, error) {
+	var reply Digest
+	err := c.call(ctx, address, MethodDigest, d, &reply)
+	return reply, err
+}
+
+// Parts asks the peer for values by hash.
+func (c *Client) Parts(ctx context.Context, address string, hashes []configdoc.Hash) (PartsReply, error) {
+	var reply PartsReply
+	err := c.call(ctx, address, MethodParts, PartsRequest{Hashes: hashes}, &reply)
+	return reply, err
+}
+
+// Notice tells the peer of a revision.
+func (c *Client) Notice(ctx context.Context, address string, n Notice) error {
+	return c.call(ctx, address, MethodNotice, n, &Empty{})
+}
+
+// Leaving tells the peer of servers that are leaving.
+func (c *Client) Leaving(ctx context.Context, address string, l Leaving) error {
+	return c.call(ctx, address, MethodLeaving, l, &Empty{})
+}
+
+// Status asks the peer for its status and decodes it into reply.
+func (c *Client) Status(ctx context.Context, address string, reply any) error {
+	return c.call(ctx, address, MethodStatus, StatusRequest{}, reply)
+}
+
+// call makes one call within callTimeout and ctx, on a new connection if the kept one turns out to be closed.
+func (c *Client) call(ctx context.Context, address, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := c.callOnce(ctx, address, method, args, reply)
+	if errors.Is(err, rpc.ErrShutdown) {
+		err = c.callOnce(ctx, address, method, args, reply)
+	}
+	return err
+}
+
+// callOnce closes a connection on which a call failed: the server closes it too when it cannot decode a call.
+func (c *Client) callOnce(ctx context.Context, address, method string, args, reply any) error {
+	conn, err := c.acquire(ctx, address)
+	if err != nil {
+		return err
+	}
+	call := conn.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		err = call.Error
+	case <-ctx.Done():
+		// Ends the call, so that nothing writes to reply after the return.
+		_ = conn.rpc.Close()
+		<-call.Done
+		err = ctx.Err()
+	}
+	c.release(address, conn, err != nil)
+	return errors.Wrapf(err, "peer: %s at %s", method, address)
+}
+
+func (c *Client) acquire(ctx context.Context, address string) (*clientConn, error) {
+	if conn := c.use(address); conn != nil {
+		return conn, nil
+	}
+	fresh, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	c.mu.Lock()
+	surplus := c.takeSurplus(now)
+	existing := c.conns[address]
+	if existing == nil {
+		existing = &clientConn{rpc: fresh}
+		c.conns[address] = existing
+	}
+	existing.calls++
+	existing.used = now
+	c.mu.Unlock()
+	if existing.rpc != fresh {
+		surplus = append(surplus, fresh)
+	}
+	closeAll(surplus)
+	return existing, nil
+}
+
+func (c *Client) use(address string) *clientConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn := c.conns[address]
+	if conn == nil || (conn.calls == 0 && time.Since(conn.used) > clientIdle) {
+		return nil
+	}
+	conn.calls++
+	conn.used = time.Now()
+	return conn
+}
+
+// takeSurplus removes and returns the connections that are idle for long, and the least recently used idle ones until there is
+// room for one more.
+func (c *Client) takeSurplus(now time.Time) []*rpc.Client {
+	var out []*rpc.Client
+	for address, conn := range c.conns {
+		if conn.calls == 0 && now.Sub(conn.used) > clientIdle {
+			delete(c.conns, address)
+			out = append(out, conn.rpc)
+		}
+	}
+	for len(c.conns) >= maxClientConns {
+		oldest := ""
+		for address, conn := range c.conns {
+			if conn.calls == 0 && (oldest == "" || conn.used.Before(c.conns[oldest].used)) {
+				oldest = address
+			}
+		}
+		if oldest == "" {
+			return out
+		}
+		out = append(out, c.conns[oldest].rpc)
+		delete(c.conns, oldest)
+	}
+	return out
+}
+
+func (c *Client) release(address string, conn *clientConn, broken bool) {
+	c.mu.Lock()
+	conn.calls--
+	if broken && c.conns[address] == conn {
+		delete(c.conns, address)
+	}
+	c.mu.Unlock()
+	if broken {
+		_ = conn.rpc.Close()
+	}
+}
+
+// dial connects and sends CONNECT with the token.
+func (c *Client) dial(ctx context.Context, address string) (*rpc.Client, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	raw, err := c.dialer(dialCtx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "peer: dialling %s", address)
+	}
+	conn := countedConn{Conn: raw, traffic: c.traffic}
+	reader, err := c.connect(ctx, conn, address)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return rpc.NewClientWithCodec(clientCodec{newWire(conn, reader, maxReplyBytes, 0)}), nil
+}
+
+func (c *Client) connect(ctx context.Context, conn net.Conn, address string) (*bufio.Reader, error) {
+	deadline, _ := ctx.Deadline()
+	if err := conn.SetDeadline(deadline); err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodConnect, "http://"+address+connectPath, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer: building CONNECT")
+	}
+	req.Header.Set(headerAuthorize, bearer+c.token)
+	if err := req.Write(conn); err != nil {
+		return nil, errors.Wrapf(err, "peer: CONNECT to %s", address)
+	}
+	reader := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(reader, req)
+	if err != nil {
+		return nil, errors.Wrapf(err, "peer: CONNECT to %s", address)
+	}
+	// The body of a 200 is the connection itself and is not closed.
+	if resp.StatusCode != http.StatusOK {
+		_ = resp.Body.Close()
+		return nil, errors.Wrapf(ErrRefused, "%s answered %s", address, resp.Status)
+	}
+	return reader, conn.SetDeadline(time.Time{})
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	all := make([]*rpc.Client, 0, len(c.conns))
+	for _, conn := range c.conns {
+		all = append(all, conn.rpc)
+	}
+	c.conns = map[string]*clientConn{}
+	c.mu.Unlock()
+	closeAll(all)
+}
+
+func closeAll(conns []*rpc.Client) {
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,134 @@
+package peer
+
+import (
+	"bufio"
+	"crypto/sha256"
+	"crypto/subtle"
+	"io"
+	"net"
+	"net/http"
+	"net/rpc"
+	"strings"
+
+	"oleandersill.example/oleandersill/internal/lockorder"
+)
+
+const (
+	connectPath     = "/peer"
+	connectStatus   = "200 Connected to oleandersill peer"
+	bearer          = "Bearer "
+	maxServerConns  = 256
+	headerAuthorize = "Authorization"
+)
+
+// Server serves the registered services to authenticated peers. It is an http.Handler for the peers' port.
+type Server struct {
+	token   [sha256.Size]byte
+	rpc     *rpc.Server
+	traffic *Traffic
+	slots   chan struct{}
+
+	mu     lockorder.Mutex
+	conns  map[net.Conn]struct{}
+	closed bool
+}
+
+// NewServer returns a server that accepts the given token; its lock has the given order.
+func NewServer(order lockorder.Order, token string, traffic *Traffic) *Server {
+	return &Server{
+		token:   sha256.Sum256([]byte(token)),
+		rpc:     rpc.NewServer(),
+		traffic: traffic,
+		slots:   make(chan struct{}, maxServerConns),
+		mu:      lockorder.New(order),
+		conns:   map[net.Conn]struct{}{},
+	}
+}
+
+// Register adds a service, whose methods have the form that net/rpc asks for.
+func (s *Server) Register(name string, service any) {
+	if err := s.rpc.RegisterName(name, service); err != nil {
+		panic("peer: service cannot be registered: " + err.Error())
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodConnect {
+		http.Error(w, "the peers' port answers CONNECT only", http.StatusMethodNotAllowed)
+		return
+	}
+	if !s.authorized(r.Header.Get(headerAuthorize)) {
+		http.Error(w, "wrong or missing token", http.StatusUnauthorized)
+		return
+	}
+	select {
+	case s.slots <- struct{}{}:
+		defer func() { <-s.slots }()
+	default:
+		http.Error(w, "too many connections", http.StatusServiceUnavailable)
+		return
+	}
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		http.Error(w, "connection cannot be taken over", http.StatusInternalServerError)
+		return
+	}
+	s.serveConn(conn, buffered.Reader)
+}
+
+// authorized compares digests, so that the time taken depends on neither the content nor the length of the token.
+func (s *Server) authorized(header string) bool {
+	token, ok := strings.CutPrefix(header, bearer)
+	sum := sha256.Sum256([]byte(token))
+	return subtle.ConstantTimeCompare(sum[:], s.token[:]) == 1 && ok
+}
+
+func (s *Server) serveConn(conn net.Conn, hijacked *bufio.Reader) {
+	defer func() { _ = conn.Close() }()
+	if !s.track(conn) {
+		return
+	}
+	defer s.untrack(conn)
+	// What the HTTP server has read ahead belongs to the first message.
+	ahead, _ := hijacked.Peek(hijacked.Buffered())
+	counted := countedConn{Conn: conn, traffic: s.traffic}
+	reader := bufio.NewReader(io.MultiReader(strings.NewReader(string(ahead)), counted))
+	if _, err := io.WriteString(counted, "HTTP/1.0 "+connectStatus+"\n\n"); err != nil {
+		return
+	}
+	codec := serverCodec{newWire(counted, reader, maxRequestBytes, serverIdle)}
+	for s.rpc.ServeRequest(codec) == nil {
+		continue
+	}
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) untrack(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// Close closes all connections; calls on them fail.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	conns := make([]net.Conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/internal/peer/traffic.go
@@ -0,0 +1,32 @@
+package peer
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// Traffic counts the bytes of a daemon's peer connections, in both roles.
+type Traffic struct {
+	Sent     atomic.Int64
+	Received atomic.Int64
+}
+
+// countedConn counts what passes through a connection.
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+// Read implements net.Conn.
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.Received.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.Sent.Add(int64(n))
+	return n, err
+}
