Add the graceful shutdown of a daemon

Readiness is withdrawn first and stays off for drain_grace_ms, so that the balancer notices before work is refused. Then queued work is refused as not run, the ports close and the requests in flight end, within drain_timeout_ms.

--- /dev/null
+++ b/internal/command/commandhttp/drain.go
@@ -0,0 +1,24 @@
+package commandhttp
+
+import (
+	"net/http"
+
+	"oleandersill.example/oleandersill/internal/command/drain"
+	"oleandersill.example/oleandersill/internal/httpapi"
+)
+
+// DrainResponse is the reply to POST /v1/drain.
+type DrainResponse struct {
+	// Started is false if the daemon was draining already.
+	Started bool `json:"started"`
+}
+
+// Drain serves POST /v1/drain. It replies at once; the daemon ends when the drain has ended.
+type Drain struct {
+	Drainer *drain.Drainer
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Drain) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	httpapi.WriteJSON(w, http.StatusAccepted, DrainResponse{Started: h.Drainer.Begin("operator")})
+}
--- /dev/null
+++ b/internal/command/drain/doc.go
@@ -0,0 +1,2 @@
+// Package drain stops a daemon without cutting off requests in flight.
+package drain
--- /dev/null
+++ b/internal/command/drain/drainer.go
@@ -0,0 +1,103 @@
+package drain
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Listener is a port with requests in flight; http.Server is one.
+type Listener interface {
+	// SetKeepAlivesEnabled makes responses end their connections when it is false.
+	SetKeepAlivesEnabled(enabled bool)
+	// Shutdown closes the port and waits for its requests in flight until ctx ends.
+	Shutdown(ctx context.Context) error
+	// Close closes the port and its connections.
+	Close() error
+}
+
+// Config says what to stop and how long that may take.
+type Config struct {
+	// Grace is how long requests are still admitted after readiness is withdrawn, so that the balancer notices.
+	Grace time.Duration
+	// Timeout bounds the whole drain, Grace included.
+	Timeout time.Duration
+	// RefuseQueued refuses all work that has not started.
+	RefuseQueued func()
+	// Listeners returns the ports in the order in which they close.
+	Listeners func() []Listener
+	Log       zerolog.Logger
+}
+
+// Drainer drains once: readiness goes first and stays off for Grace, then queued work is refused as not run, then the
+// ports close and the requests in flight end. Create it with New.
+type Drainer struct {
+	cfg   Config
+	once  sync.Once
+	began chan struct{}
+	done  chan struct{}
+}
+
+// New returns a drainer that has not begun.
+func New(cfg Config) *Drainer {
+	return &Drainer{cfg: cfg, began: make(chan struct{}), done: make(chan struct{})}
+}
+
+// Begin starts the drain in the background, and tells whether it had not begun before.
+func (d *Drainer) Begin(reason string) (started bool) {
+	d.once.Do(func() {
+		started = true
+		close(d.began)
+		d.cfg.Log.Info().Str("reason", reason).Msg("drain_started")
+		go d.run()
+	})
+	return started
+}
+
+// Began returns a channel that is closed once the drain has begun.
+func (d *Drainer) Began() <-chan struct{} { return d.began }
+
+// Done returns a channel that is closed once the drain has ended.
+func (d *Drainer) Done() <-chan struct{} { return d.done }
+
+// Draining tells whether the drain has begun; the daemon is not ready from then on.
+func (d *Drainer) Draining() bool {
+	select {
+	case <-d.began:
+		return true
+	default:
+		return false
+	}
+}
+
+func (d *Drainer) run() {
+	defer close(d.done)
+	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.Timeout)
+	defer cancel()
+	listeners := d.cfg.Listeners()
+	for _, l := range listeners {
+		l.SetKeepAlivesEnabled(false)
+	}
+	wait(ctx, d.cfg.Grace)
+	d.cfg.RefuseQueued()
+	complete := true
+	for _, l := range listeners {
+		if err := l.Shutdown(ctx); err != nil {
+			complete = false
+			d.cfg.Log.Warn().Err(err).Msg("drain_incomplete")
+			_ = l.Close()
+		}
+	}
+	d.cfg.Log.Info().Bool("complete", complete).Msg("drain_ended")
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,6 +28,9 @@
 	LogLevel string       `yaml:"log_level"`
 	// DrainTimeoutMs bounds a graceful shutdown, in milliseconds.
 	DrainTimeoutMs int `yaml:"drain_timeout_ms"`
+	// DrainGraceMs is how long a draining daemon goes on admitting requests while it reports that it is not ready, so that
+	// the balancer notices, in milliseconds. It is part of DrainTimeoutMs.
+	DrainGraceMs int `yaml:"drain_grace_ms"`
 	// OperatorToken is the credential that may change the configuration and drain, and read.
 	OperatorToken string `yaml:"operator_token"`
 	// OperatorReadToken is the credential that may only read.
@@ -38,7 +41,13 @@
 
 // Defaults are the settings that a file need not give.
 func Defaults() Settings {
-	return Settings{WorkersPerRank: 128, Policy: model.PolicyDefault, LogLevel: "info", DrainTimeoutMs: 25_000}
+	return Settings{
+		WorkersPerRank: 128,
+		Policy:         model.PolicyDefault,
+		LogLevel:       "info",
+		DrainTimeoutMs: 25_000,
+		DrainGraceMs:   3_000,
+	}
 }
 
 // Load reads settings from a file, strictly. Errors of the content are validation.Problems.
