Spread configuration and leaving servers between daemons

Two relays a zone watch the head of the configuration, notices and digests carry a new revision to all daemons, and missing parts are pulled by hash from the peer that told, or from the store. A daemon that starts while the store is down gets its configuration from peers. Leaving backend servers, listed or seen in a drain answer, are marked everywhere. The watch by every daemon is gone. SIGTERM and POST /v1/drain start the graceful shutdown; a second signal ends the process.

--- a/cmd/oleandersilld/main.go
+++ b/cmd/oleandersilld/main.go
@@ -15,7 +15,12 @@
 	"oleandersill.example/oleandersill/internal/telemetry"
 )
 
-const exitUsage = 2
+// Exit codes other than 0.
+const (
+	exitUsage = 2
+	// exitCutOff: a second signal ended the process before its requests had ended.
+	exitCutOff = 3
+)
 
 func main() { os.Exit(run()) }
 
@@ -37,9 +42,24 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
-	signals := make(chan os.Signal, 1)
+	return serve(d)
+}
+
+// serve runs the daemon until it has drained, on a signal or an operator's request. A second signal ends the process at
+// once.
+func serve(d *daemon.Daemon) int {
+	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	<-signals
+	select {
+	case s := <-signals:
+		d.BeginDrain(s.String())
+	case <-d.Draining():
+	}
+	select {
+	case <-signals:
+		return exitCutOff
+	case <-d.Drained():
+	}
 	d.Stop()
 	return 0
 }
--- /dev/null
+++ b/internal/command/fleet/exchange.go
@@ -0,0 +1,81 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"oleandersill.example/oleandersill/internal/decision/spread"
+)
+
+const (
+	exchangeInterval = time.Second
+	// coldInterval is the interval while the daemon has no configuration.
+	coldInterval = 200 * time.Millisecond
+	// missingAfter is when a daemon without a configuration says so in its log.
+	missingAfter = 3 * time.Second
+	// seedOneIn is the share of exchanges that go to an address from the settings, which may be the only way to daemons
+	// that neither the platform nor a peer names.
+	seedOneIn = 16
+)
+
+// runExchanges exchanges digests until ctx ends.
+func (a *Agent) runExchanges(ctx context.Context) {
+	rnd := a.random()
+	beat := time.Time{}
+	reported := false
+	for ctx.Err() == nil {
+		now := time.Now()
+		if now.Sub(beat) >= exchangeInterval/2 {
+			beat = now
+			a.tick(now)
+		}
+		if a.Config.Revision() == 0 && !reported && now.Sub(a.started) > missingAfter {
+			reported = true
+			a.Log.Warn().Int("peers_known", len(a.Members.Snapshot(nil))).Msg("config_missing")
+		}
+		a.exchange(ctx, rnd)
+		interval := exchangeInterval
+		if a.Config.Revision() == 0 {
+			interval = coldInterval
+		}
+		if !pause(ctx, spread.Jittered(interval, rnd)-min(interval/4, time.Since(now))) {
+			return
+		}
+	}
+}
+
+// tick does what is due each second.
+func (a *Agent) tick(now time.Time) {
+	a.Members.Beat()
+	a.Members.Forget(now)
+	for _, name := range a.Departures.Expire(now) {
+		if r := a.Servers.Get(name); r != nil {
+			r.ClearLeaving(now)
+			a.Log.Info().Str("server", string(name)).Msg("server_leaving_ended")
+		}
+	}
+}
+
+func (a *Agent) exchange(ctx context.Context, rnd *rand.Rand) {
+	now := time.Now()
+	address := a.partner(now, rnd)
+	if address == "" {
+		return
+	}
+	reply, err := a.Peers.Digest(ctx, address, a.digests.Build(now, rnd))
+	if err != nil {
+		a.Log.Debug().Err(err).Str("address", address).Msg("peer_exchange_failed")
+		return
+	}
+	a.ObserveDigest(reply)
+}
+
+// partner returns the address of the peer to exchange with, or "".
+func (a *Agent) partner(now time.Time, rnd *rand.Rand) string {
+	m, ok := spread.Partner(a.Members.Self(), a.Members.Snapshot(nil), now, rnd)
+	if len(a.Seeds) > 0 && (!ok || a.Config.Revision() == 0 && rnd.IntN(2) == 0 || rnd.IntN(seedOneIn) == 0) {
+		return a.Seeds[rnd.IntN(len(a.Seeds))]
+	}
+	return m.Address
+}
--- /dev/null
+++ b/internal/command/fleet/members.go
@@ -0,0 +1,86 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"oleandersill.example/oleandersill/internal/decision/spread"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/platform"
+)
+
+const (
+	listTimeout = 3 * time.Second
+	// The list is read again rarely: members are learnt from digests, and a zone's list may have hundreds of rows.
+	relayListInterval = 15 * time.Second
+	listInterval      = 2 * time.Minute
+	// fewMembers is the number of known members below which a starting daemon reads the list of all zones.
+	fewMembers = 3
+)
+
+// runMemberList reads the platform's list of daemons until ctx ends. It closes a.listed after the first attempt.
+func (a *Agent) runMemberList(ctx context.Context) {
+	rnd := a.random()
+	failures := 0
+	err := a.firstList(ctx)
+	close(a.listed)
+	for {
+		delay := listInterval
+		if a.isRelay(time.Now()) {
+			delay = relayListInterval
+		}
+		delay = spread.Jittered(delay, rnd)
+		if err != nil {
+			failures++
+			delay = spread.Backoff(failures, rnd) + minWatchInterval
+		} else {
+			failures = 0
+		}
+		if !pause(ctx, delay) {
+			return
+		}
+		err = a.listMembers(ctx, a.Members.Self().Zone)
+		if zone := a.otherZone(rnd); err == nil && zone != "" {
+			err = a.listMembers(ctx, zone)
+		}
+	}
+}
+
+func (a *Agent) firstList(ctx context.Context) error {
+	err := a.listMembers(ctx, a.Members.Self().Zone)
+	if err == nil && len(a.Members.Snapshot(nil)) < fewMembers {
+		err = a.listMembers(ctx, "")
+	}
+	return err
+}
+
+// otherZone returns a random zone of the inventory other than this daemon's, or "".
+func (a *Agent) otherZone(rnd *rand.Rand) model.AvailabilityZone {
+	t := a.Config.Current()
+	if t == nil || len(t.Inventory.Zones) == 0 {
+		return ""
+	}
+	zone := t.Inventory.Zones[rnd.IntN(len(t.Inventory.Zones))].Name
+	if zone == a.Members.Self().Zone {
+		return ""
+	}
+	return zone
+}
+
+// listMembers reads the list of a zone, or of all zones if zone is empty.
+func (a *Agent) listMembers(ctx context.Context, zone model.AvailabilityZone) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	rows, err := a.Instances.Instances(ctx, platform.InstanceQuery{Role: platform.RoleEntry, Zone: zone})
+	if err != nil {
+		a.Log.Debug().Err(err).Msg("member_list_failed")
+		return err
+	}
+	listed := make([]model.Member, 0, len(rows))
+	for _, r := range rows {
+		listed = append(listed, model.Member{Instance: model.InstanceID(r.Name), Zone: r.Zone, Address: r.Address})
+	}
+	a.Members.List(zone, listed, time.Now())
+	return nil
+}
--- a/internal/command/report/recorder.go
+++ b/internal/command/report/recorder.go
@@ -24,6 +24,8 @@
 	Policy     model.Policy
 	// OnJoin, if set, is called for the record of every server that joins or changes its address.
 	OnJoin func(*tables.Server)
+	// Draining is told of each drain answer, unless it is nil.
+	Draining func(model.ServerName)
 
 	capacity atomic.Pointer[map[model.ServiceName]*serviceCapacity]
 }
@@ -44,6 +46,7 @@
 	if r.Policy == model.PolicyBaseline {
 		return 0
 	}
+	r.noticeDraining(s, status, load)
 	t := r.Config.Current()
 	o := tables.Observation{
 		Status:   status,
@@ -59,6 +62,12 @@
 	return finding.Slowdown
 }
 
+func (r *Recorder) noticeDraining(s *tables.Server, status backend.Status, load backend.Load) {
+	if r.Draining != nil && (status == backend.StatusDraining || load.Draining) {
+		r.Draining(s.Name())
+	}
+}
+
 func (r *Recorder) changeCapacity(service model.ServiceName, delta int) {
 	c := (*r.capacity.Load())[service]
 	if c == nil {
--- /dev/null
+++ b/internal/daemon/control/fleet_test.go
@@ -0,0 +1,238 @@
+package control_test
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"oleandersill.example/oleandersill/internal/daemon/control"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/platform"
+	"oleandersill.example/oleandersill/internal/tables"
+	"oleandersill.example/oleandersill/internal/testing/suite"
+)
+
+func TestControl(t *testing.T) { suite.Run(t, "./internal/daemon/control") }
+
+// inForceWithin is the stated target for a change to be in force everywhere.
+const inForceWithin = 16 * time.Second
+
+const token = "peers"
+
+var errInvalid = errors.New("no instances")
+
+func inventory(instances int) model.Inventory {
+	return model.Inventory{
+		MaxInstances: instances,
+		Zones:        []model.ZoneSpec{{Name: "a"}, {Name: "b"}, {Name: "c"}},
+		Services: []model.ServiceSpec{{Name: "search", Shards: []model.ShardSpec{
+			{Name: "s0", Servers: []model.ServerSpec{{Name: "srv-1", Connections: 25}}},
+		}}},
+	}
+}
+
+// node is the control part of one daemon.
+type node struct {
+	name    model.InstanceID
+	zone    model.AvailabilityZone
+	address string
+	seeds   []string
+	link    *link
+	config  *tables.Config
+	servers *tables.Servers
+	part    *control.Part
+	stopped atomic.Bool
+	// reverted tells whether a lower revision than the one in force was adopted.
+	reverted atomic.Bool
+}
+
+func (n *node) start() {
+	n.config, n.servers = tables.NewConfig(), tables.NewServers()
+	n.servers.Put(tables.NewServer(&model.Server{ServerSpec: model.ServerSpec{Name: "srv-1"}}, nil, 5, time.Time{}))
+	var err error
+	n.part, err = control.Open(control.Config{
+		Instance: n.name, Zone: n.zone, PeerAddress: n.address, PeerToken: token, Seeds: n.seeds,
+		Dial: (&net.Dialer{}).DialContext, Store: n.link, Instances: n.link, Config: n.config, Servers: n.servers,
+		Validate: func(inv model.Inventory, _ model.Rules) error {
+			if inv.MaxInstances < 1 {
+				return errInvalid
+			}
+			return nil
+		},
+		Adopt: func(t *model.Topology, _ time.Time) {
+			if t.Revision < n.config.Revision() {
+				n.reverted.Store(true)
+			}
+		},
+		Draining: n.stopped.Load, Log: zerolog.Nop(),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	n.address = n.part.Members.Self().Address
+	n.part.Start()
+}
+
+func (n *node) open() bool { return n.servers.Get("srv-1").Open() }
+
+// startFleet starts daemons in zones a, b and c in turn, all on the platform's list.
+func startFleet(p *fakePlatform, count int) []*node {
+	var nodes []*node
+	for i := range count {
+		n := &node{
+			name: model.InstanceID(fmt.Sprintf("entry-%d", i)), zone: model.AvailabilityZone("abc"[i%3 : i%3+1]),
+			address: "127.0.0.1:0", link: &link{platform: p},
+		}
+		if i > 0 {
+			n.seeds = []string{nodes[0].address}
+		}
+		n.start()
+		p.mu.Lock()
+		p.instances = append(p.instances, platform.Instance{
+			Name: string(n.name), Role: platform.RoleEntry, Zone: n.zone, Address: n.address, State: platform.InstanceLive,
+		})
+		p.mu.Unlock()
+		nodes = append(nodes, n)
+		DeferCleanup(func() { n.part.Close() })
+	}
+	nodes[0].seeds = []string{nodes[1].address}
+	return nodes
+}
+
+func revisions(nodes []*node) func() []model.Revision {
+	return func() []model.Revision {
+		var out []model.Revision
+		for _, n := range nodes {
+			out = append(out, n.config.Revision())
+		}
+		return out
+	}
+}
+
+func haveAll(rev model.Revision) OmegaMatcher { return HaveEach(rev) }
+
+var _ = Describe("the control part of several daemons", func() {
+	var p *fakePlatform
+	var nodes []*node
+	BeforeEach(func() {
+		p = newFakePlatform()
+		p.publish(1, inventory(8))
+		nodes = startFleet(p, 6)
+		Eventually(revisions(nodes), inForceWithin).Should(haveAll(1))
+	})
+
+	DescribeTable("puts a change in force everywhere despite a fault",
+		func(fault func(l *link, zone model.AvailabilityZone)) {
+			for _, n := range nodes {
+				n.link.set(func(l *link) { fault(l, n.zone) })
+			}
+			p.publish(2, inventory(9))
+			Eventually(revisions(nodes), inForceWithin).Should(haveAll(2))
+		},
+		Entry("none", func(*link, model.AvailabilityZone) {}),
+		Entry("the store takes 1 s a call", func(l *link, _ model.AvailabilityZone) { l.delay = time.Second }),
+		Entry("a zone is cut off from the platform and not from peers", func(l *link, z model.AvailabilityZone) {
+			l.down = z == "b"
+		}),
+		Entry("two zones read a stale replica of the store", func(l *link, z model.AvailabilityZone) {
+			if z != "a" {
+				e, _ := p.get("config/head")
+				l.stale = &e
+			}
+		}),
+	)
+
+	// Guards against a daemon that takes whatever the store says after an outage or a restore from a backup.
+	It("never reverts to an older head, and then takes a higher revision", func() {
+		old, _ := p.get("config/head")
+		p.publish(2, inventory(9))
+		Eventually(revisions(nodes), inForceWithin).Should(haveAll(2))
+		p.put("config/head", old.Value)
+		Consistently(revisions(nodes), 3*time.Second).Should(haveAll(2))
+		p.publish(3, inventory(10))
+		Eventually(revisions(nodes), inForceWithin).Should(haveAll(3))
+		for _, n := range nodes {
+			Expect(n.reverted.Load()).To(BeFalse(), string(n.name))
+		}
+	})
+
+	// Guards against daemons that swap two roots of one revision for ever.
+	It("keeps the root in force when another one has the same revision", func() {
+		root := nodes[0].config.Document().Offer.Root
+		p.publish(1, inventory(99))
+		Consistently(func() model.RootHash { return nodes[0].config.Document().Offer.Root }, 2*time.Second).Should(Equal(root))
+		Expect(revisions(nodes)()).To(haveAll(1))
+	})
+
+	DescribeTable("keeps a good configuration when the next one is bad, and recovers",
+		func(spoil func()) {
+			spoil()
+			Consistently(revisions(nodes), 2*time.Second).Should(haveAll(1))
+			p.publish(3, inventory(10))
+			Eventually(revisions(nodes), inForceWithin).Should(haveAll(3))
+		},
+		Entry("a head that cannot be decoded", func() { p.put("config/head", []byte("{")) }),
+		Entry("an invalid configuration", func() { p.publish(2, inventory(0)) }),
+		Entry("a part that does not match its hash", func() {
+			root := p.publish(2, inventory(9))
+			p.put("config/parts/"+string(root.Parts["fleet"]), []byte("{}"))
+		}),
+	)
+
+	// Guards against a fleet that loses its configuration when all its instances are replaced during an outage.
+	It("keeps its configuration while all daemons restart in turn with the store down", func() {
+		for _, n := range nodes {
+			n.link.set(func(l *link) { l.down = true })
+		}
+		for _, n := range nodes {
+			n.part.Close()
+			n.start()
+			Eventually(n.config.Revision, inForceWithin).Should(Equal(model.Revision(1)), string(n.name))
+			Expect(n.part.Status.NotReady()).To(BeEmpty())
+		}
+		Expect(revisions(nodes)()).To(haveAll(1))
+		for _, n := range nodes {
+			n.link.set(func(l *link) { l.down = false })
+		}
+		p.publish(2, inventory(9))
+		Eventually(revisions(nodes), inForceWithin).Should(haveAll(2))
+	})
+
+	// Guards against G6 holding only at the daemons that read the list.
+	It("stops new work to a leaving server everywhere", func() {
+		p.setState("srv-1", platform.InstanceLeaving)
+		for _, n := range nodes {
+			Eventually(n.open, inForceWithin).Should(BeFalse(), string(n.name))
+		}
+	})
+
+	It("spreads a drain answer that one daemon saw", func() {
+		nodes[3].part.Agent.ServerDraining("srv-1")
+		for _, n := range nodes {
+			Eventually(n.open, inForceWithin).Should(BeFalse(), string(n.name))
+		}
+	})
+
+	It("tells when the store was last contacted", func() {
+		Eventually(func() time.Time { return nodes[5].part.Status.Read(time.Now()).StoreContact }, inForceWithin).
+			Should(BeTemporally("~", time.Now(), time.Minute))
+	})
+})
+
+var _ = Describe("a daemon without store and peers", func() {
+	It("is not ready, says why, and becomes ready with the store", func() {
+		p := newFakePlatform()
+		p.publish(1, inventory(8))
+		n := &node{name: "alone", zone: "a", address: "127.0.0.1:0", link: &link{platform: p, down: true}}
+		n.start()
+		DeferCleanup(func() { n.part.Close() })
+		Consistently(n.part.Status.NotReady, time.Second).Should(ContainSubstring("no configuration"))
+		n.link.set(func(l *link) { l.down = false })
+		Eventually(n.part.Status.NotReady, inForceWithin).Should(BeEmpty())
+	})
+})
--- /dev/null
+++ b/internal/daemon/control/part.go
@@ -0,0 +1,150 @@
+package control
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"oleandersill.example/oleandersill/internal/command/commandrpc"
+	"oleandersill.example/oleandersill/internal/command/fleet"
+	"oleandersill.example/oleandersill/internal/digest"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/peer"
+	"oleandersill.example/oleandersill/internal/platform"
+	"oleandersill.example/oleandersill/internal/query/queryrpc"
+	"oleandersill.example/oleandersill/internal/query/status"
+	"oleandersill.example/oleandersill/internal/tables"
+)
+
+// ErrNoToken means that the peers' port is not on loopback and there is no token.
+var ErrNoToken = errors.New("control: the peers' port needs a token")
+
+// Limits of the peers' port before a connection is taken over.
+const (
+	headerTimeout  = 5 * time.Second
+	maxHeaderBytes = 16 << 10
+)
+
+// Config is what the control part works on.
+type Config struct {
+	Instance model.InstanceID
+	Zone     model.AvailabilityZone
+	// PeerAddress is the address to listen on, host:port. If it is empty the port stays closed and no peer reaches the
+	// daemon.
+	PeerAddress string
+	PeerToken   string
+	// Seeds are peers' addresses to start from while the platform is unreachable.
+	Seeds     []string
+	Dial      peer.DialFunc
+	Store     platform.Reader
+	Instances platform.InstanceList
+	Config    *tables.Config
+	Servers   *tables.Servers
+	// Validate returns an error for a configuration that must not be put in force.
+	Validate func(model.Inventory, model.Rules) error
+	// Adopt is called with every Topology before it is put in force.
+	Adopt func(*model.Topology, time.Time)
+	// Draining tells whether the daemon is stopping.
+	Draining func() bool
+	Log      zerolog.Logger
+}
+
+// Part is a daemon's control part. Create it with Open, start it with Start, end it with Close.
+type Part struct {
+	Members    *tables.Members
+	Departures *tables.Departures
+	Status     *status.Reader
+	Agent      *fleet.Agent
+	Traffic    peer.Traffic
+
+	client   *peer.Client
+	server   *peer.Server
+	http     *http.Server
+	listener net.Listener
+	log      zerolog.Logger
+	wg       sync.WaitGroup
+}
+
+// Open opens the peers' port, whose address the daemon tells its peers, and makes the tables. Nothing is sent or
+// answered before Start.
+func Open(cfg Config) (*Part, error) {
+	p := &Part{Departures: tables.NewDepartures(), log: cfg.Log}
+	self := model.Member{
+		Instance:    cfg.Instance,
+		Incarnation: model.Incarnation(time.Now().UnixNano()),
+		Zone:        cfg.Zone,
+	}
+	if cfg.PeerAddress != "" {
+		if err := p.listen(cfg); err != nil {
+			return nil, err
+		}
+		self.Address = p.listener.Addr().String()
+	}
+	p.Members = tables.NewMembers(self)
+	p.Status = &status.Reader{Config: cfg.Config, Members: p.Members, Departures: p.Departures, Draining: cfg.Draining}
+	p.client = peer.NewClient(tables.OrderPeers, cfg.PeerToken, &p.Traffic, cfg.Dial)
+	seed := xxhash.Sum64String(string(cfg.Instance)) ^ uint64(self.Incarnation) //nolint:gosec // any 64 bits will do
+	p.Agent = fleet.New(fleet.Deps{
+		Members:    p.Members,
+		Departures: p.Departures,
+		Config:     cfg.Config,
+		Servers:    cfg.Servers,
+		Store:      cfg.Store,
+		Instances:  cfg.Instances,
+		Peers:      p.client,
+		Seeds:      cfg.Seeds,
+		Validate:   cfg.Validate,
+		Adopt:      cfg.Adopt,
+		RandomSeed: seed,
+		Log:        cfg.Log,
+	})
+	digests := &digest.Builder{Members: p.Members, Departures: p.Departures, Config: cfg.Config}
+	p.server = peer.NewServer(tables.OrderPeers, cfg.PeerToken, &p.Traffic)
+	p.server.Register(peer.ServiceCommands, commandrpc.New(p.Agent))
+	p.server.Register(peer.ServiceQueries, queryrpc.New(digests, cfg.Config, p.Status, p.Agent, seed))
+	return p, nil
+}
+
+func (p *Part) listen(cfg Config) error {
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", cfg.PeerAddress)
+	if err != nil {
+		return errors.Wrap(err, "control: listening for peers")
+	}
+	if a, ok := l.Addr().(*net.TCPAddr); cfg.PeerToken == "" && (!ok || !a.IP.IsLoopback()) {
+		_ = l.Close()
+		return ErrNoToken
+	}
+	p.listener = l
+	return nil
+}
+
+// Start starts the agent and answers peers.
+func (p *Part) Start() {
+	p.Agent.Start()
+	if p.listener == nil {
+		return
+	}
+	p.http = &http.Server{Handler: p.server, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	p.wg.Go(func() {
+		if err := p.http.Serve(p.listener); !errors.Is(err, http.ErrServerClosed) {
+			p.log.Error().Err(err).Msg("peer_listener_failed")
+		}
+	})
+}
+
+// Close ends the agent and closes the peers' port.
+func (p *Part) Close() {
+	p.Agent.Close()
+	p.client.Close()
+	if p.http != nil {
+		_ = p.http.Close()
+		p.server.Close()
+	}
+	p.wg.Wait()
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,9 +13,10 @@
 	"oleandersill.example/oleandersill/internal/backend/backendhttp"
 	"oleandersill.example/oleandersill/internal/command/commandhttp"
 	"oleandersill.example/oleandersill/internal/command/configure"
+	"oleandersill.example/oleandersill/internal/command/drain"
 	"oleandersill.example/oleandersill/internal/command/execute"
-	"oleandersill.example/oleandersill/internal/command/fleet"
 	"oleandersill.example/oleandersill/internal/command/report"
+	"oleandersill.example/oleandersill/internal/daemon/control"
 	"oleandersill.example/oleandersill/internal/dispatch"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/platform/platformhttp"
@@ -44,8 +45,9 @@
 	callers    *http.Server
 	operators  *http.Server
 	listeners  []net.Listener
-	cancel     context.CancelFunc
 	wg         sync.WaitGroup
+	control    *control.Part
+	drainer    *drain.Drainer
 }
 
 // Start starts a daemon and returns once its listeners are open.
@@ -68,13 +70,14 @@
 	}, d.config, recorder.Servers, recorder)
 	recorder.Admissions, recorder.Budgets = d.dispatcher.Admissions, d.dispatcher.Budgets
 	recorder.OnJoin = d.dispatcher.Warm
+	d.drainer = d.newDrainer()
+	if err := d.openFleet(recorder, o.dial); err != nil {
+		return nil, err
+	}
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	d.cancel = cancel
-	watcher := &fleet.Watcher{Store: d.platform, Config: d.config, Adopt: recorder.Adopt, Log: d.log}
-	d.wg.Go(func() { watcher.Run(ctx) })
+	d.control.Start()
 	d.log.Info().Str("caller_address", d.CallerAddress()).Msg("started")
 	return d, nil
 }
@@ -91,11 +94,12 @@
 	callers.Handle("POST /v1/services/{service}/query", &queryhttp.Search{Config: d.config, Searcher: searcher})
 	d.handleExecute(callers)
 	callers.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	callers.HandleFunc("GET /readyz", d.readyz)
 	operators := http.NewServeMux()
 	operators.Handle("POST /v1/config/apply", &commandhttp.Apply{
 		Configurer: &configure.Configurer{Store: d.platform, Now: time.Now},
 	})
+	d.handleDrain(operators)
+	d.handleStatus(callers, operators)
 	var err error
 	if d.callers, err = d.serve(d.settings.CallerAddress, callers); err != nil {
 		return err
@@ -124,31 +128,17 @@
 	return srv, nil
 }
 
-func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
-	if d.config.Current() == nil {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
 // CallerAddress returns the callers' address, host:port.
 func (d *Daemon) CallerAddress() string { return d.listeners[0].Addr().String() }
 
 // OperatorAddress returns the operators' address, host:port.
 func (d *Daemon) OperatorAddress() string { return d.listeners[1].Addr().String() }
 
-// Stop ends the daemon after the requests in flight, within the drain timeout.
+// Stop drains the daemon, unless that has happened already, and ends it.
 func (d *Daemon) Stop() {
-	timeout := time.Duration(d.settings.DrainTimeoutMs) * time.Millisecond
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	for _, srv := range []*http.Server{d.callers, d.operators} {
-		if err := srv.Shutdown(ctx); err != nil {
-			d.log.Warn().Err(err).Msg("drain_incomplete")
-		}
-	}
-	d.cancel()
+	d.drainer.Begin("stop")
+	<-d.drainer.Done()
+	d.control.Close()
 	d.wg.Wait()
 	d.executor.Close()
 	d.dispatcher.Close()
--- /dev/null
+++ b/internal/daemon/drain.go
@@ -0,0 +1,34 @@
+package daemon
+
+import (
+	"net/http"
+	"time"
+
+	"oleandersill.example/oleandersill/internal/command/commandhttp"
+	"oleandersill.example/oleandersill/internal/command/drain"
+)
+
+// BeginDrain starts a graceful shutdown in the background.
+func (d *Daemon) BeginDrain(reason string) { d.drainer.Begin(reason) }
+
+// Draining returns a channel that is closed once a graceful shutdown has begun.
+func (d *Daemon) Draining() <-chan struct{} { return d.drainer.Began() }
+
+// Drained returns a channel that is closed once a graceful shutdown has ended; call Stop then.
+func (d *Daemon) Drained() <-chan struct{} { return d.drainer.Done() }
+
+// newDrainer returns the drainer of the callers' port and then the operators' port. The peers' port closes in Stop, so
+// that peers can still pull a revision that only this daemon has.
+func (d *Daemon) newDrainer() *drain.Drainer {
+	return drain.New(drain.Config{
+		Grace:        time.Duration(d.settings.DrainGraceMs) * time.Millisecond,
+		Timeout:      time.Duration(d.settings.DrainTimeoutMs) * time.Millisecond,
+		RefuseQueued: d.dispatcher.Admissions.Drain,
+		Listeners:    func() []drain.Listener { return []drain.Listener{d.callers, d.operators} },
+		Log:          d.log,
+	})
+}
+
+func (d *Daemon) handleDrain(operators *http.ServeMux) {
+	operators.Handle("POST /v1/drain", &commandhttp.Drain{Drainer: d.drainer})
+}
--- /dev/null
+++ b/internal/daemon/fleet.go
@@ -0,0 +1,51 @@
+package daemon
+
+import (
+	"net/http"
+
+	"oleandersill.example/oleandersill/internal/command/report"
+	"oleandersill.example/oleandersill/internal/daemon/control"
+	"oleandersill.example/oleandersill/internal/document"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/peer"
+	"oleandersill.example/oleandersill/internal/query/queryhttp"
+)
+
+// openFleet makes the daemon's control part, which joins the fleet once it is started.
+func (d *Daemon) openFleet(recorder *report.Recorder, dial DialFunc) error {
+	part, err := control.Open(control.Config{
+		Instance:    d.settings.Instance,
+		Zone:        d.settings.Zone,
+		PeerAddress: d.settings.PeerAddress,
+		PeerToken:   d.settings.PeerToken,
+		Seeds:       d.settings.Peers,
+		Dial:        peer.DialFunc(dial),
+		Store:       d.platform,
+		Instances:   d.platform,
+		Config:      d.config,
+		Servers:     recorder.Servers,
+		Validate:    validate,
+		Adopt:       recorder.Adopt,
+		Draining:    d.drainer.Draining,
+		Log:         d.log,
+	})
+	if err != nil {
+		return err
+	}
+	d.control = part
+	recorder.Draining = part.Agent.ServerDraining
+	return nil
+}
+
+func (d *Daemon) handleStatus(callers, operators *http.ServeMux) {
+	callers.Handle("GET /readyz", &queryhttp.Ready{Reader: d.control.Status})
+	operators.Handle("GET /v1/status", &queryhttp.Status{Reader: d.control.Status})
+}
+
+// PeerAddress returns the peers' address, host:port, or "" if the port is not open.
+func (d *Daemon) PeerAddress() string { return d.control.Members.Self().Address }
+
+// validate returns an error for a configuration that must not be put in force.
+func validate(inv model.Inventory, rules model.Rules) error {
+	return document.Validate(inv, rules).Err()
+}
--- /dev/null
+++ b/internal/query/queryrpc/doc.go
@@ -0,0 +1,2 @@
+// Package queryrpc is the peers' net/rpc encoding of the queries: the service PeerQueries. It decides nothing.
+package queryrpc
--- /dev/null
+++ b/internal/query/queryrpc/service.go
@@ -0,0 +1,66 @@
+package queryrpc
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"oleandersill.example/oleandersill/internal/digest"
+	"oleandersill.example/oleandersill/internal/peer"
+	"oleandersill.example/oleandersill/internal/query/status"
+	"oleandersill.example/oleandersill/internal/tables"
+)
+
+// Observer is told what a peer's query showed about the fleet.
+type Observer interface {
+	// ObserveDigest records the digest that a peer sent.
+	ObserveDigest(peer.Digest)
+}
+
+// Service answers peers. Its exported methods are the methods of PeerQueries.
+type Service struct {
+	digests  *digest.Builder
+	config   *tables.Config
+	status   *status.Reader
+	observer Observer
+	seed     uint64
+	draws    atomic.Uint64
+}
+
+// New returns the service.
+func New(d *digest.Builder, c *tables.Config, s *status.Reader, o Observer, seed uint64) *Service {
+	return &Service{digests: d, config: c, status: s, observer: o, seed: seed}
+}
+
+// Digest answers a digest with this daemon's own.
+func (s *Service) Digest(sent peer.Digest, reply *peer.Digest) error {
+	s.observer.ObserveDigest(sent)
+	rnd := rand.New(rand.NewPCG(s.seed, s.draws.Add(1))) //nolint:gosec // the choice of entries needs no secrecy
+	*reply = s.digests.Build(time.Now(), rnd)
+	return nil
+}
+
+// Parts returns the root and parts of the revision in force that are asked for, as many as fit into a reply and at
+// least one.
+func (s *Service) Parts(req peer.PartsRequest, reply *peer.PartsReply) error {
+	doc := s.config.Document()
+	size := 0
+	for _, hash := range req.Hashes[:min(len(req.Hashes), peer.MaxHashes)] {
+		value, ok := doc.Values[hash]
+		if !ok {
+			continue
+		}
+		p := peer.Pack(hash, value)
+		if size += len(p.Gzip); size > peer.MaxPartsBytes && len(reply.Parts) > 0 {
+			return nil
+		}
+		reply.Parts = append(reply.Parts, p)
+	}
+	return nil
+}
+
+// Status returns the daemon's status.
+func (s *Service) Status(_ peer.StatusRequest, reply *status.Status) error {
+	*reply = s.status.Read(time.Now())
+	return nil
+}
--- /dev/null
+++ b/internal/query/status/status.go
@@ -0,0 +1,117 @@
+package status
+
+import (
+	"time"
+
+	"oleandersill.example/oleandersill/internal/decision/spread"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/tables"
+)
+
+// Status is a daemon's view at one moment.
+type Status struct {
+	Instance model.InstanceID       `json:"instance"`
+	Zone     model.AvailabilityZone `json:"zone"`
+	Revision model.Revision         `json:"revision"`
+	Root     model.RootHash         `json:"root,omitempty"`
+	Editor   string                 `json:"editor,omitempty"`
+	Ready    bool                   `json:"ready"`
+	Draining bool                   `json:"draining"`
+	// Relay tells whether the daemon watches the store for its zone.
+	Relay bool `json:"relay"`
+	// StoreContact is when the store last answered this daemon or one that it heard of; zero if never.
+	StoreContact time.Time `json:"store_contact"`
+	// Rejected is the last revision that was offered and not put in force, or nil.
+	Rejected *Rejected `json:"rejected,omitempty"`
+	Members  Members   `json:"members"`
+	// Leaving are the backend servers that get no new work because they are leaving.
+	Leaving []model.ServerName `json:"leaving"`
+}
+
+// Rejected is a revision that was not put in force.
+type Rejected struct {
+	Revision model.Revision `json:"revision"`
+	Root     model.RootHash `json:"root"`
+	Reason   string         `json:"reason"`
+	At       time.Time      `json:"at"`
+}
+
+// Members counts the other daemons that this one knows.
+type Members struct {
+	Alive     int `json:"alive"`
+	Suspected int `json:"suspected"`
+	Dead      int `json:"dead"`
+}
+
+// maxLeaving bounds the servers that a status names.
+const maxLeaving = 256
+
+// Reader reads the status from the tables.
+type Reader struct {
+	Config     *tables.Config
+	Members    *tables.Members
+	Departures *tables.Departures
+	// Draining tells whether the daemon is stopping.
+	Draining func() bool
+}
+
+// Read returns the status at now.
+func (r *Reader) Read(now time.Time) Status {
+	self := r.Members.Self()
+	known := r.Members.Snapshot(nil)
+	doc := r.Config.Document()
+	draining := r.Draining()
+	s := Status{
+		Instance:     self.Instance,
+		Zone:         self.Zone,
+		Revision:     r.Config.Revision(),
+		Root:         doc.Offer.Root,
+		Draining:     draining,
+		Ready:        !draining && r.Config.Current() != nil,
+		Relay:        spread.IsRelay(self, known, now),
+		StoreContact: r.Config.StoreContact(),
+		Rejected:     rejected(r.Config.Rejected()),
+		Members:      count(known, now),
+		Leaving:      []model.ServerName{},
+	}
+	if doc.Root != nil {
+		s.Editor = doc.Root.Editor
+	}
+	for _, d := range r.Departures.Current(now, maxLeaving) {
+		s.Leaving = append(s.Leaving, d.Server)
+	}
+	return s
+}
+
+func rejected(r tables.Rejection) *Rejected {
+	if r.At.IsZero() {
+		return nil
+	}
+	return &Rejected{Revision: r.Offer.Revision, Root: r.Offer.Root, Reason: r.Reason, At: r.At}
+}
+
+func count(known []spread.Known, now time.Time) Members {
+	var m Members
+	for i := range known {
+		switch known[i].Liveness(now) {
+		case spread.Alive:
+			m.Alive++
+		case spread.Suspected:
+			m.Suspected++
+		case spread.Dead:
+			m.Dead++
+		}
+	}
+	return m
+}
+
+// NotReady returns why the daemon should get no requests, or "" if it should.
+func (r *Reader) NotReady() string {
+	switch {
+	case r.Draining():
+		return "draining"
+	case r.Config.Current() == nil:
+		return "no configuration: neither the store nor a peer has given one"
+	}
+	return ""
+}
