--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -45,7 +45,7 @@
 
 var _ = Describe("calls between daemons", func() {
 	var traffic peer.Traffic
-	service := &queries{}
+	var service *queries
 	serve := func(address string) (string, func()) {
 		server := peer.NewServer(tables.OrderPeers, "right", &traffic)
 		server.Register(peer.ServiceQueries, service)
@@ -63,7 +63,7 @@
 		DeferCleanup(c.Close)
 		return c
 	}
-	BeforeEach(func() { *service = queries{} })
+	BeforeEach(func() { service = &queries{} })
 
 	It("carry typed messages, over one connection for several calls", func() {
 		address, end := serve("127.0.0.1:0")
