Settle every change of the configuration truthfully

Apply answered not_accepted although the change was in force, or came into force later, when a reply of the head's write was lost and the read back was stale or early; a repeated apply was a conflict; an invalid change was written.

A write of the head without an answer is now repeated until the head is seen to have moved, and the chain of roots from the new head decides. A repeated change reports the revision accepted before. Edits of different parts can be merged, an earlier revision can be restored as a new one, and parts that no recent root names can be collected.

--- a/internal/command/commandhttp/apply.go
+++ b/internal/command/commandhttp/apply.go
@@ -3,10 +3,13 @@
 import (
 	"net/http"
 
+	"github.com/rs/zerolog"
+
 	"oleandersill.example/oleandersill/internal/command/configure"
 	"oleandersill.example/oleandersill/internal/configdoc"
 	"oleandersill.example/oleandersill/internal/httpapi"
 	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/validation"
 )
 
 // maxConfigBytes bounds an operator's request, which carries a whole inventory.
@@ -19,18 +22,35 @@
 	Expect    model.Revision  `json:"expect"`
 	Editor    string          `json:"editor"`
 	Reason    string          `json:"reason"`
+	Merge     bool            `json:"merge,omitempty"`
+}
+
+// RollbackRequest is the body of POST /v1/config/rollback.
+type RollbackRequest struct {
+	To     model.Revision `json:"to"`
+	Expect model.Revision `json:"expect"`
+	Editor string         `json:"editor"`
+	Reason string         `json:"reason"`
 }
 
-// ApplyResponse is its reply.
+// ApplyResponse is the reply to both. Its fields mean what those of configure.Result mean.
 type ApplyResponse struct {
-	Verdict configure.Verdict `json:"verdict"`
-	Root    *configdoc.Root   `json:"root,omitempty"`
-	Detail  string            `json:"detail,omitempty"`
+	Verdict  configure.Verdict    `json:"verdict"`
+	Cause    configure.Cause      `json:"cause,omitempty"`
+	Root     *configdoc.Root      `json:"root,omitempty"`
+	Repeated bool                 `json:"repeated,omitempty"`
+	Merged   bool                 `json:"merged,omitempty"`
+	Current  *configdoc.Root      `json:"current,omitempty"`
+	Others   []configdoc.Change   `json:"others,omitempty"`
+	Parts    []configdoc.PartName `json:"parts,omitempty"`
+	Problems validation.Problems  `json:"problems,omitempty"`
+	Detail   string               `json:"detail,omitempty"`
 }
 
 // Apply serves POST /v1/config/apply.
 type Apply struct {
 	Configurer *configure.Configurer
+	Log        zerolog.Logger
 }
 
 // ServeHTTP implements http.Handler.
@@ -41,17 +61,59 @@
 		return
 	}
 	result := h.Configurer.Apply(r.Context(), configure.Change(body))
-	httpapi.WriteJSON(w, applyStatus(result.Verdict), ApplyResponse(result))
+	logChange(h.Log, "config_apply", body.Editor, body.Expect, result)
+	writeChange(w, result)
+}
+
+// Rollback serves POST /v1/config/rollback.
+type Rollback struct {
+	Configurer *configure.Configurer
+	Log        zerolog.Logger
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Rollback) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var body RollbackRequest
+	if problem := httpapi.DecodeBody(w, r, &body); problem != nil {
+		httpapi.WriteProblem(w, problem)
+		return
+	}
+	result := h.Configurer.Rollback(r.Context(), configure.Rollback(body))
+	logChange(h.Log, "config_rollback", body.Editor, body.Expect, result)
+	writeChange(w, result)
 }
 
-func applyStatus(v configure.Verdict) int {
-	switch v {
+func logChange(log zerolog.Logger, event, editor string, expect model.Revision, result configure.Result) {
+	line := log.Info().Str("editor", editor).Uint64("expect", uint64(expect)).Str("verdict", string(result.Verdict))
+	if result.Cause != "" {
+		line = line.Str("cause", string(result.Cause))
+	}
+	if result.Root != nil {
+		line = line.Uint64("revision", uint64(result.Root.Revision)).Bool("repeated", result.Repeated)
+	}
+	line.Msg(event)
+}
+
+func writeChange(w http.ResponseWriter, result configure.Result) {
+	httpapi.WriteJSON(w, changeStatus(result), ApplyResponse(result))
+}
+
+func changeStatus(result configure.Result) int {
+	switch result.Verdict {
 	case configure.Accepted:
 		return http.StatusOK
-	case configure.NotAccepted:
-		return http.StatusConflict
 	case configure.Unknown:
 		return http.StatusGatewayTimeout
+	case configure.NotAccepted:
+	}
+	switch result.Cause {
+	case configure.CauseInvalid:
+		return http.StatusUnprocessableEntity
+	case configure.CauseConflict, configure.CauseAhead:
+		return http.StatusConflict
+	case configure.CauseNoRevision:
+		return http.StatusNotFound
+	case configure.CauseUnavailable:
 	}
-	return http.StatusInternalServerError
+	return http.StatusServiceUnavailable
 }
--- a/internal/command/configure/apply.go
+++ b/internal/command/configure/apply.go
@@ -2,157 +2,173 @@
 
 import (
 	"context"
+	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 
 	"oleandersill.example/oleandersill/internal/configdoc"
-	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/configstore"
+	"oleandersill.example/oleandersill/internal/document"
 	"oleandersill.example/oleandersill/internal/platform"
+	"oleandersill.example/oleandersill/internal/validation"
 )
 
-// Verdict is what the configurer can truthfully say about a change.
-type Verdict string
-
-// The verdicts.
 const (
-	Accepted    Verdict = "accepted"
-	NotAccepted Verdict = "not_accepted"
-	Unknown     Verdict = "unknown"
+	// applyTimeout bounds a whole change. A caller that goes away does not cut it short, since a change that stops
+	// between its writes would be left for the operator to settle.
+	applyTimeout = 30 * time.Second
+	// maxRounds bounds how often a change starts again after losing to a collection or to a change it can merge with.
+	maxRounds = 8
+	// maxChain bounds how far back the chain of roots is read to settle a change.
+	maxChain = 1000
+	// maxEditorBytes and maxReasonBytes bound what the audit trail keeps of a change.
+	maxEditorBytes = 128
+	maxReasonBytes = 1000
 )
 
-// Change is a whole configuration that an operator wants in force.
-type Change struct {
-	Inventory model.Inventory
-	Rules     model.Rules
-	// Expect is the revision that the operator's edit started from.
-	Expect model.Revision
-	Editor string
-	Reason string
-}
-
-// Result is the end of an apply.
-type Result struct {
-	Verdict Verdict
-	// Root is the accepted root, or with NotAccepted after a conflict the root that is in the store instead.
-	Root *configdoc.Root
-	// Detail says why a change was not accepted or is unknown.
-	Detail string
-}
-
 // Configurer applies changes to one store.
 type Configurer struct {
 	Store platform.Store
 	Now   func() time.Time
+	// Pace of repeated calls of the store; the zero value means configstore.DefaultPace.
+	Pace configstore.Pace
+}
+
+func (c *Configurer) reader() configstore.Reader {
+	return configstore.Reader{Store: c.Store, Pace: c.Pace}
 }
 
-// Apply writes the change if the store's revision is the expected one.
+// Apply puts a change in force if nothing else was accepted since the expected revision, or if it may be merged.
+// Applying the same content with the same expected revision again reports the revision that was accepted.
 func (c *Configurer) Apply(ctx context.Context, ch Change) Result {
-	head, root, err := c.readHead(ctx)
-	if err != nil {
-		return Result{Verdict: NotAccepted, Detail: err.Error()}
+	problems := append(checkAuthor(ch.Editor, ch.Reason), document.Validate(ch.Inventory, ch.Rules)...)
+	if len(problems) > 0 {
+		return Result{Verdict: NotAccepted, Cause: CauseInvalid, Problems: problems, Detail: "the change is invalid"}
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), applyTimeout)
+	defer cancel()
+	e := &edit{Configurer: c, change: ch, parts: configdoc.Split(ch.Inventory, ch.Rules)}
+	for range maxRounds {
+		if result, settled := e.round(ctx); settled {
+			return result
+		}
 	}
-	if revisionOf(root) != ch.Expect {
-		return Result{Verdict: NotAccepted, Root: root, Detail: "the configuration has changed since the expected revision"}
+	return unavailable(errors.New("other changes kept being accepted first"))
+}
+
+// checkAuthor checks what the audit trail keeps of a change. Text that is not UTF-8 would not be read back as it was
+// written, so a change could not be recognised after a lost reply.
+func checkAuthor(editor, reason string) validation.Problems {
+	var ps validation.Problems
+	if editor == "" || len(editor) > maxEditorBytes || !isLine(editor) {
+		ps.Add(validation.KindMalformed, "editor", "one line of 1 to 128 bytes", "is %.140q", editor)
 	}
-	parts := configdoc.Split(ch.Inventory, ch.Rules)
-	next := c.nextRoot(root, head.Value, ch, parts)
-	if err := c.writeParts(ctx, root, parts); err != nil {
-		return Result{Verdict: NotAccepted, Root: root, Detail: err.Error()}
+	if len(reason) > maxReasonBytes || !isLine(reason) {
+		ps.Add(validation.KindMalformed, "reason", "one line of at most 1000 bytes", "is %.140q", reason)
 	}
-	return c.writeRoot(ctx, next, head.Version)
+	return ps
 }
 
-func revisionOf(r *configdoc.Root) model.Revision {
-	if r == nil {
-		return 0
-	}
-	return r.Revision
+func isLine(text string) bool {
+	return utf8.ValidString(text) && !strings.ContainsFunc(text, unicode.IsControl)
 }
 
-// readHead returns the head and its root, or a nil root if there is no configuration yet.
-func (c *Configurer) readHead(ctx context.Context) (platform.Entry, *configdoc.Root, error) {
-	head, err := c.Store.Get(ctx, configdoc.KeyHead)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Entry{}, nil, nil
-	}
-	if err != nil {
-		return platform.Entry{}, nil, err
-	}
-	root, err := configdoc.DecodeRoot(head.Value)
-	return head, root, err
+// unavailable is the result of a change that wrote at most values that nothing names.
+func unavailable(err error) Result {
+	return Result{Verdict: NotAccepted, Cause: CauseUnavailable, Detail: "this attempt changed nothing: " + err.Error()}
 }
 
-func (c *Configurer) nextRoot(
-	prev *configdoc.Root, prevValue []byte, ch Change, parts map[configdoc.PartName]configdoc.Part,
-) *configdoc.Root {
-	next := &configdoc.Root{
-		Revision: revisionOf(prev) + 1,
-		Parts:    make(map[configdoc.PartName]configdoc.Hash, len(parts)),
-		Editor:   ch.Editor,
-		TimeMs:   c.Now().UnixMilli(),
-		Reason:   ch.Reason,
-	}
-	if prev != nil {
-		next.Previous = configdoc.HashOf(prevValue)
+// edit is one change on its way into the store.
+type edit struct {
+	*Configurer
+	change Change
+	parts  map[configdoc.PartName]configdoc.Part
+	// atLeast is the lowest version of the head that is not known to be stale.
+	atLeast platform.Version
+}
+
+// round tries the change once on top of the current head. It returns false if the head moved and the change has to be
+// looked at again.
+func (e *edit) round(ctx context.Context) (Result, bool) {
+	head, err := e.freshHead(ctx)
+	if err != nil {
+		return unavailable(err), true
+	}
+	if head.Revision() < e.change.Expect {
+		return Result{
+			Verdict: NotAccepted, Cause: CauseAhead, Current: head.Root,
+			Detail: "the store has no such revision yet; this attempt changed nothing",
+		}, true
+	}
+	target := e.wanted()
+	var merged *mergedEdit
+	if head.Revision() > e.change.Expect {
+		result, m := e.rebase(ctx, head)
+		if m == nil {
+			return result, true
+		}
+		merged, target = m, m.parts
 	}
-	for name, p := range parts {
-		next.Parts[name] = p.Hash
+	result, settled := e.write(ctx, head, target)
+	if settled && result.Verdict == Accepted && merged != nil {
+		result.Merged, result.Others = true, merged.others
 	}
-	return next
+	return result, settled
 }
 
-// writeParts writes the parts that the previous root does not name. Parts are immutable, so a conflict means that the
-// part is there already.
-func (c *Configurer) writeParts(
-	ctx context.Context, prev *configdoc.Root, parts map[configdoc.PartName]configdoc.Part,
-) error {
-	for name, p := range parts {
-		if prev != nil && prev.Parts[name] == p.Hash {
-			continue
+// freshHead reads a head that is neither older than one seen before nor below the expected revision, if there is one.
+func (e *edit) freshHead(ctx context.Context) (configstore.Head, error) {
+	var head configstore.Head
+	err := platform.ErrUnavailable
+	for range e.Pace.OrDefault().Each(ctx) {
+		head, err = e.reader().Head(ctx)
+		if err != nil {
+			return head, err
 		}
-		if err := c.writeOnce(ctx, configdoc.PrefixParts+string(p.Hash), p.Value); err != nil {
-			return errors.Wrapf(err, "writing part %s", name)
+		if head.Version >= e.atLeast && head.Revision() >= e.change.Expect {
+			return head, nil
 		}
 	}
-	return nil
+	if err == nil && head.Version < e.atLeast {
+		err = errors.Wrap(platform.ErrUnavailable, "the store answers with an outdated head")
+	}
+	return head, err
 }
 
-func (c *Configurer) writeOnce(ctx context.Context, key string, value []byte) error {
-	_, err := c.Store.Put(ctx, key, value, 0, "")
-	if errors.Is(err, platform.ErrConflict) {
-		return nil
+// wanted returns the parts of the change as a root names them.
+func (e *edit) wanted() map[configdoc.PartName]configdoc.Hash {
+	names := make(map[configdoc.PartName]configdoc.Hash, len(e.parts))
+	for name, p := range e.parts {
+		names[name] = p.Hash
 	}
-	return err
+	return names
 }
 
-// writeRoot writes the root's copy and replaces the head. After a lost reply it reads the head back.
-func (c *Configurer) writeRoot(ctx context.Context, next *configdoc.Root, expect platform.Version) Result {
-	value := next.Encode()
-	if err := c.writeOnce(ctx, configdoc.PrefixRoots+string(configdoc.HashOf(value)), value); err != nil {
-		return Result{Verdict: NotAccepted, Detail: err.Error()}
+// write writes the parts, the root's copy and the head. It returns false if the head moved meanwhile and the change is
+// certainly not part of what moved it.
+func (e *edit) write(
+	ctx context.Context, head configstore.Head, target map[configdoc.PartName]configdoc.Hash,
+) (Result, bool) {
+	next := &configdoc.Root{
+		Revision: head.Revision() + 1,
+		Parts:    target,
+		Editor:   e.change.Editor,
+		TimeMs:   e.Now().UnixMilli(),
+		Reason:   e.change.Reason,
+		Previous: head.Hash,
 	}
-	_, err := c.Store.Put(ctx, configdoc.KeyHead, value, expect, "")
-	switch {
-	case err == nil:
-		return Result{Verdict: Accepted, Root: next}
-	case errors.Is(err, platform.ErrUnavailable):
-		return Result{Verdict: NotAccepted, Detail: err.Error()}
+	if err := e.writeParts(ctx, head, next); err != nil {
+		return unavailable(err), true
 	}
-	return c.resolve(ctx, next, err)
+	return e.replaceHead(ctx, head, next)
 }
 
-// resolve finds out whether a write of the head took effect.
-func (c *Configurer) resolve(ctx context.Context, next *configdoc.Root, cause error) Result {
-	_, root, err := c.readHead(ctx)
-	if err != nil {
-		return Result{Verdict: Unknown, Detail: cause.Error()}
-	}
-	if root != nil && root.Revision == next.Revision && string(root.Encode()) == string(next.Encode()) {
-		return Result{Verdict: Accepted, Root: next}
-	}
-	if root != nil && root.Revision > next.Revision {
-		return Result{Verdict: Unknown, Root: root, Detail: "a later change was accepted meanwhile"}
+func (e *edit) conflict(head configstore.Head, others []configdoc.Change, shared []configdoc.PartName) Result {
+	return Result{
+		Verdict: NotAccepted, Cause: CauseConflict, Current: head.Root, Others: others, Parts: shared,
+		Detail: "the configuration has changed since the expected revision",
 	}
-	return Result{Verdict: NotAccepted, Root: root, Detail: cause.Error()}
 }
--- /dev/null
+++ b/internal/command/configure/apply_test.go
@@ -0,0 +1,128 @@
+package configure_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oleandersill.example/oleandersill/internal/command/configure"
+	"oleandersill.example/oleandersill/internal/configdoc"
+	"oleandersill.example/oleandersill/internal/configstore"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/testing/suite"
+)
+
+func TestConfigure(t *testing.T) { suite.Run(t, "./internal/command/configure") }
+
+func newConfigurer(s *faultyStore) *configure.Configurer {
+	pace := configstore.Pace{Attempts: 8, First: time.Millisecond, Most: 2 * time.Millisecond}
+	return &configure.Configurer{Store: s, Now: time.Now, Pace: pace}
+}
+
+// change returns a valid configuration whose two services have the given numbers of slots.
+func change(expect model.Revision, editor string, searchSlots, clipSlots int) configure.Change {
+	rule := func(rank string) model.RankRule {
+		return model.RankRule{Rank: rank, MinShare: 0.2, TargetMs: 100, MaxQueueMs: 10}
+	}
+	service := func(name string, port, slots int) model.ServiceSpec {
+		return model.ServiceSpec{Name: model.ServiceName(name), ShardMapEpoch: 1, Shards: []model.ShardSpec{{
+			Name: "s0", KeyTo: model.KeySpace, Servers: []model.ServerSpec{{
+				Name: model.ServerName(name), Address: fmt.Sprintf("127.0.0.1:%d", port), Zone: "z1",
+				Slots: slots, Connections: 25,
+			}},
+		}}}
+	}
+	return configure.Change{
+		Inventory: model.Inventory{
+			MaxInstances: 8,
+			Zones:        []model.ZoneSpec{{Name: "z1", Region: "r1"}},
+			Services:     []model.ServiceSpec{service("search", 1000, searchSlots), service("clips", 1001, clipSlots)},
+		},
+		Rules: model.Rules{
+			Ranks:     []model.RankRule{rule("urgent"), rule("standard"), rule("deferred")},
+			Hedge:     model.HedgeRule{WindowMs: 1000, Quantile: 0.9},
+			Retry:     model.RetryRule{WindowMs: 1000, MaxAttempts: 1},
+			Deadlines: model.DeadlineRule{DefaultMs: 100, MaxMs: 1000},
+		},
+		Expect: expect, Editor: editor, Reason: fmt.Sprintf("%s wants %d and %d", editor, searchSlots, clipSlots),
+	}
+}
+
+// onHead lets the next n writes of the head fail.
+func onHead(n int, f fault) func(op, key string) fault {
+	return func(op, key string) fault {
+		if op != "put" || key != configdoc.KeyHead || n == 0 {
+			return ok
+		}
+		n--
+		return f
+	}
+}
+
+// The head and the verdict have to agree: each entry is a fault after which a verdict could be wrong.
+var _ = DescribeTable("a change whose writes meet faults",
+	func(plan func(op, key string) fault, verdict configure.Verdict, inForce bool) {
+		store := newFaultyStore()
+		c := newConfigurer(store)
+		Expect(c.Apply(context.Background(), change(0, "first", 1, 1)).Verdict).To(Equal(configure.Accepted))
+		store.plan = plan
+		result := c.Apply(context.Background(), change(1, "anna", 2, 1))
+		store.plan = nil
+		store.settle()
+		Expect(result.Verdict).To(Equal(verdict), result.Detail)
+		root, err := configdoc.DecodeRoot(store.last(configdoc.KeyHead).Value)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(root.Editor == "anna").To(Equal(inForce))
+		if verdict == configure.Unknown {
+			again := c.Apply(context.Background(), change(1, "anna", 2, 1))
+			Expect(again.Verdict).To(Equal(configure.Accepted), "repeating settles an unknown change")
+			Expect(again.Root.Revision).To(Equal(model.Revision(2)))
+		}
+	},
+	Entry("head write lost before it took effect", onHead(1, lostRequest), configure.Accepted, true),
+	Entry("reply of the head write lost", onHead(1, lostReply), configure.Accepted, true),
+	Entry("every reply of head writes lost", onHead(1000, lostReply), configure.Accepted, true),
+	Entry("head write that takes effect late", onHead(1, delayed), configure.Accepted, true),
+	Entry("all head writes late", onHead(1000, delayed), configure.Unknown, true),
+	Entry("head write refused once", onHead(1, unavailable), configure.Accepted, true),
+	Entry("all head writes refused", onHead(1000, unavailable), configure.NotAccepted, false),
+	Entry("reply lost and the read back stale", func(op, key string) fault {
+		switch {
+		case key != configdoc.KeyHead:
+			return ok
+		case op == "put":
+			return lostReply
+		}
+		return staleOnce()
+	}, configure.Accepted, true),
+	Entry("every reply of every write lost", func(op, _ string) fault {
+		if op == "put" {
+			return lostReply
+		}
+		return ok
+	}, configure.Accepted, true),
+	Entry("part writes refused", func(op, key string) fault {
+		if op == "put" && strings.HasPrefix(key, configdoc.PrefixParts) {
+			return unavailable
+		}
+		return ok
+	}, configure.NotAccepted, false),
+	Entry("store down", func(string, string) fault { return unavailable }, configure.NotAccepted, false),
+)
+
+// staleOnce makes every second read stale.
+var staleOnce = func() func() fault {
+	n := 0
+	return func() fault {
+		n++
+		if n%2 == 0 {
+			return stale
+		}
+		return ok
+	}
+}()
--- /dev/null
+++ b/internal/command/configure/editors_test.go
@@ -0,0 +1,262 @@
+package configure_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oleandersill.example/oleandersill/internal/command/configure"
+	"oleandersill.example/oleandersill/internal/configdoc"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/platform"
+)
+
+var _ = Describe("changes by several editors", func() {
+	var store *faultyStore
+	var c *configure.Configurer
+	ctx := context.Background()
+	BeforeEach(func() {
+		store = newFaultyStore()
+		c = newConfigurer(store)
+		Expect(c.Apply(ctx, change(0, "first", 1, 1)).Verdict).To(Equal(configure.Accepted))
+	})
+
+	// Guards against two editors who both believe that they won, or both that they lost.
+	It("gives one success and one conflict in 200 races with every write's reply lost", func() {
+		store.plan = func(op, _ string) fault {
+			if op == "put" {
+				return lostReply
+			}
+			return ok
+		}
+		for round := range 200 {
+			expect := model.Revision(round + 1)
+			results := make([]configure.Result, 2)
+			var wg sync.WaitGroup
+			for i := range results {
+				editor := fmt.Sprintf("editor%d", i)
+				wg.Go(func() { results[i] = c.Apply(ctx, change(expect, editor, 2+2*round+i, 1)) })
+			}
+			wg.Wait()
+			winner, loser := results[0], results[1]
+			if loser.Verdict == configure.Accepted {
+				winner, loser = loser, winner
+			}
+			Expect(winner.Verdict).To(Equal(configure.Accepted), winner.Detail)
+			Expect(loser.Verdict).To(Equal(configure.NotAccepted))
+			Expect(loser.Cause).To(Equal(configure.CauseConflict), loser.Detail)
+			Expect(loser.Others).To(HaveLen(1))
+			Expect(loser.Others[0].Editor).To(Equal(winner.Root.Editor))
+			Expect(loser.Others[0].Reason).To(Equal(winner.Root.Reason))
+			Expect(loser.Others[0].Parts).To(ConsistOf(configdoc.PartName("service/search/0")))
+		}
+	})
+
+	It("merges edits of different parts and refuses to merge edits of the same part", func() {
+		Expect(c.Apply(ctx, change(1, "anna", 2, 1)).Verdict).To(Equal(configure.Accepted))
+		other := change(1, "ben", 1, 3)
+		Expect(c.Apply(ctx, other).Cause).To(Equal(configure.CauseConflict))
+		other.Merge = true
+		result := c.Apply(ctx, other)
+		Expect(result.Verdict).To(Equal(configure.Accepted), result.Detail)
+		Expect(result.Merged).To(BeTrue())
+		Expect(result.Others).To(HaveLen(1))
+		Expect(result.Root.Parts).To(Equal(rootOf(change(0, "", 2, 3)).Parts))
+		again := c.Apply(ctx, other)
+		Expect(again.Repeated).To(BeTrue(), "a merge that is applied again is recognised")
+		Expect(again.Root.Revision).To(Equal(result.Root.Revision))
+		third := change(1, "cora", 9, 1)
+		third.Merge = true
+		refused := c.Apply(ctx, third)
+		Expect(refused.Cause).To(Equal(configure.CauseConflict))
+		Expect(refused.Parts).To(ConsistOf(configdoc.PartName("service/search/0")))
+	})
+
+	It("refuses a merge whose combination is invalid", func() {
+		theirs := change(1, "anna", 1, 1)
+		theirs.Inventory.Services[0].Shards[0].Servers[0].Address = "127.0.0.1:2000"
+		Expect(c.Apply(ctx, theirs).Verdict).To(Equal(configure.Accepted))
+		mine := change(1, "ben", 1, 1)
+		mine.Inventory.Services[1].Shards[0].Servers[0].Address = "127.0.0.1:2000"
+		mine.Merge = true
+		result := c.Apply(ctx, mine)
+		Expect(result.Cause).To(Equal(configure.CauseConflict))
+		Expect(result.Problems.Error()).To(ContainSubstring("address 127.0.0.1:2000 is also at"))
+	})
+
+	It("reports a repeated change as the revision accepted before, also under a later one", func() {
+		first := c.Apply(ctx, change(1, "anna", 2, 1))
+		Expect(c.Apply(ctx, change(2, "ben", 3, 1)).Verdict).To(Equal(configure.Accepted))
+		again := c.Apply(ctx, change(1, "anna", 2, 1))
+		Expect(again.Verdict).To(Equal(configure.Accepted))
+		Expect(again.Repeated).To(BeTrue())
+		Expect(again.Root).To(Equal(first.Root))
+		Expect(again.Current.Revision).To(Equal(model.Revision(3)))
+	})
+
+	It("writes only the changed part, a copy of the root and the head", func() {
+		store.writes = nil
+		Expect(c.Apply(ctx, change(1, "anna", 2, 1)).Verdict).To(Equal(configure.Accepted))
+		Expect(store.writes).To(HaveLen(3))
+		Expect(store.writes[0]).To(HavePrefix("put " + configdoc.PrefixParts))
+		Expect(store.writes[1]).To(HavePrefix("put " + configdoc.PrefixRoots))
+		Expect(store.writes[2]).To(Equal("put " + configdoc.KeyHead))
+	})
+
+	It("goes back to an earlier revision by a new one", func() {
+		Expect(c.Apply(ctx, change(1, "anna", 2, 1)).Verdict).To(Equal(configure.Accepted))
+		result := c.Rollback(ctx, configure.Rollback{To: 1, Expect: 2, Editor: "ben", Reason: "slow"})
+		Expect(result.Verdict).To(Equal(configure.Accepted), result.Detail)
+		Expect(result.Root.Revision).To(Equal(model.Revision(3)))
+		Expect(result.Root.Parts).To(Equal(rootOf(change(0, "", 1, 1)).Parts))
+		Expect(c.Rollback(ctx, configure.Rollback{To: 9, Expect: 3, Editor: "ben"}).Cause).To(Equal(configure.CauseNoRevision))
+		Expect(c.Rollback(ctx, configure.Rollback{To: 2, Expect: 2, Editor: "ben"}).Cause).To(Equal(configure.CauseConflict))
+	})
+
+	DescribeTable("refuses a change without writing anything",
+		func(edit func(*configure.Change), cause configure.Cause) {
+			ch := change(1, "anna", 2, 1)
+			edit(&ch)
+			store.writes = nil
+			result := c.Apply(ctx, ch)
+			Expect(result.Verdict).To(Equal(configure.NotAccepted))
+			Expect(result.Cause).To(Equal(cause))
+			Expect(store.writes).To(BeEmpty())
+		},
+		Entry("invalid inventory", func(ch *configure.Change) { ch.Inventory.Zones = nil }, configure.CauseInvalid),
+		Entry("no editor", func(ch *configure.Change) { ch.Editor = "" }, configure.CauseInvalid),
+		Entry("reason that is not UTF-8", func(ch *configure.Change) { ch.Reason = "\xff" }, configure.CauseInvalid),
+		Entry("revision that does not exist", func(ch *configure.Change) { ch.Expect = 7 }, configure.CauseAhead),
+	)
+})
+
+var _ = Describe("collection of unused parts", func() {
+	ctx := context.Background()
+
+	It("removes parts that no recent root names and keeps the rest", func() {
+		store := newFaultyStore()
+		c := newConfigurer(store)
+		for i := range configure.KeepRevisions + 10 {
+			Expect(c.Apply(ctx, change(model.Revision(i), "anna", i+1, 1)).Verdict).To(Equal(configure.Accepted))
+		}
+		done, err := c.Collect(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(done).To(Equal(configure.Collection{Kept: configure.KeepRevisions + 3, Removed: 10}))
+		back := configure.Rollback{To: 5, Expect: configure.KeepRevisions + 10, Editor: "ben"}
+		Expect(c.Rollback(ctx, back).Cause).To(Equal(configure.CauseNoRevision), "its parts are no longer kept")
+		back.To = 12
+		Expect(c.Rollback(ctx, back).Verdict).To(Equal(configure.Accepted))
+	})
+
+	// A part left by a failed change is unused until a writer that is just using it has replaced the head. The
+	// collection runs at each point of that writer's way.
+	DescribeTable("never takes a part of a racing writer",
+		func(when string) {
+			store := newFaultyStore()
+			c := newConfigurer(store)
+			Expect(c.Apply(ctx, change(0, "first", 1, 1)).Verdict).To(Equal(configure.Accepted))
+			store.plan = onHead(1000, unavailable)
+			Expect(c.Apply(ctx, change(1, "failed", 2, 1)).Verdict).To(Equal(configure.NotAccepted))
+			store.plan = nil
+			time.Sleep(2 * time.Millisecond)
+			racing := *c
+			racing.Store = &hookedStore{faultyStore: store, before: when, hook: func() {
+				_, err := c.Collect(ctx)
+				Expect(err).NotTo(HaveOccurred())
+			}}
+			result := racing.Apply(ctx, change(1, "anna", 2, 1))
+			Expect(result.Verdict).To(Equal(configure.Accepted), result.Detail)
+			for name, hash := range result.Root.Parts {
+				Expect(store.last(configdoc.PrefixParts+string(hash)).Version).NotTo(BeZero(), string(name))
+			}
+		},
+		Entry("before the head is read", "get "+configdoc.KeyHead),
+		Entry("before the part is written", "put "+configdoc.PrefixParts),
+		Entry("before the part is read back", "get "+configdoc.PrefixParts),
+		Entry("before the root is written", "put "+configdoc.PrefixRoots),
+		Entry("before the head is written", "put "+configdoc.KeyHead),
+	)
+
+	// Guards against a writer that relies on a part which the collection has listed and not yet deleted.
+	It("never takes a part that a writer found before the delete", func() {
+		store := newFaultyStore()
+		c := newConfigurer(store)
+		Expect(c.Apply(ctx, change(0, "first", 1, 1)).Verdict).To(Equal(configure.Accepted))
+		store.plan = onHead(1000, unavailable)
+		Expect(c.Apply(ctx, change(1, "failed", 2, 1)).Verdict).To(Equal(configure.NotAccepted))
+		store.plan = nil
+		collector := *c
+		var result configure.Result
+		collector.Store = &hookedStore{faultyStore: store, before: "delete ", hook: func() {
+			store.plan = func(op, key string) fault {
+				if op == "put" && strings.HasPrefix(key, configdoc.PrefixParts) {
+					return lostReply
+				}
+				return ok
+			}
+			result = c.Apply(ctx, change(1, "anna", 2, 1))
+		}}
+		done, err := collector.Collect(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Verdict).To(Equal(configure.Accepted), result.Detail)
+		Expect(done.Skipped).To(Equal(1))
+		for name, hash := range result.Root.Parts {
+			Expect(store.last(configdoc.PrefixParts+string(hash)).Version).NotTo(BeZero(), string(name))
+		}
+	})
+
+	It("runs once at a time", func() {
+		store := newFaultyStore()
+		c := newConfigurer(store)
+		Expect(c.Apply(ctx, change(0, "first", 1, 1)).Verdict).To(Equal(configure.Accepted))
+		_, err := store.Put(ctx, configdoc.KeyCollector, nil, 0, "other")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = c.Collect(ctx)
+		Expect(err).To(MatchError(configure.ErrCollecting))
+	})
+})
+
+func rootOf(ch configure.Change) *configdoc.Root {
+	root := &configdoc.Root{Parts: map[configdoc.PartName]configdoc.Hash{}}
+	for name, p := range configdoc.Split(ch.Inventory, ch.Rules) {
+		root.Parts[name] = p.Hash
+	}
+	return root
+}
+
+// hookedStore calls hook once, before the first call that matches.
+type hookedStore struct {
+	*faultyStore
+	before string
+	hook   func()
+}
+
+func (h *hookedStore) call(op, key string) {
+	if h.hook != nil && strings.HasPrefix(op+" "+key, h.before) {
+		hook := h.hook
+		h.hook = nil
+		hook()
+	}
+}
+
+func (h *hookedStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	h.call("get", key)
+	return h.faultyStore.Get(ctx, key)
+}
+
+func (h *hookedStore) Delete(ctx context.Context, key string, expect platform.Version) error {
+	h.call("delete", key)
+	return h.faultyStore.Delete(ctx, key, expect)
+}
+
+func (h *hookedStore) Put(
+	ctx context.Context, key string, value []byte, expect platform.Version, lease platform.LeaseID,
+) (platform.Version, error) {
+	h.call("put", key)
+	return h.faultyStore.Put(ctx, key, value, expect, lease)
+}
--- /dev/null
+++ b/internal/command/configure/machine_test.go
@@ -0,0 +1,209 @@
+package configure_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"oleandersill.example/oleandersill/internal/command/configure"
+	"oleandersill.example/oleandersill/internal/configdoc"
+	"oleandersill.example/oleandersill/internal/configstore"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/platform"
+)
+
+// machine drives editors over a store whose every call may fail, and checks what the editors were told against the
+// store's own history of the head.
+type machine struct {
+	store   *faultyStore
+	changes []configure.Change
+	// verdicts of the calls made for each change, by its index.
+	verdicts map[int][]configure.Verdict
+	history  []*configdoc.Root
+	slots    int
+}
+
+func (m *machine) configurer() *configure.Configurer {
+	pace := configstore.Pace{Attempts: 4, First: 50 * time.Microsecond, Most: 100 * time.Microsecond}
+	return &configure.Configurer{Store: m.store, Now: time.Now, Pace: pace}
+}
+
+// faults draws the fault of each call; most calls succeed, so that changes get through.
+func faults(t *rapid.T) func(op, key string) fault {
+	return func(op, _ string) fault {
+		if rapid.IntRange(0, 2).Draw(t, "fails") > 0 {
+			return ok
+		}
+		if op == "get" || op == "list" {
+			return rapid.SampledFrom([]fault{unavailable, stale}).Draw(t, op)
+		}
+		return rapid.SampledFrom([]fault{unavailable, lostRequest, lostReply, delayed}).Draw(t, op)
+	}
+}
+
+func (m *machine) draw(t *rapid.T) int {
+	m.slots++
+	expect := len(m.history) - rapid.IntRange(0, min(2, len(m.history))).Draw(t, "behind")
+	ch := change(model.Revision(expect), fmt.Sprintf("editor%d", m.slots), 1, 1)
+	service := rapid.IntRange(0, 1).Draw(t, "service")
+	ch.Inventory.Services[service].Shards[0].Servers[0].Slots = 1 + m.slots
+	ch.Merge = rapid.Bool().Draw(t, "merge")
+	if len(m.history) > 0 && expect > 0 {
+		m.keepOther(&ch, m.history[expect-1], 1-service)
+	}
+	m.changes = append(m.changes, ch)
+	return len(m.changes) - 1
+}
+
+// keepOther gives the service that the change does not edit the content that it has in the base revision.
+func (m *machine) keepOther(ch *configure.Change, base *configdoc.Root, service int) {
+	inv, _, err := configdoc.Join(base, func(h configdoc.Hash) []byte {
+		return m.store.last(configdoc.PrefixParts + string(h)).Value
+	})
+	if err == nil {
+		ch.Inventory.Services[service] = inv.Services[service]
+	}
+}
+
+func (m *machine) apply(t *rapid.T, i int) {
+	m.store.plan = faults(t)
+	result := m.configurer().Apply(context.Background(), m.changes[i])
+	m.store.plan = nil
+	m.record(t, i, result)
+}
+
+func (m *machine) record(t *rapid.T, i int, result configure.Result) {
+	m.verdicts[i] = append(m.verdicts[i], result.Verdict)
+	t.Logf("change %d: %s %s %s", i, result.Verdict, result.Cause, result.Detail)
+	if result.Verdict == configure.Accepted && result.Root.Editor != m.changes[i].Editor {
+		t.Fatalf("change %d was reported as accepted in a revision of %s", i, result.Root.Editor)
+	}
+}
+
+func (m *machine) Apply(t *rapid.T) { m.apply(t, m.draw(t)) }
+
+// Repeat applies an earlier change again, as an operator does after an unknown verdict.
+func (m *machine) Repeat(t *rapid.T) {
+	if len(m.changes) == 0 {
+		t.Skip("nothing to repeat")
+	}
+	m.apply(t, rapid.IntRange(0, len(m.changes)-1).Draw(t, "which"))
+}
+
+// Race lets a second editor's whole change happen between two calls of the first one's.
+func (m *machine) Race(t *rapid.T) {
+	first, second := m.draw(t), m.draw(t)
+	c := m.configurer()
+	before := rapid.SampledFrom([]string{"get", "put " + configdoc.PrefixParts, "put " + configdoc.PrefixRoots,
+		"put " + configdoc.KeyHead}).Draw(t, "before")
+	c.Store = &hookedStore{faultyStore: m.store, before: before, hook: func() { m.apply(t, second); m.store.plan = faults(t) }}
+	m.store.plan = faults(t)
+	result := c.Apply(context.Background(), m.changes[first])
+	m.store.plan = nil
+	m.record(t, first, result)
+}
+
+// Collect removes unused parts, with an editor's change between two of its calls.
+func (m *machine) Collect(t *rapid.T) {
+	i := m.draw(t)
+	c := m.configurer()
+	before := rapid.SampledFrom([]string{"put " + configdoc.KeyHead, "delete"}).Draw(t, "before")
+	c.Store = &hookedStore{faultyStore: m.store, before: before, hook: func() { m.apply(t, i); m.store.plan = faults(t) }}
+	m.store.plan = faults(t)
+	_, err := c.Collect(context.Background())
+	m.store.plan = nil
+	t.Logf("collect: %v", err)
+	// Its lease outlives any delayed delete, so the next collection starts after both.
+	m.store.settle()
+	m.store.entries[configdoc.KeyCollector] = nil
+}
+
+// Settle lets delayed writes arrive.
+func (m *machine) Settle(*rapid.T) { m.store.settle() }
+
+// Check compares the store's history with what was seen before and with what the editors were told.
+func (m *machine) Check(t *rapid.T) {
+	seen := len(m.history)
+	m.history = accepted(t, m.store.entries[configdoc.KeyHead])
+	if len(m.history) < seen {
+		t.Fatalf("the history went from %d to %d revisions", seen, len(m.history))
+	}
+	count := map[string]int{}
+	for _, root := range m.history {
+		count[root.Editor]++
+	}
+	for i, verdicts := range m.verdicts {
+		m.checkVerdicts(t, i, verdicts, count[m.changes[i].Editor])
+	}
+	m.checkReaders(t)
+}
+
+func (m *machine) checkVerdicts(t *rapid.T, i int, verdicts []configure.Verdict, times int) {
+	told := map[configure.Verdict]bool{}
+	for _, v := range verdicts {
+		told[v] = true
+	}
+	switch {
+	case times > 1:
+		t.Fatalf("change %d was accepted %d times", i, times)
+	case told[configure.Accepted] && times != 1:
+		t.Fatalf("change %d was reported as accepted and is not in the history", i)
+	case !told[configure.Accepted] && !told[configure.Unknown] && times != 0:
+		t.Fatalf("change %d was reported as not accepted and is in the history", i)
+	}
+}
+
+// checkReaders checks that the audit trail equals the history and that the revision in force has all its parts.
+func (m *machine) checkReaders(t *rapid.T) {
+	reader := configstore.Reader{Store: m.store, Pace: configstore.Pace{Attempts: 1}}
+	head, err := reader.Head(context.Background())
+	if err != nil || head.Root == nil {
+		return
+	}
+	chain, err := reader.Chain(context.Background(), head.Root, 1, len(m.history))
+	if err != nil || len(chain) != len(m.history) {
+		t.Fatalf("the audit trail has %d of %d revisions: %v", len(chain), len(m.history), err)
+	}
+	for i, root := range chain {
+		if string(root.Encode()) != string(m.history[len(chain)-1-i].Encode()) {
+			t.Fatalf("the audit trail differs from what was accepted at revision %d", root.Revision)
+		}
+	}
+	if _, _, err := reader.Load(context.Background(), head.Root); err != nil {
+		t.Fatalf("revision %d cannot be loaded: %v", head.Revision(), err)
+	}
+}
+
+// accepted returns the roots that the head has held, in order.
+func accepted(t *rapid.T, entries []platform.Entry) []*configdoc.Root {
+	var roots []*configdoc.Root
+	last := ""
+	for _, e := range entries {
+		if string(e.Value) == last {
+			continue
+		}
+		root, err := configdoc.DecodeRoot(e.Value)
+		if err != nil || int(root.Revision) != len(roots)+1 {
+			t.Fatalf("head version %d holds revision %v after %d: %v", e.Version, root, len(roots), err)
+		}
+		if last != "" && root.Previous != configdoc.HashOf([]byte(last)) {
+			t.Fatalf("revision %d does not follow its predecessor", root.Revision)
+		}
+		roots, last = append(roots, root), string(e.Value)
+	}
+	return roots
+}
+
+// TestMachine guards G8 and the audit trail against any order of faults that the store protocol allows.
+func TestMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{store: newFaultyStore(), verdicts: map[int][]configure.Verdict{}}
+		actions := rapid.StateMachineActions(m)
+		t.Repeat(actions)
+		m.store.settle()
+		m.Check(t)
+	})
+}
--- /dev/null
+++ b/internal/command/configure/rollback.go
@@ -0,0 +1,40 @@
+package configure
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"oleandersill.example/oleandersill/internal/configdoc"
+	"oleandersill.example/oleandersill/internal/configstore"
+)
+
+// Rollback puts the content of an earlier revision in force as a new revision, under the same rules as Apply.
+func (c *Configurer) Rollback(ctx context.Context, r Rollback) Result {
+	head, err := c.reader().Head(ctx)
+	if err != nil {
+		return unavailable(err)
+	}
+	if r.To == 0 {
+		return noRevision(head, errors.New("revision 0 is the absence of a configuration"))
+	}
+	chain, err := c.reader().Chain(ctx, head.Root, r.To, maxChain)
+	if errors.Is(err, configstore.ErrNoRevision) {
+		return noRevision(head, err)
+	}
+	if err != nil {
+		return unavailable(err)
+	}
+	inv, rules, err := c.reader().Load(ctx, chain[len(chain)-1])
+	if errors.Is(err, configstore.ErrCollected) || errors.Is(err, configdoc.ErrCorrupt) {
+		return noRevision(head, err)
+	}
+	if err != nil {
+		return unavailable(err)
+	}
+	return c.Apply(ctx, Change{Inventory: inv, Rules: rules, Expect: r.Expect, Editor: r.Editor, Reason: r.Reason})
+}
+
+func noRevision(head configstore.Head, err error) Result {
+	return Result{Verdict: NotAccepted, Cause: CauseNoRevision, Current: head.Root, Detail: err.Error()}
+}
--- a/internal/configdoc/layout.go
+++ b/internal/configdoc/layout.go
@@ -19,6 +19,8 @@
 	KeyHead     = "config/head"
 	PrefixRoots = "config/roots/"
 	PrefixParts = "config/parts/"
+	// KeyCollector is held under a lease by the one instance that removes unused parts.
+	KeyCollector = "config/collector"
 )
 
 // MaxPartBytes is the size above which a service's shards are divided over several parts.
--- /dev/null
+++ b/internal/configstore/reader.go
@@ -0,0 +1,147 @@
+package configstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"oleandersill.example/oleandersill/internal/configdoc"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/platform"
+)
+
+// Errors of reads.
+var (
+	// ErrNoRevision: the revision does not exist, or lies further back than the walk goes.
+	ErrNoRevision = errors.New("configstore: no such revision")
+	// ErrCollected: a part of the revision is no longer kept.
+	ErrCollected = errors.New("configstore: parts of the revision are no longer kept")
+)
+
+// Reader reads the configuration from a store.
+type Reader struct {
+	Store platform.Reader
+	// Pace of repeated reads; the zero value means DefaultPace.
+	Pace Pace
+}
+
+// Head is the store's current configuration.
+type Head struct {
+	// Version is 0 if there is no configuration yet.
+	Version    platform.Version
+	ModifiedAt time.Time
+	// Root is nil if there is no configuration yet.
+	Root *configdoc.Root
+	// Value is the root as stored, and Hash its hash.
+	Value []byte
+	Hash  configdoc.Hash
+}
+
+// Revision returns the head's revision, or 0.
+func (h Head) Revision() model.Revision {
+	if h.Root == nil {
+		return 0
+	}
+	return h.Root.Revision
+}
+
+// Head reads the head. The answer may be stale: compare versions where that matters.
+func (r Reader) Head(ctx context.Context) (Head, error) {
+	e, err := r.get(ctx, configdoc.KeyHead, false)
+	if errors.Is(err, platform.ErrNotFound) {
+		return Head{}, nil
+	}
+	if err != nil {
+		return Head{}, err
+	}
+	root, err := configdoc.DecodeRoot(e.Value)
+	return Head{
+		Version: e.Version, ModifiedAt: e.ModifiedAt, Root: root, Value: e.Value, Hash: configdoc.HashOf(e.Value),
+	}, err
+}
+
+// Root reads the immutable copy of a root.
+func (r Reader) Root(ctx context.Context, hash configdoc.Hash) (*configdoc.Root, error) {
+	e, err := r.get(ctx, configdoc.PrefixRoots+string(hash), true)
+	if err != nil {
+		return nil, err
+	}
+	if configdoc.HashOf(e.Value) != hash {
+		return nil, errors.Wrapf(configdoc.ErrCorrupt, "root %s does not match its hash", hash)
+	}
+	return configdoc.DecodeRoot(e.Value)
+}
+
+// Previous reads the predecessor of a root, or nil for the first revision.
+func (r Reader) Previous(ctx context.Context, root *configdoc.Root) (*configdoc.Root, error) {
+	if root.Previous == "" {
+		return nil, nil
+	}
+	return r.Root(ctx, root.Previous)
+}
+
+// Chain returns the roots from the given one back to the revision low, newest first, at most limit of them.
+// It returns ErrNoRevision if low is not reached.
+func (r Reader) Chain(ctx context.Context, root *configdoc.Root, low model.Revision, limit int) ([]*configdoc.Root, error) {
+	var chain []*configdoc.Root
+	for root != nil && root.Revision >= low && len(chain) < limit {
+		chain = append(chain, root)
+		if root.Revision == low {
+			return chain, nil
+		}
+		var err error
+		if root, err = r.Previous(ctx, root); err != nil {
+			return nil, err
+		}
+	}
+	if low == 0 && root == nil {
+		return chain, nil
+	}
+	return nil, errors.Wrapf(ErrNoRevision, "revision %d", low)
+}
+
+// Load reads and joins the parts of a root.
+func (r Reader) Load(ctx context.Context, root *configdoc.Root) (model.Inventory, model.Rules, error) {
+	values := make(map[configdoc.Hash][]byte, len(root.Parts))
+	if err := r.LoadValues(ctx, root, values); err != nil {
+		return model.Inventory{}, model.Rules{}, err
+	}
+	return configdoc.Join(root, func(h configdoc.Hash) []byte { return values[h] })
+}
+
+// LoadValues reads the parts of a root into values, or returns ErrCollected if one is gone.
+func (r Reader) LoadValues(ctx context.Context, root *configdoc.Root, values map[configdoc.Hash][]byte) error {
+	for _, name := range root.SortedParts() {
+		hash := root.Parts[name]
+		e, err := r.get(ctx, configdoc.PrefixParts+string(hash), true)
+		if errors.Is(err, platform.ErrNotFound) {
+			return errors.Wrapf(ErrCollected, "revision %d, part %s", root.Revision, name)
+		}
+		if err != nil {
+			return err
+		}
+		values[hash] = e.Value
+	}
+	return nil
+}
+
+// get reads an entry. Keys of immutable values are known to have been written, so "not found" may be a stale answer and
+// is asked for again.
+func (r Reader) get(ctx context.Context, key string, immutable bool) (platform.Entry, error) {
+	err := platform.ErrUnavailable
+	for range r.Pace.OrDefault().Each(ctx) {
+		var e platform.Entry
+		e, err = r.getOnce(ctx, key)
+		if err == nil || (errors.Is(err, platform.ErrNotFound) && !immutable) {
+			return e, err
+		}
+	}
+	return platform.Entry{}, errors.Wrapf(err, "reading %s", key)
+}
+
+func (r Reader) getOnce(ctx context.Context, key string) (platform.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	return r.Store.Get(ctx, key)
+}
--- /dev/null
+++ b/internal/query/configread/doc.go
@@ -0,0 +1,2 @@
+// Package configread reads one revision of the configuration.
+package configread
