Give operators a tool with sub-commands, and the operators' port reads and tokens

The tool knew only apply, took no token and printed the raw reply; revisions could not be read, listed or restored.

The operators' port now serves rollback, reads of a revision and the audit trail, and asks for a bearer token: one that may change, one that may only read. The tool's sub-commands are divided into commands and queries like the daemon and have documented exit codes.

--- /dev/null
+++ b/internal/cli/query/plan.go
@@ -0,0 +1,90 @@
+package query
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+
+	"oleandersill.example/oleandersill/internal/cli"
+	"oleandersill.example/oleandersill/internal/configdoc"
+	"oleandersill.example/oleandersill/internal/document"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/query/queryhttp"
+)
+
+func planCommand() cli.Command {
+	return cli.Command{
+		Name:    "plan",
+		Summary: "show what applying an inventory and rules would change",
+		Example: "oleandersill plan -inventory inventory.yaml -rules rules.yaml",
+		Setup:   setupPlan,
+	}
+}
+
+// planResult is the difference between the current revision and the documents.
+type planResult struct {
+	// Revision to give to apply -expect.
+	Revision model.Revision        `json:"revision"`
+	Parts    []configdoc.PartName  `json:"parts"`
+	Changes  []document.Difference `json:"changes"`
+}
+
+func setupPlan(fs *flag.FlagSet, env *cli.Env) cli.RunFunc {
+	client := cli.OperatorFlags(fs, env)
+	format := cli.OutputFlag(fs)
+	files := cli.FileFlags(fs)
+	return func(ctx context.Context, env *cli.Env) error {
+		inv, rules, err := files.Load()
+		if err != nil {
+			return err
+		}
+		current, err := currentConfig(ctx, client)
+		if err != nil {
+			return err
+		}
+		plan := planResult{
+			Revision: current.Revision,
+			Parts:    configdoc.ChangedParts(partsOf(current), rootOf(inv, rules)),
+			Changes:  document.Diff(current.Inventory, current.Rules, inv, rules),
+		}
+		return format.Print(env, plan, func(w io.Writer) { planTable(w, plan) })
+	}
+}
+
+// currentConfig returns the current revision, or an empty one if there is none yet.
+func currentConfig(ctx context.Context, client *cli.Client) (queryhttp.ConfigResponse, error) {
+	config, err := getConfig(ctx, client, 0)
+	var failure *cli.Failure
+	if errors.As(err, &failure) && failure.Reply == queryhttp.CodeNoConfiguration {
+		return queryhttp.ConfigResponse{}, nil
+	}
+	return config, err
+}
+
+func partsOf(c queryhttp.ConfigResponse) *configdoc.Root {
+	if c.Revision == 0 {
+		return nil
+	}
+	return rootOf(c.Inventory, c.Rules)
+}
+
+func rootOf(inv model.Inventory, rules model.Rules) *configdoc.Root {
+	root := &configdoc.Root{Parts: map[configdoc.PartName]configdoc.Hash{}}
+	for name, p := range configdoc.Split(inv, rules) {
+		root.Parts[name] = p.Hash
+	}
+	return root
+}
+
+func planTable(w io.Writer, p planResult) {
+	if len(p.Changes) == 0 {
+		_, _ = fmt.Fprintf(w, "no change: revision %d has the same content\n", p.Revision)
+		return
+	}
+	for _, d := range p.Changes {
+		_, _ = fmt.Fprintln(w, d)
+	}
+	_, _ = fmt.Fprintf(w, "%d changes in %d parts; apply with -expect %d\n", len(p.Changes), len(p.Parts), p.Revision)
+}
--- /dev/null
+++ b/internal/cli/query/status.go
@@ -0,0 +1,77 @@
+package query
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"io"
+	"time"
+
+	"oleandersill.example/oleandersill/internal/cli"
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+func statusCommand() cli.Command {
+	return cli.Command{
+		Name:    "status",
+		Summary: "show one daemon's state and the revision it has in force",
+		Example: "oleandersill status -daemon 127.0.0.1:7202",
+		Setup:   setupStatus,
+	}
+}
+
+// statusAnswer is the part of GET /v1/status that the table shows.
+type statusAnswer struct {
+	Instance     model.InstanceID       `json:"instance"`
+	Zone         model.AvailabilityZone `json:"zone"`
+	Revision     model.Revision         `json:"revision"`
+	Editor       string                 `json:"editor"`
+	Ready        bool                   `json:"ready"`
+	Draining     bool                   `json:"draining"`
+	Relay        bool                   `json:"relay"`
+	StoreContact time.Time              `json:"store_contact"`
+	Rejected     *struct {
+		Revision model.Revision `json:"revision"`
+		Reason   string         `json:"reason"`
+	} `json:"rejected"`
+	Members struct {
+		Alive     int `json:"alive"`
+		Suspected int `json:"suspected"`
+		Dead      int `json:"dead"`
+	} `json:"members"`
+	Leaving []model.ServerName `json:"leaving"`
+}
+
+func setupStatus(fs *flag.FlagSet, env *cli.Env) cli.RunFunc {
+	client := cli.OperatorFlags(fs, env)
+	format := cli.OutputFlag(fs)
+	return func(ctx context.Context, env *cli.Env) error {
+		var raw json.RawMessage
+		if err := client.Get(ctx, "/v1/status", &raw); err != nil {
+			return err
+		}
+		var s statusAnswer
+		if err := json.Unmarshal(raw, &s); err != nil {
+			return err
+		}
+		return format.Print(env, raw, func(w io.Writer) { statusTable(w, s) })
+	}
+}
+
+func statusTable(w io.Writer, s statusAnswer) {
+	cli.Row(w, "instance", s.Instance)
+	cli.Row(w, "zone", s.Zone)
+	cli.Row(w, "revision in force", s.Revision)
+	cli.Row(w, "editor", s.Editor)
+	cli.Row(w, "ready", s.Ready)
+	cli.Row(w, "draining", s.Draining)
+	cli.Row(w, "relay", s.Relay)
+	cli.Row(w, "last contact to the store", s.StoreContact.UTC().Format(time.RFC3339))
+	cli.Row(w, "members alive, suspected, dead", s.Members.Alive, s.Members.Suspected, s.Members.Dead)
+	if s.Rejected != nil {
+		cli.Row(w, "rejected revision", s.Rejected.Revision, s.Rejected.Reason)
+	}
+	for _, server := range s.Leaving {
+		cli.Row(w, "leaving server", server)
+	}
+}
--- /dev/null
+++ b/internal/cli/run.go
@@ -0,0 +1,137 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"syscall"
+	"text/tabwriter"
+
+	"oleandersill.example/oleandersill/internal/validation"
+)
+
+// Exit codes of the tool.
+const (
+	ExitOK = 0
+	// ExitFailed: the daemon refused or the request failed.
+	ExitFailed = 1
+	// ExitUsage: wrong arguments or an invalid document.
+	ExitUsage = 2
+	// ExitConflict: the configuration has changed since the expected revision.
+	ExitConflict = 3
+	// ExitUnknown: the outcome is not known, or the daemon or the store was not available.
+	ExitUnknown = 4
+)
+
+// Env is what a sub-command may use of its process.
+type Env struct {
+	Stdout io.Writer
+	Stderr io.Writer
+	Getenv func(string) string
+}
+
+// RunFunc runs a sub-command whose flags have been read. A Failure tells its exit code.
+type RunFunc func(ctx context.Context, env *Env) error
+
+// Command is one sub-command.
+type Command struct {
+	Name    string
+	Summary string
+	// Example is a command line, shown by --help.
+	Example string
+	// Setup declares the flags and returns the function that uses their values.
+	Setup func(fs *flag.FlagSet, env *Env) RunFunc
+}
+
+// Failure is an error with an exit code. With an empty message everything has been said already.
+type Failure struct {
+	Code    int
+	Message string
+	// Reply is the code of the daemon's problem, if it gave one.
+	Reply string
+}
+
+// Error implements error.
+func (f *Failure) Error() string { return f.Message }
+
+// Failf returns a Failure.
+func Failf(code int, format string, args ...any) error {
+	return &Failure{Code: code, Message: fmt.Sprintf(format, args...)}
+}
+
+// Run runs the sub-command that args name and returns the exit code.
+func Run(ctx context.Context, env *Env, args []string, commands []Command) int {
+	if len(args) == 0 || isHelp(args[0]) {
+		usage(env.Stderr, commands)
+		if len(args) == 0 {
+			return ExitUsage
+		}
+		return ExitOK
+	}
+	for _, c := range commands {
+		if c.Name == args[0] {
+			return runCommand(ctx, env, c, args[1:])
+		}
+	}
+	_, _ = fmt.Fprintf(env.Stderr, "oleandersill: there is no sub-command %q\n", args[0])
+	usage(env.Stderr, commands)
+	return ExitUsage
+}
+
+func isHelp(arg string) bool {
+	return arg == "help" || arg == "-h" || arg == "-help" || arg == "--help"
+}
+
+func usage(w io.Writer, commands []Command) {
+	_, _ = fmt.Fprintf(w, "usage: oleandersill SUB-COMMAND [FLAGS]\n\n")
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, c := range commands {
+		_, _ = fmt.Fprintf(tw, "  %s\t%s\n", c.Name, c.Summary)
+	}
+	_ = tw.Flush()
+	_, _ = fmt.Fprintf(w, "\noleandersill SUB-COMMAND --help shows flags and an example.\n"+
+		"exit codes: 0 done, 1 failed, 2 usage or invalid document, 3 conflict, 4 unknown or unavailable\n")
+}
+
+func runCommand(ctx context.Context, env *Env, c Command, args []string) int {
+	fs := flag.NewFlagSet(c.Name, flag.ContinueOnError)
+	fs.SetOutput(env.Stderr)
+	fs.Usage = func() {
+		_, _ = fmt.Fprintf(env.Stderr, "%s: %s\n\nexample:\n  %s\n\nflags:\n", c.Name, c.Summary, c.Example)
+		fs.PrintDefaults()
+	}
+	run := c.Setup(fs, env)
+	if err := fs.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return ExitOK
+		}
+		return ExitUsage
+	}
+	if fs.NArg() > 0 {
+		_, _ = fmt.Fprintf(env.Stderr, "oleandersill %s: unexpected argument %q\n", c.Name, fs.Arg(0))
+		return ExitUsage
+	}
+	return exitCode(env, c.Name, run(ctx, env))
+}
+
+// exitCode reports an error. A reader that closed the pipe has seen what it wanted, so that is no failure.
+func exitCode(env *Env, name string, err error) int {
+	var failure *Failure
+	var problems validation.Problems
+	switch {
+	case err == nil, errors.Is(err, syscall.EPIPE):
+		return ExitOK
+	case errors.As(err, &problems):
+		_, _ = fmt.Fprintln(env.Stderr, problems.Error())
+		return ExitUsage
+	case errors.As(err, &failure):
+		if failure.Message != "" {
+			_, _ = fmt.Fprintf(env.Stderr, "oleandersill %s: %s\n", name, failure.Message)
+		}
+		return failure.Code
+	}
+	_, _ = fmt.Fprintf(env.Stderr, "oleandersill %s: %s\n", name, err)
+	return ExitFailed
+}
--- a/internal/command/commandhttp/apply.go
+++ b/internal/command/commandhttp/apply.go
@@ -33,7 +33,7 @@
 	Reason string         `json:"reason"`
 }
 
-// ApplyResponse is the reply to both. Its fields mean what those of configure.Result mean.
+// ApplyResponse is the reply to both requests. Its fields mean what those of configure.Result mean.
 type ApplyResponse struct {
 	Verdict  configure.Verdict    `json:"verdict"`
 	Cause    configure.Cause      `json:"cause,omitempty"`
--- a/internal/command/configure/apply.go
+++ b/internal/command/configure/apply.go
@@ -12,6 +12,7 @@
 	"oleandersill.example/oleandersill/internal/configdoc"
 	"oleandersill.example/oleandersill/internal/configstore"
 	"oleandersill.example/oleandersill/internal/document"
+	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/platform"
 	"oleandersill.example/oleandersill/internal/validation"
 )
@@ -35,6 +36,8 @@
 	Now   func() time.Time
 	// Pace of repeated calls of the store; the zero value means configstore.DefaultPace.
 	Pace configstore.Pace
+	// OnAccepted is called with each revision that this configurer made; it may be nil and must not wait.
+	OnAccepted func(model.Revision)
 }
 
 func (c *Configurer) reader() configstore.Reader {
@@ -53,12 +56,19 @@
 	e := &edit{Configurer: c, change: ch, parts: configdoc.Split(ch.Inventory, ch.Rules)}
 	for range maxRounds {
 		if result, settled := e.round(ctx); settled {
+			c.notify(result)
 			return result
 		}
 	}
 	return unavailable(errors.New("other changes kept being accepted first"))
 }
 
+func (c *Configurer) notify(result Result) {
+	if c.OnAccepted != nil && result.Verdict == Accepted && !result.Repeated {
+		c.OnAccepted(result.Root.Revision)
+	}
+}
+
 // checkAuthor checks what the audit trail keeps of a change. Text that is not UTF-8 would not be read back as it was
 // written, so a change could not be recognised after a lost reply.
 func checkAuthor(editor, reason string) validation.Problems {
--- a/internal/configdoc/layout.go
+++ b/internal/configdoc/layout.go
@@ -80,6 +80,12 @@
 	return Hash(hex.EncodeToString(sum[:]))
 }
 
+// IsHash tells whether a hash has the form that HashOf gives.
+func IsHash(h Hash) bool {
+	raw, err := hex.DecodeString(string(h))
+	return err == nil && len(raw) == sha256.Size
+}
+
 // Encode returns the stored form of a root. Its hash identifies the revision in the audit trail.
 func (r *Root) Encode() []byte { return encode(r) }
 
--- a/internal/configstore/reader.go
+++ b/internal/configstore/reader.go
@@ -64,6 +64,9 @@
 // Root reads the immutable copy of a root.
 func (r Reader) Root(ctx context.Context, hash configdoc.Hash) (*configdoc.Root, error) {
 	e, err := r.get(ctx, configdoc.PrefixRoots+string(hash), true)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, errors.Wrapf(ErrNoRevision, "root %s", hash)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,8 +11,6 @@
 	"github.com/rs/zerolog"
 
 	"oleandersill.example/oleandersill/internal/backend/backendhttp"
-	"oleandersill.example/oleandersill/internal/command/commandhttp"
-	"oleandersill.example/oleandersill/internal/command/configure"
 	"oleandersill.example/oleandersill/internal/command/execute"
 	"oleandersill.example/oleandersill/internal/command/fleet"
 	"oleandersill.example/oleandersill/internal/command/report"
@@ -44,8 +42,10 @@
 	callers    *http.Server
 	operators  *http.Server
 	listeners  []net.Listener
-	cancel     context.CancelFunc
-	wg         sync.WaitGroup
+	// stopCollector ends the removal of unused configuration parts.
+	stopCollector context.CancelFunc
+	cancel        context.CancelFunc
+	wg            sync.WaitGroup
 }
 
 // Start starts a daemon and returns once its listeners are open.
@@ -93,14 +93,12 @@
 	callers.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	callers.HandleFunc("GET /readyz", d.readyz)
 	operators := http.NewServeMux()
-	operators.Handle("POST /v1/config/apply", &commandhttp.Apply{
-		Configurer: &configure.Configurer{Store: d.platform, Now: time.Now},
-	})
+	d.handleConfig(operators)
 	var err error
 	if d.callers, err = d.serve(d.settings.CallerAddress, callers); err != nil {
 		return err
 	}
-	d.operators, err = d.serve(d.settings.OperatorAddress, operators)
+	d.operators, err = d.serve(d.settings.OperatorAddress, d.guard(operators))
 	return err
 }
 
@@ -148,6 +146,7 @@
 			d.log.Warn().Err(err).Msg("drain_incomplete")
 		}
 	}
+	d.stopCollector()
 	d.cancel()
 	d.wg.Wait()
 	d.executor.Close()
--- a/internal/httpapi/auth.go
+++ b/internal/httpapi/auth.go
@@ -15,8 +15,20 @@
 	Read string
 }
 
-// ForChange admits requests that carry the token that may change.
-func (t Tokens) ForChange(h http.Handler) http.Handler {
+// Guard admits reads, which are GET and HEAD, with either token, and all other requests with the token that may change.
+func (t Tokens) Guard(h http.Handler) http.Handler {
+	change, read := t.forChange(h), t.forRead(h)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet || r.Method == http.MethodHead {
+			read.ServeHTTP(w, r)
+			return
+		}
+		change.ServeHTTP(w, r)
+	})
+}
+
+// forChange admits requests that carry the token that may change.
+func (t Tokens) forChange(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch given := bearer(r); {
 		case t.Change == "" || sameToken(given, t.Change):
@@ -29,8 +41,8 @@
 	})
 }
 
-// ForRead admits requests that carry either token.
-func (t Tokens) ForRead(h http.Handler) http.Handler {
+// forRead admits requests that carry either token.
+func (t Tokens) forRead(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		given := bearer(r)
 		if t.Change == "" || sameToken(given, t.Change) || sameToken(given, t.Read) {
