--- a/internal/configdoc/layout.go
+++ b/internal/configdoc/layout.go
@@ -19,6 +19,8 @@
 	KeyHead     = "config/head"
 	PrefixRoots = "config/roots/"
 	PrefixParts = "config/parts/"
+	// KeyCollector is held under a lease by the one instance that removes unused parts.
+	KeyCollector = "config/collector"
 )
 
 // MaxPartBytes is the size above which a service's shards are divided over several parts.
@@ -78,6 +80,12 @@
 	return Hash(hex.EncodeToString(sum[:]))
 }
 
+// IsHash tells whether a hash has the form that HashOf gives.
+func IsHash(h Hash) bool {
+	raw, err := hex.DecodeString(string(h))
+	return err == nil && len(raw) == sha256.Size
+}
+
 // Encode returns the stored form of a root. Its hash identifies the revision in the audit trail.
 func (r *Root) Encode() []byte { return encode(r) }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,8 +11,6 @@
 	"github.com/rs/zerolog"
 
 	"oleandersill.example/oleandersill/internal/backend/backendhttp"
-	"oleandersill.example/oleandersill/internal/command/commandhttp"
-	"oleandersill.example/oleandersill/internal/command/configure"
 	"oleandersill.example/oleandersill/internal/command/drain"
 	"oleandersill.example/oleandersill/internal/command/execute"
 	"oleandersill.example/oleandersill/internal/command/report"
@@ -48,6 +46,8 @@
 	wg         sync.WaitGroup
 	control    *control.Part
 	drainer    *drain.Drainer
+	// stopCollector ends the removal of unused configuration parts.
+	stopCollector context.CancelFunc
 }
 
 // Start starts a daemon and returns once its listeners are open.
@@ -95,16 +95,14 @@
 	d.handleExecute(callers)
 	callers.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	operators := http.NewServeMux()
-	operators.Handle("POST /v1/config/apply", &commandhttp.Apply{
-		Configurer: &configure.Configurer{Store: d.platform, Now: time.Now},
-	})
+	d.handleConfig(operators)
 	d.handleDrain(operators)
 	d.handleStatus(callers, operators)
 	var err error
 	if d.callers, err = d.serve(d.settings.CallerAddress, callers); err != nil {
 		return err
 	}
-	d.operators, err = d.serve(d.settings.OperatorAddress, operators)
+	d.operators, err = d.serve(d.settings.OperatorAddress, d.guard(operators))
 	return err
 }
 
@@ -139,6 +137,7 @@
 	d.drainer.Begin("stop")
 	<-d.drainer.Done()
 	d.control.Close()
+	d.stopCollector()
 	d.wg.Wait()
 	d.executor.Close()
 	d.dispatcher.Close()
