--- a/internal/command/execute/claims.go
+++ b/internal/command/execute/claims.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -69,13 +70,13 @@
 	held, err := s.currentLease(ctx)
 	if err != nil {
 		// Only the grant may have had an effect; the claim was not written.
-		return 0, errors.Mark(errors.Newf("granting a lease: %v", err), platform.ErrUnavailable)
+		return 0, fmt.Errorf("execute: granting a lease: %w: %s", platform.ErrUnavailable, err.Error())
 	}
 	version, err := s.Store.Put(ctx, key.path(), value, expect, held.id)
 	if errors.Is(err, platform.ErrNotFound) {
 		// The store no longer has the lease. The next write takes a new one.
 		s.lease.CompareAndSwap(held, nil)
-		return 0, errors.Mark(errors.New("the claims' lease is gone"), platform.ErrUnavailable)
+		return 0, fmt.Errorf("execute: the claims' lease is gone: %w", platform.ErrUnavailable)
 	}
 	return version, err
 }
@@ -88,7 +89,7 @@
 	}
 	var r claim.Record
 	if err := json.Unmarshal(entry.Value, &r); err != nil {
-		return claim.Record{}, 0, errors.Mark(errors.Wrap(err, "execute"), ErrMalformedClaim)
+		return claim.Record{}, 0, fmt.Errorf("%w: %w", ErrMalformedClaim, err)
 	}
 	return r, entry.Version, nil
 }
--- a/internal/command/execute/send.go
+++ b/internal/command/execute/send.go
@@ -28,6 +28,9 @@
 		if !ok || (attempt > 1 && !d.Budgets.SpendRetry(time.Now())) {
 			return refusal
 		}
+		if attempt > 1 {
+			d.Metrics().Retry(c.Service.Name)
+		}
 		if cs[i].Probe {
 			records[i].StartProbe()
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"oleandersill.example/oleandersill/internal/query/scatter"
 	"oleandersill.example/oleandersill/internal/settings"
 	"oleandersill.example/oleandersill/internal/tables"
+	"oleandersill.example/oleandersill/internal/telemetry"
 )
 
 // Limits of every listener.
@@ -39,6 +40,7 @@
 	config     *tables.Config
 	dispatcher *dispatch.Dispatcher
 	executor   *execute.Executor
+	metrics    *telemetry.Metrics
 	platform   *platformhttp.Client
 	connector  *backendhttp.Connector
 	callers    *http.Server
@@ -59,13 +61,15 @@
 		connector: &backendhttp.Connector{Dial: o.dial},
 	}
 	recorder := &report.Recorder{Config: d.config, Servers: tables.NewServers(), Connector: d.connector, Policy: s.Policy}
+	d.metrics = telemetry.NewMetrics(d.sample)
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Zone:    s.Zone,
 		Region:  s.Region,
 		Workers: s.WorkersPerRank,
 		Policy:  s.Policy,
+		Metrics: d.metrics,
 		Seed:    uint64(time.Now().UnixNano()),
-	}, d.config, recorder.Servers, recorder)
+	}, d.config, recorder.Servers, &attemptObserver{next: recorder, metrics: d.metrics, log: d.log})
 	recorder.Admissions, recorder.Budgets = d.dispatcher.Admissions, d.dispatcher.Budgets
 	recorder.OnJoin = d.dispatcher.Warm
 	if err := d.listen(); err != nil {
@@ -88,11 +92,14 @@
 	}
 	d.startExecutor(incarnation)
 	callers := http.NewServeMux()
-	callers.Handle("POST /v1/services/{service}/query", &queryhttp.Search{Config: d.config, Searcher: searcher})
+	callers.Handle("POST /v1/services/{service}/query",
+		d.instrument(&queryhttp.Search{Config: d.config, Searcher: searcher}))
+	callers.Handle("GET /metrics", d.metrics)
 	d.handleExecute(callers)
 	callers.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	callers.HandleFunc("GET /readyz", d.readyz)
 	operators := http.NewServeMux()
+	operators.Handle("GET /metrics", d.metrics)
 	operators.Handle("POST /v1/config/apply", &commandhttp.Apply{
 		Configurer: &configure.Configurer{Store: d.platform, Now: time.Now},
 	})
@@ -154,5 +161,8 @@
 	d.dispatcher.Close()
 	d.connector.Close()
 	d.platform.Close()
+	if err := d.metrics.Close(); err != nil {
+		d.log.Warn().Err(err).Msg("metrics_incomplete")
+	}
 	d.log.Info().Msg("stopped")
 }
--- a/internal/daemon/execute.go
+++ b/internal/daemon/execute.go
@@ -23,5 +23,6 @@
 
 // handleExecute serves non-idempotent requests on the callers' port.
 func (d *Daemon) handleExecute(callers *http.ServeMux) {
-	callers.Handle("POST /v1/services/{service}/execute", &commandhttp.Execute{Config: d.config, Executor: d.executor})
+	callers.Handle("POST /v1/services/{service}/execute",
+		d.instrument(&commandhttp.Execute{Config: d.config, Executor: d.executor}))
 }
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -22,6 +22,16 @@
 // lasts.
 func (d *Dispatcher) Enter(
 	ctx context.Context, service model.ServiceName, w admission.Waiter, maxQueue time.Duration,
+) Admission {
+	a := d.enter(ctx, service, w, maxQueue)
+	if !a.Admitted() {
+		d.cfg.Metrics.Refusal(service, w.Rank, string(a.Reason))
+	}
+	return a
+}
+
+func (d *Dispatcher) enter(
+	ctx context.Context, service model.ServiceName, w admission.Waiter, maxQueue time.Duration,
 ) Admission {
 	now := time.Now()
 	ticket := d.Admissions.Arrive(service, w, now)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/pool"
 	"oleandersill.example/oleandersill/internal/tables"
+	"oleandersill.example/oleandersill/internal/telemetry"
 )
 
 // Observer is told what attempts showed about servers. It is called on a worker, without locks.
@@ -28,6 +29,8 @@
 	Workers int
 	// Policy is the policy of replica choice and limits.
 	Policy model.Policy
+	// Metrics counts refusals and cancellations; nil counts nothing.
+	Metrics *telemetry.Metrics
 	// Seed makes the replica draws reproducible.
 	Seed uint64
 }
@@ -126,6 +129,9 @@
 	}
 }
 
+// Metrics returns what counts hedges and retries; it may be nil, which counts nothing.
+func (d *Dispatcher) Metrics() *telemetry.Metrics { return d.cfg.Metrics }
+
 // end reports the end of an attempt that was sent at begin, gives its headroom back and returns its slowdown.
 func (d *Dispatcher) end(s *tables.Server, status backend.Status, begin time.Time, load backend.Load) float64 {
 	slowdown := d.observer.ObserveAttempt(s, status, time.Since(begin), load)
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -49,6 +49,7 @@
 			q.stop()
 			return
 		}
+		q.d.cfg.Metrics.Cancellation(q.Request.Service)
 		if q.sent.Load() && q.d.sendCancel(q.Server, q.Rank, q.Request.ID) {
 			// A server that does not act on the cancellation loses the connection.
 			q.d.Timer.Schedule(time.Now().Add(cancelTimeout), q.stop)
--- a/internal/platform/platformhttp/client.go
+++ b/internal/platform/platformhttp/client.go
@@ -11,6 +11,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,6 +32,7 @@
 	http     *http.Client
 	instance model.InstanceID
 	zone     model.AvailabilityZone
+	contact  atomic.Pointer[time.Time]
 }
 
 // New returns a client of the platform at address, host:port.
@@ -59,6 +61,14 @@
 	c.instance, c.zone = instance, zone
 }
 
+// LastContact returns when the platform last replied, or the zero time.
+func (c *Client) LastContact() time.Time {
+	if at := c.contact.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -169,6 +179,8 @@
 		return failure(err, method, connected)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	now := time.Now()
+	c.contact.Store(&now)
 	return decode(resp, method, into)
 }
 
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -216,6 +216,7 @@
 // retry sends a failed sub-request to another replica if the rules and the budget allow it.
 func (c *call) retry(i int, now time.Time) {
 	if c.mayResend(i) && c.searcher.spendRetry(now) {
+		c.searcher.Dispatcher.Metrics().Retry(c.req.Service.Name)
 		c.sendAgain(i, now)
 	}
 }
--- a/internal/query/scatter/hedge.go
+++ b/internal/query/scatter/hedge.go
@@ -80,6 +80,7 @@
 	if target == nil || !c.searcher.Dispatcher.Budgets.SpendHedge(c.req.Rank, now) {
 		return
 	}
+	c.searcher.Dispatcher.Metrics().Hedge(c.req.Service.Name)
 	c.send(i, target, now)
 	sh.hedgeAt = time.Time{}
 }
--- /dev/null
+++ b/internal/tables/state.go
@@ -0,0 +1,70 @@
+package tables
+
+import "oleandersill.example/oleandersill/internal/model"
+
+// ServerState classifies a server for operators.
+type ServerState string
+
+// The states of a server; the first that applies is reported.
+const (
+	ServerLeaving ServerState = "leaving"
+	ServerEjected ServerState = "ejected"
+	// ServerLimited: the in-flight limit is below the connection budget.
+	ServerLimited  ServerState = "limited"
+	ServerOrdinary ServerState = "ordinary"
+)
+
+// ServerStatus is a server's state with its attempts in flight and its in-flight limit.
+type ServerStatus struct {
+	Spec     *model.Server
+	State    ServerState
+	InFlight int
+	Limit    int
+}
+
+// Status returns the server's present status.
+func (s *Server) Status() ServerStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := ServerStatus{Spec: s.spec, State: ServerOrdinary, InFlight: s.inFlight, Limit: s.limit.Limit()}
+	switch {
+	case !s.leaving.IsZero() || s.spec.Leaving:
+		st.State = ServerLeaving
+	case s.health.Ejected():
+		st.State = ServerEjected
+	case st.Limit < s.budget:
+		st.State = ServerLimited
+	}
+	return st
+}
+
+// All returns the records of all servers, in no particular order.
+func (t *Servers) All() []*Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]*Server, 0, len(t.records))
+	for _, r := range t.records {
+		out = append(out, r)
+	}
+	return out
+}
+
+// QueueLength is the number of requests of one service and rank that wait for admission.
+type QueueLength struct {
+	Service model.ServiceName
+	Rank    model.Rank
+	Waiting int
+}
+
+// Lengths returns the lengths of all queues.
+func (t *Admissions) Lengths() []QueueLength {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []QueueLength
+	for service, q := range t.queues {
+		for r := range model.RankCount {
+			out = append(out, QueueLength{Service: service, Rank: model.Rank(r), Waiting: q.Waiting(model.Rank(r))})
+		}
+	}
+	return out
+}
