--- /dev/null
+++ b/internal/command/commandhttp/execute_test.go
@@ -0,0 +1,99 @@
+package commandhttp_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oleandersill.example/oleandersill/internal/command/commandhttp"
+	"oleandersill.example/oleandersill/internal/command/execute"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/tables"
+	"oleandersill.example/oleandersill/internal/testing/suite"
+)
+
+func TestCommandHTTP(t *testing.T) { suite.Run(t, "./internal/command/commandhttp") }
+
+// told answers every request with one answer and keeps the request.
+type told struct {
+	answer execute.Answer
+	asked  execute.Request
+}
+
+func (t *told) Execute(_ context.Context, req execute.Request) execute.Answer {
+	t.asked = req
+	return t.answer
+}
+
+func post(e commandhttp.Executor, body string, headers map[string]string) *httptest.ResponseRecorder {
+	config := tables.NewConfig()
+	config.Install(model.NewTopology(7, model.Inventory{Services: []model.ServiceSpec{{Name: "payouts"}}},
+		model.Rules{Deadlines: model.DeadlineRule{DefaultMs: 1000, MaxMs: 2000}}))
+	mux := http.NewServeMux()
+	mux.Handle("POST /v1/services/{service}/execute", &commandhttp.Execute{Config: config, Executor: e})
+	r := httptest.NewRequest(http.MethodPost, "/v1/services/payouts/execute", strings.NewReader(body))
+	r.Header.Set("X-Caller", "desk")
+	for name, value := range headers {
+		r.Header.Set(name, value)
+	}
+	w := httptest.NewRecorder()
+	mux.ServeHTTP(w, r)
+	return w
+}
+
+var _ = Describe("POST /v1/services/{service}/execute", func() {
+	DescribeTable("tells the outcome in status, headers and body",
+		func(a execute.Answer, status int, retryAfter, body string) {
+			a.RequestID = "r"
+			w := post(&told{answer: a}, `{"body":"b"}`, nil)
+			Expect(w.Code).To(Equal(status))
+			Expect(w.Header().Get("X-Outcome")).To(Equal(string(a.Outcome)))
+			Expect(w.Header().Get("Retry-After")).To(Equal(retryAfter))
+			Expect(w.Body.String()).To(MatchJSON(body))
+		},
+		Entry("done", answer(model.OutcomeComplete, "", "receipt", 0), 200, "",
+			`{"request_id":"r","outcome":"complete","config_revision":7,"result":"receipt","recorded":false}`),
+		Entry("not run", answer(model.OutcomeNotRun, "shed", "", 1500*time.Millisecond), 503, "2",
+			`{"request_id":"r","outcome":"not_run","reason":"shed","config_revision":7,"result":"","recorded":false,
+			"retry_after_ms":1500}`),
+		Entry("unknown", answer(model.OutcomeUnknown, "lost", "", time.Second), 504, "1",
+			`{"request_id":"r","outcome":"unknown","reason":"lost","config_revision":7,"result":"","recorded":false,
+			"retry_after_ms":1000}`),
+	)
+
+	DescribeTable("rejects a request with a typed 4xx",
+		func(rejection execute.Rejection, body, first, code string) {
+			w := post(&told{answer: execute.Answer{Rejection: rejection}}, body,
+				map[string]string{commandhttp.HeaderFirstAttempt: first})
+			Expect(w.Code).To(Equal(http.StatusBadRequest))
+			Expect(w.Body.String()).To(ContainSubstring(`"code":"` + code + `"`))
+		},
+		Entry("no key", execute.RejectMissingKey, `{}`, "", "missing_key"),
+		Entry("malformed key", execute.RejectMalformedKey, `{}`, "", "malformed_key"),
+		Entry("key from the future", execute.RejectKeyFromFuture, `{}`, "", "key_from_future"),
+		Entry("other content", execute.RejectOtherContent, `{}`, "", "key_used_for_other_content"),
+		Entry("unknown field", execute.RejectNone, `{"routing":"k"}`, "", "malformed_body"),
+		Entry("first attempt neither true nor false", execute.RejectNone, `{}`, "yes", "bad_first_attempt"),
+	)
+
+	It("passes on the key, the routing key and the statement of a first attempt", func() {
+		e := &told{answer: answer(model.OutcomeComplete, "", "", 0)}
+		post(e, `{"routing_key":"account-7","body":"b"}`, map[string]string{
+			"Idempotency-Key": "k", commandhttp.HeaderFirstAttempt: "true",
+		})
+		Expect([]any{e.asked.Key, e.asked.RoutingKey, e.asked.Body, e.asked.FirstAttempt}).
+			To(Equal([]any{"k", "account-7", "b", true}))
+	})
+})
+
+func answer(o model.Outcome, reason, result string, retryAfter time.Duration) execute.Answer {
+	return execute.Answer{ExecutionResult: tables.ExecutionResult{
+		Outcome: o, Reason: reason, Result: result, RetryAfter: retryAfter,
+	}}
+}
