--- /dev/null
+++ b/internal/measure/measure_test.go
@@ -0,0 +1,65 @@
+package measure
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/testing/suite"
+)
+
+func TestMeasure(t *testing.T) { suite.Run(t, "./internal/measure") }
+
+var _ = Describe("the driver's arithmetic", func() {
+	DescribeTable("median", func(values []float64, want float64) { Expect(median(values)).To(Equal(want)) },
+		Entry("none", nil, 0.0),
+		Entry("odd, unsorted", []float64{9, 1, 5}, 5.0),
+		Entry("even", []float64{4, 1, 3, 2}, 2.5),
+	)
+
+	It("takes the capacity from the shard with the fewest slots", func() {
+		shard := func(slots ...int) model.ShardSpec {
+			var sh model.ShardSpec
+			for _, n := range slots {
+				sh.Servers = append(sh.Servers, model.ServerSpec{Slots: n})
+			}
+			return sh
+		}
+		svc := &model.ServiceSpec{Shards: []model.ShardSpec{shard(2, 2), shard(2, 1), shard(4)}}
+		Expect(capacity(svc, 0.02)).To(BeNumerically("~", 150, 1e-9))
+	})
+
+	It("compares a bound with another row only if that row was measured", func() {
+		bound := p99Against("x", 1.3, ofSteady)
+		own := map[rowRank]*Row{urgent: {P99: 130}}
+		Expect(bound.result(&board{own: own}).Holds).To(Equal(notEvaluated))
+		steady := map[rowRank]*Row{urgent: {P99: 100}}
+		Expect(bound.result(&board{own: own, steady: steady}).Holds).To(Equal(holdsYes))
+		own[urgent].P99 = 131
+		Expect(bound.result(&board{own: own, steady: steady}).Holds).To(Equal(holdsNo))
+	})
+
+	It("bounds a rank by its offered load when that is less than its share", func() {
+		bound := keepsShare("x", standard, 0.95)
+		b := &board{capacity: 200, rules: model.Rules{Ranks: []model.RankRule{{Rank: "standard", MinShare: 0.5}}}}
+		b.own = map[rowRank]*Row{standard: {OfferedRate: 40, Offered: 400, Complete: 381}}
+		r := bound.result(b)
+		Expect(r.Limit).To(BeNumerically("~", 38, 1e-9))
+		Expect(r.Holds).To(Equal(holdsYes))
+	})
+
+	It("runs two scenarios at once at the lower load, unless one is a flood", func() {
+		two, err := FindScenario("straggler+version-roll")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(two.Shape).To(Equal(lossShape))
+		Expect(two.Faults).To(HaveLen(2))
+		two, err = FindScenario("flood-low+replica-loss")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(two.Shape[model.RankDeferred]).To(Equal(float64(floodFactor)))
+		Expect(two.Shape[model.RankUrgent]).To(Equal(lossShape[model.RankUrgent]))
+		_, err = FindScenario("none")
+		Expect(err).To(MatchError(ErrUsage))
+	})
+})
--- /dev/null
+++ b/internal/measure/observe/observe_test.go
@@ -0,0 +1,155 @@
+package observe
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/standin/backendserver"
+	"oleandersill.example/oleandersill/internal/testing/suite"
+)
+
+func TestObserve(t *testing.T) { suite.Run(t, "./internal/measure/observe") }
+
+const text = "query-7"
+
+var maps = ShardMaps{1: {"a": 0.5, "b": 0.25, "c": 0.25}}
+
+func items(shards ...model.ShardName) []model.Item {
+	var out []model.Item
+	for _, sh := range shards {
+		out = append(out, backendserver.Generate(
+			backendserver.Content{Shard: sh, Epoch: 1, Version: 3, Text: text, Items: 2}, 2)...)
+	}
+	return out
+}
+
+// truthful returns a right answer of the given shards.
+func truthful(shards ...model.ShardName) *Answer {
+	a := &Answer{Text: text, Whole: true}
+	a.Body.Epoch, a.Body.Version, a.Body.Outcome = 1, 3, model.OutcomePartial
+	a.Body.Items = items(shards...)
+	a.Body.Coverage = model.Coverage{ShardsAsked: 3, ShardsAnswered: len(shards)}
+	for name, f := range maps[1] {
+		if contains(shards, name) {
+			a.Body.Coverage.Fraction += f
+		} else {
+			a.Body.Coverage.Missing = append(a.Body.Coverage.Missing, name)
+		}
+	}
+	if len(shards) == len(maps[1]) {
+		a.Body.Outcome, a.Body.Coverage.Complete = model.OutcomeComplete, true
+	}
+	return a
+}
+
+func contains(list []model.ShardName, name model.ShardName) bool {
+	for _, s := range list {
+		if s == name {
+			return true
+		}
+	}
+	return false
+}
+
+// seal fills the headers from the body, as a daemon does.
+func seal(a *Answer) *Answer {
+	a.HeaderOutcome = string(a.Body.Outcome)
+	a.HeaderCoverage = strconv.FormatFloat(a.Body.Coverage.Fraction, 'f', 6, 64)
+	return a
+}
+
+var _ = Describe("the check of an answer", func() {
+	DescribeTable("finds each kind of false answer and no other",
+		func(shards []model.ShardName, spoil func(*Answer), want Violations) {
+			a := truthful(shards...)
+			spoil(a)
+			Expect(CheckAnswer(seal(a), maps)).To(Equal(want))
+		},
+		Entry("whole", []model.ShardName{"a", "b", "c"}, func(*Answer) {}, Violations{}),
+		Entry("honestly partial", []model.ShardName{"a"}, func(*Answer) {}, Violations{}),
+		Entry("nothing answered", []model.ShardName{}, func(a *Answer) { a.Body.Outcome = model.OutcomeFailed }, Violations{}),
+		Entry("two versions", []model.ShardName{"a", "b", "c"}, func(a *Answer) {
+			a.Body.Items[0].Body = fmt.Sprintf("a/1/2/%s", text)
+		}, Violations{MixedSnapshot: 1}),
+		Entry("another shard map's item", []model.ShardName{"a", "b", "c"}, func(a *Answer) {
+			a.Body.Items[0].Body = fmt.Sprintf("a/2/3/%s", text)
+		}, Violations{MixedSnapshot: 1}),
+		Entry("another query's items", []model.ShardName{"a", "b", "c"}, func(a *Answer) {
+			a.Body.Items[0].Body = "a/1/3/query-8"
+		}, Violations{CrossedAnswer: 1}),
+		Entry("complete without a shard's items", []model.ShardName{"a", "b", "c"}, func(a *Answer) {
+			a.Body.Items = items("a", "b")
+		}, Violations{FalseCoverage: 1}),
+		Entry("complete with a shard named missing", []model.ShardName{"a", "b"}, func(a *Answer) {
+			a.Body.Outcome = model.OutcomeComplete
+		}, Violations{FalseCoverage: 1}),
+		Entry("partial with a wrong fraction", []model.ShardName{"a"}, func(a *Answer) {
+			a.Body.Coverage.Fraction = 0.9
+		}, Violations{FalseCoverage: 1}),
+		Entry("not run, with items", []model.ShardName{"a"}, func(a *Answer) {
+			a.Body.Outcome = model.OutcomeNotRun
+		}, Violations{FalseCoverage: 1}),
+		Entry("no whole response", []model.ShardName{}, func(a *Answer) { a.Whole = false }, Violations{CutOff: 1}),
+	)
+
+	It("finds a header that says more than the body", func() {
+		a := seal(truthful("a"))
+		a.HeaderOutcome = string(model.OutcomeComplete)
+		Expect(CheckAnswer(a, maps)).To(Equal(Violations{FalseCoverage: 1}))
+	})
+
+	It("finds an answer at a revision below one seen before it was sent", func() {
+		c := NewCollector(maps)
+		newer, older := seal(truthful("a")), seal(truthful("a"))
+		newer.Body.Revision, older.Body.Revision = 2, 1
+		c.Take(newer, 0)
+		c.Take(older, 0) // sent before the newer answer came, so no reversion
+		c.Take(older, c.Revision(0))
+		total := Violations{}
+		for _, s := range c.Samples() {
+			total.Add(s.Violations)
+		}
+		Expect(total).To(Equal(Violations{ConfigReverted: 1}))
+	})
+})
+
+var _ = Describe("figures", func() {
+	It("counts load from the records and goodput by the time of the answer", func() {
+		samples := []Sample{
+			{At: -100 * time.Millisecond, Latency: 200 * time.Millisecond, Outcome: model.OutcomeComplete},
+			{At: 0, Latency: 100 * time.Millisecond, Outcome: model.OutcomeComplete, Coverage: 1, Request: "1", Shards: 4},
+			{At: time.Second, Latency: 300 * time.Millisecond, Outcome: model.OutcomePartial, Coverage: 0.5, Request: "2", Shards: 4},
+			{At: 1500 * time.Millisecond, Latency: time.Second, Outcome: model.OutcomeComplete, Coverage: 1, Request: "3", Shards: 4},
+			{At: 1600 * time.Millisecond, Outcome: model.OutcomeNotRun, Request: "4"},
+			{At: 1700 * time.Millisecond, Outcome: model.OutcomeNotRun, Request: "5"},
+		}
+		executions := Executions{"1": 4, "2": 5, "3": 6, "5": 1, "other": 9}
+		f := Compute(samples, executions, 2*time.Second, func(*Sample) bool { return true })
+		Expect(f.Offered).To(Equal(5))
+		Expect(f.ExtraLoad).To(Equal(15.0 / 12))
+		Expect(f.Coverage).To(BeNumerically("~", 2.5/3, 1e-9))
+		Expect(f.CoverageOffered).To(Equal(0.5))
+		Expect(f.Goodput).To(Equal(1.0)) // the warm-up's and the first; the last came after the measured time
+		Expect(f.LastIncomplete).To(Equal(1700 * time.Millisecond))
+		Expect(f.P50).To(BeNumerically("~", 300, 1))
+		Expect(f.Violations).To(Equal(Violations{FalseNotRun: 1}))
+	})
+
+	It("finds late work on a leaving server and a key that ran twice", func() {
+		left := time.Now()
+		at := func(d time.Duration) backendserver.Execution {
+			return backendserver.Execution{Server: "s", Attempt: backend.AttemptID{Request: "1"}, Start: left.Add(d)}
+		}
+		v := CheckRecord(
+			[]backendserver.Execution{at(-time.Second), at(leaveBound), at(leaveBound + time.Millisecond)},
+			map[string]int{"once": 1, "twice": 2}, Leaves{"s": left})
+		Expect(v).To(Equal(Violations{WorkAfterLeave: 1, DoubleRun: 1}))
+	})
+})
