Measure cold joins, repartitioning and two faults at once

Servers join by a change of the configuration and are slow for 3 s; a repartition gives the servers the new shard map beside the old one, changes the configuration, and drops the old map 3 s later. Every scenario is bounded by no violation of a guarantee.

--- a/internal/measure/bounds.go
+++ b/internal/measure/bounds.go
@@ -165,6 +165,15 @@
 	return []Bound{recovered("whole again within 5 s of healing", faultAt+cutTime+5*time.Second)}
 }
 
+func coldStartBounds() []Bound {
+	return []Bound{p99Against("urgent p99 <= 1.2x steady", 1.2, ofSteady)}
+}
+
+// noViolation bounds every scenario.
+func noViolation() Bound {
+	return atMost("no violation of a guarantee", all, 0, func(r *Row) float64 { return float64(r.Violations.Total()) })
+}
+
 func falseHealthBounds() []Bound {
 	return []Bound{p99Against("urgent p99 <= 1.5x the value with honest reports (steady)", 1.5, ofSteady)}
 }
--- a/internal/measure/calibrate.go
+++ b/internal/measure/calibrate.go
@@ -63,7 +63,7 @@
 	done := &counter{mu: lockorder.New(locks.OrderCounter)}
 	begin := time.Now()
 	var pools []*pool.Pool
-	shards := serviceOf(c.Inventory(), d.deployment.service.Name).Shards
+	shards := c.Service(d.deployment.service.Name).Shards
 	for i := range shards {
 		for j := range shards[i].Servers {
 			pools = append(pools, saturate(ctx, connector, &shards[i], &shards[i].Servers[j], begin.Add(calibrationTime), done))
@@ -94,12 +94,3 @@
 		}, time.Now().Before(end)
 	})
 }
-
-func serviceOf(inv model.Inventory, name model.ServiceName) *model.ServiceSpec {
-	for i := range inv.Services {
-		if inv.Services[i].Name == name {
-			return &inv.Services[i]
-		}
-	}
-	return nil
-}
--- a/internal/measure/cluster/cluster.go
+++ b/internal/measure/cluster/cluster.go
@@ -36,17 +36,21 @@
 	// Platform is the platform's stand-in.
 	Platform *platformserver.Server
 
+	revision model.Revision
+	records  map[model.ServiceName]*backendserver.Record
+	daemons  []*daemon.Daemon
+	zones    []model.ZoneSpec
+	platform *http.Server
+	log      zerolog.Logger
+
+	// editing holds a token while a fault edits the configuration, which includes I/O.
+	editing chan struct{}
+
+	// mu guards inventory, servers and leaves.
+	mu        lockorder.Mutex
 	inventory model.Inventory
-	revision  model.Revision
 	servers   map[model.ServerName]*backendserver.Server
-	records   map[model.ServiceName]*backendserver.Record
-	daemons   []*daemon.Daemon
-	zones     []model.ZoneSpec
-	platform  *http.Server
-	log       zerolog.Logger
-
-	mu     lockorder.Mutex
-	leaves map[model.ServerName]time.Time
+	leaves    map[model.ServerName]time.Time
 }
 
 // Start starts a cluster and returns once all daemons have the configuration in force.
@@ -58,7 +62,8 @@
 		servers:  map[model.ServerName]*backendserver.Server{},
 		records:  map[model.ServiceName]*backendserver.Record{},
 		log:      log,
-		mu:       lockorder.New(locks.OrderLeaves),
+		editing:  make(chan struct{}, 1),
+		mu:       lockorder.New(locks.OrderCluster),
 		leaves:   map[model.ServerName]time.Time{},
 	}
 	if err := c.start(ctx); err != nil {
@@ -69,7 +74,8 @@
 }
 
 func (c *Cluster) start(ctx context.Context) error {
-	if err := c.startServers(); err != nil {
+	inv, err := c.startServers()
+	if err != nil {
 		return err
 	}
 	platformAddress, err := c.startPlatform(ctx)
@@ -79,39 +85,36 @@
 	if err := c.startDaemons(platformAddress); err != nil {
 		return err
 	}
-	if err := c.Apply(ctx, c.inventory, c.cfg.Rules); err != nil {
+	c.Platform.SetInstances(instances(inv))
+	if err := c.Apply(ctx, inv, c.cfg.Rules); err != nil {
 		return err
 	}
 	return c.awaitRevision(ctx)
 }
 
-// startServers starts a stand-in for every server and fills the inventory with their addresses.
-func (c *Cluster) startServers() error {
-	c.inventory = cloneInventory(c.cfg.Inventory)
-	regions := map[model.AvailabilityZone]model.Region{}
-	for _, z := range c.inventory.Zones {
-		regions[z.Name] = z.Region
-	}
+// startServers starts a stand-in for every server and returns the inventory with their addresses.
+func (c *Cluster) startServers() (model.Inventory, error) {
+	inv := cloneInventory(c.cfg.Inventory)
 	seed := c.cfg.Seed
-	for i := range c.inventory.Services {
-		svc := &c.inventory.Services[i]
+	for i := range inv.Services {
+		svc := &inv.Services[i]
 		c.records[svc.Name] = backendserver.NewRecord()
 		for j := range svc.Shards {
 			for k := range svc.Shards[j].Servers {
 				seed++
 				spec := &svc.Shards[j].Servers[k]
-				if err := c.startServer(svc, svc.Shards[j].Name, spec, seed); err != nil {
-					return err
+				if err := c.startServer(svc, svc.Shards[j].Name, spec, seed, Coldness{}); err != nil {
+					return inv, err
 				}
-				c.Network.Register(spec.Address, Place{Zone: spec.Zone, Region: regions[spec.Zone]})
 			}
 		}
 	}
-	return nil
+	return inv, nil
 }
 
+// startServer starts a stand-in and sets its address in the inventory's entry.
 func (c *Cluster) startServer(
-	svc *model.ServiceSpec, shard model.ShardName, spec *model.ServerSpec, seed uint64,
+	svc *model.ServiceSpec, shard model.ShardName, spec *model.ServerSpec, seed uint64, cold Coldness,
 ) error {
 	cfg := backendserver.Config{
 		Name:           spec.Name,
@@ -127,18 +130,26 @@
 		ConnectionCost: time.Duration(spec.ConnectionCostMs * float64(time.Millisecond)),
 		Record:         c.records[svc.Name],
 	}
-	if c.cfg.Cold[spec.Name] {
-		cfg.ColdFor, cfg.ColdFactor = c.cfg.ColdFor, c.cfg.ColdFactor
-	}
+	cfg.ColdFor, cfg.ColdFactor = cold.For, cold.Factor
 	s := backendserver.New(cfg)
-	c.servers[spec.Name] = s
+	c.addServer(spec.Name, s)
 	if err := s.Start(loopback); err != nil {
 		return err
 	}
 	spec.Address = s.Address()
+	c.Network.Register(spec.Address, Place{Zone: spec.Zone, Region: c.region(spec.Zone)})
 	return nil
 }
 
+func (c *Cluster) region(zone model.AvailabilityZone) model.Region {
+	for _, z := range c.cfg.Inventory.Zones {
+		if z.Name == zone {
+			return z.Region
+		}
+	}
+	return ""
+}
+
 func (c *Cluster) startPlatform(ctx context.Context) (string, error) {
 	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", loopback)
 	if err != nil {
@@ -156,7 +167,7 @@
 
 func (c *Cluster) startDaemons(platformAddress string) error {
 	for i := range c.cfg.Daemons {
-		zone := c.inventory.Zones[i%len(c.inventory.Zones)]
+		zone := c.cfg.Inventory.Zones[i%len(c.cfg.Inventory.Zones)]
 		s := settings.Defaults()
 		s.Instance = model.InstanceID(fmt.Sprintf("entry-%d", i))
 		s.Zone, s.Region = zone.Name, zone.Region
@@ -173,13 +184,12 @@
 		c.daemons = append(c.daemons, d)
 		c.zones = append(c.zones, zone)
 	}
-	c.Platform.SetInstances(c.instances())
 	return nil
 }
 
-func (c *Cluster) instances() []platform.Instance {
+func instances(inv model.Inventory) []platform.Instance {
 	var list []platform.Instance
-	for _, svc := range c.inventory.Services {
+	for _, svc := range inv.Services {
 		for _, sh := range svc.Shards {
 			for _, s := range sh.Servers {
 				list = append(list, platform.Instance{
@@ -199,10 +209,30 @@
 func (c *Cluster) Record(service model.ServiceName) *backendserver.Record { return c.records[service] }
 
 // Server returns the stand-in of a server.
-func (c *Cluster) Server(name model.ServerName) *backendserver.Server { return c.servers[name] }
+func (c *Cluster) Server(name model.ServerName) *backendserver.Server {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.servers[name]
+}
+
+func (c *Cluster) addServer(name model.ServerName, s *backendserver.Server) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.servers[name] = s
+}
+
+// Inventory returns a copy of the inventory last applied, with the stand-ins' addresses.
+func (c *Cluster) Inventory() model.Inventory {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return cloneInventory(c.inventory)
+}
 
-// Inventory returns the inventory in force, with the stand-ins' addresses.
-func (c *Cluster) Inventory() model.Inventory { return c.inventory }
+func (c *Cluster) setInventory(inv model.Inventory) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inventory = inv
+}
 
 // Leaves returns when servers that were told to leave were told so.
 func (c *Cluster) Leaves() map[model.ServerName]time.Time {
--- a/internal/measure/cluster/config.go
+++ b/internal/measure/cluster/config.go
@@ -20,8 +20,4 @@
 	// Items is the number of matches in each shard.
 	Items int
 	Seed  uint64
-	// Cold names servers that are started cold: they take ColdFactor times as long for ColdFor.
-	Cold       map[model.ServerName]bool
-	ColdFor    time.Duration
-	ColdFactor float64
 }
--- a/internal/measure/cluster/configure.go
+++ b/internal/measure/cluster/configure.go
@@ -40,10 +40,21 @@
 		return errors.Newf("cluster: configuration %s: %s", reply.Verdict, reply.Detail)
 	}
 	c.revision = reply.Root.Revision
-	c.inventory = inv
+	c.setInventory(inv)
 	return nil
 }
 
+// edit changes the inventory in force, one edit at a time.
+func (c *Cluster) edit(ctx context.Context, change func(*model.Inventory) error) error {
+	c.editing <- struct{}{}
+	defer func() { <-c.editing }()
+	inv := c.Inventory()
+	if err := change(&inv); err != nil {
+		return err
+	}
+	return c.Apply(ctx, inv, c.cfg.Rules)
+}
+
 // awaitRevision waits until every daemon is ready.
 func (c *Cluster) awaitRevision(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
--- a/internal/measure/cluster/faults.go
+++ b/internal/measure/cluster/faults.go
@@ -39,10 +39,10 @@
 
 // Inject implements Fault.
 func (f ReplicaLoss) Inject(_ context.Context, c *Cluster, service model.ServiceName, rnd *rand.Rand) error {
-	shards := c.service(service).Shards
+	shards := c.Service(service).Shards
 	for _, i := range rnd.Perm(len(shards))[:portion(len(shards), f.Share)] {
 		victim := shards[i].Servers[rnd.IntN(len(shards[i].Servers))]
-		c.servers[victim.Name].Crash()
+		c.Server(victim.Name).Crash()
 	}
 	return nil
 }
@@ -77,7 +77,7 @@
 
 // Inject implements Fault.
 func (f ZoneCut) Inject(ctx context.Context, c *Cluster, _ model.ServiceName, _ *rand.Rand) error {
-	zone := c.inventory.Zones[f.Zone].Name
+	zone := c.cfg.Inventory.Zones[f.Zone].Name
 	c.Network.Cut(zone)
 	defer c.Network.Heal(zone)
 	return sleep(f.For, ctx.Done())
@@ -123,23 +123,3 @@
 func portion(n int, share float64) int {
 	return min(n, max(1, int(math.Round(float64(n)*share))))
 }
-
-func (c *Cluster) service(name model.ServiceName) *model.ServiceSpec {
-	for i := range c.inventory.Services {
-		if c.inventory.Services[i].Name == name {
-			return &c.inventory.Services[i]
-		}
-	}
-	panic("cluster: no service " + string(name))
-}
-
-// serviceServers returns the stand-ins of a service, in inventory order.
-func (c *Cluster) serviceServers(name model.ServiceName) []*backendserver.Server {
-	var out []*backendserver.Server
-	for _, sh := range c.service(name).Shards {
-		for _, s := range sh.Servers {
-			out = append(out, c.servers[s.Name])
-		}
-	}
-	return out
-}
--- /dev/null
+++ b/internal/measure/cluster/membership.go
@@ -0,0 +1,136 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/standin/backendserver"
+)
+
+// Coldness makes a server take Factor times as long for a while after its start.
+type Coldness struct {
+	For    time.Duration
+	Factor float64
+}
+
+// ColdJoin adds a cold server to each of a share of the shards, by a change of the configuration.
+type ColdJoin struct {
+	Share float64
+	Cold  Coldness
+}
+
+// Inject implements Fault.
+func (f ColdJoin) Inject(ctx context.Context, c *Cluster, service model.ServiceName, rnd *rand.Rand) error {
+	return c.edit(ctx, func(inv *model.Inventory) error {
+		svc := findService(inv, service)
+		for _, i := range rnd.Perm(len(svc.Shards))[:portion(len(svc.Shards), f.Share)] {
+			sh := &svc.Shards[i]
+			spec := sh.Servers[0]
+			spec.Name += "-joined"
+			spec.Zone = freeZone(inv.Zones, sh.Servers)
+			if err := c.startServer(svc, sh.Name, &spec, rnd.Uint64(), f.Cold); err != nil {
+				return err
+			}
+			sh.Servers = append(sh.Servers, spec)
+		}
+		c.Platform.SetInstances(instances(*inv))
+		return nil
+	})
+}
+
+// freeZone returns a zone that none of the servers is in, or the last one.
+func freeZone(zones []model.ZoneSpec, servers []model.ServerSpec) model.AvailabilityZone {
+	used := map[model.AvailabilityZone]bool{}
+	for _, s := range servers {
+		used[s.Zone] = true
+	}
+	for _, z := range zones {
+		if !used[z.Name] {
+			return z.Name
+		}
+	}
+	return zones[len(zones)-1].Name
+}
+
+// Repartition splits the first shard and merges the two after it, as operators would: the servers take up the new shard
+// map beside the old one, the configuration changes, and after Keep the servers drop the old map.
+type Repartition struct {
+	Keep time.Duration
+}
+
+// Inject implements Fault.
+func (f Repartition) Inject(ctx context.Context, c *Cluster, service model.ServiceName, _ *rand.Rand) error {
+	err := c.edit(ctx, func(inv *model.Inventory) error {
+		svc := findService(inv, service)
+		*svc = Repartitioned(*svc)
+		c.hold(svc, 1)
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if err := sleep(f.Keep, ctx.Done()); err != nil {
+		return err
+	}
+	c.hold(c.Service(service), 0)
+	return nil
+}
+
+// hold makes the servers hold their shards of the service's map, and retain so many earlier maps.
+func (c *Cluster) hold(svc *model.ServiceSpec, retain int) {
+	for _, sh := range svc.Shards {
+		for _, spec := range sh.Servers {
+			c.Server(spec.Name).Repartition(sh.Name, svc.ShardMapEpoch, retain)
+		}
+	}
+}
+
+// Repartitioned returns the service under the next shard map: the first shard is split in halves, the two after it are
+// merged, and the servers of the third take over a half. A service of fewer than three shards only gets the next epoch.
+func Repartitioned(svc model.ServiceSpec) model.ServiceSpec {
+	out := svc
+	out.ShardMapEpoch++
+	if len(svc.Shards) < 3 {
+		return out
+	}
+	first, second, third := svc.Shards[0], svc.Shards[1], svc.Shards[2]
+	middle := (first.KeyFrom + first.KeyTo) / 2
+	out.Shards = append([]model.ShardSpec{
+		{Name: first.Name + "-low", KeyFrom: first.KeyFrom, KeyTo: middle, Servers: first.Servers},
+		{Name: first.Name + "-high", KeyFrom: middle, KeyTo: first.KeyTo, Servers: third.Servers},
+		{
+			Name:    model.ShardName(fmt.Sprintf("%s-%s", second.Name, third.Name)),
+			KeyFrom: second.KeyFrom, KeyTo: third.KeyTo, Servers: second.Servers,
+		},
+	}, svc.Shards[3:]...)
+	return out
+}
+
+func findService(inv *model.Inventory, name model.ServiceName) *model.ServiceSpec {
+	for i := range inv.Services {
+		if inv.Services[i].Name == name {
+			return &inv.Services[i]
+		}
+	}
+	panic("cluster: no service " + string(name))
+}
+
+// Service returns a copy of a service of the inventory in force.
+func (c *Cluster) Service(name model.ServiceName) *model.ServiceSpec {
+	inv := c.Inventory()
+	return findService(&inv, name)
+}
+
+// serviceServers returns the stand-ins of a service, in inventory order.
+func (c *Cluster) serviceServers(name model.ServiceName) []*backendserver.Server {
+	var out []*backendserver.Server
+	for _, sh := range c.Service(name).Shards {
+		for _, s := range sh.Servers {
+			out = append(out, c.Server(s.Name))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/measure/cluster/network_test.go
@@ -0,0 +1,47 @@
+package cluster
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oleandersill.example/oleandersill/internal/testing/suite"
+)
+
+func TestCluster(t *testing.T) { suite.Run(t, "./internal/measure/cluster") }
+
+var _ = Describe("the network between zones", func() {
+	It("delays each message once and holds messages while a zone is cut", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		go func() {
+			c, err := l.Accept()
+			if err == nil {
+				_, _ = io.Copy(c, c)
+			}
+		}()
+		n := NewNetwork()
+		n.Register(l.Addr().String(), Place{Zone: "b", Region: "far"})
+		c, err := n.Dialer(Place{Zone: "a", Region: "near"})(context.Background(), "tcp", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		echo := func() time.Duration {
+			begin := time.Now()
+			_, err := c.Write([]byte("query"))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.ReadFull(c, make([]byte, 5))
+			Expect(err).NotTo(HaveOccurred())
+			return time.Since(begin)
+		}
+		Expect(echo()).To(And(BeNumerically(">=", 2*latencyRegions), BeNumerically("<", 3*latencyRegions)))
+		n.Cut("a")
+		time.AfterFunc(100*time.Millisecond, func() { n.Heal("a") })
+		Expect(echo()).To(BeNumerically(">=", 100*time.Millisecond))
+	})
+})
--- a/internal/measure/driver.go
+++ b/internal/measure/driver.go
@@ -30,7 +30,7 @@
 
 // Run runs the scenarios of the options and writes their rows to out as they are measured, and progress to errOut.
 func Run(ctx context.Context, o Options, out, errOut io.Writer) error {
-	chosen, err := expand(o.Scenarios)
+	chosen, err := expand(o.Scenarios, o.Seed)
 	if err != nil {
 		return err
 	}
@@ -122,9 +122,9 @@
 	b := &board{
 		own: own, baseline: rows[model.PolicyBaseline], steady: steady, capacity: d.capacity, rules: d.deployment.rules,
 	}
-	for i := range s.Bounds {
-		row := own[s.Bounds[i].Rank]
-		row.Bounds = append(row.Bounds, s.Bounds[i].result(b))
+	for _, bound := range append(s.Bounds, noViolation()) {
+		row := own[bound.Rank]
+		row.Bounds = append(row.Bounds, bound.result(b))
 	}
 }
 
--- a/internal/measure/locks/doc.go
+++ b/internal/measure/locks/doc.go
@@ -16,6 +16,6 @@
 	OrderCollector
 	// OrderCounter: the count of a calibration.
 	OrderCounter
-	// OrderLeaves: cluster.Cluster, when servers began to leave.
-	OrderLeaves
+	// OrderCluster: cluster.Cluster, the inventory applied, the servers, and when servers began to leave.
+	OrderCluster
 )
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -51,15 +51,15 @@
 	})
 
 	It("runs two scenarios at once at the lower load, unless one is a flood", func() {
-		two, err := FindScenario("straggler+version-roll")
+		two, err := FindScenario("straggler+version-roll", 1)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(two.Shape).To(Equal(lossShape))
 		Expect(two.Faults).To(HaveLen(2))
-		two, err = FindScenario("flood-low+replica-loss")
+		two, err = FindScenario("flood-low+replica-loss", 1)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(two.Shape[model.RankDeferred]).To(Equal(float64(floodFactor)))
 		Expect(two.Shape[model.RankUrgent]).To(Equal(lossShape[model.RankUrgent]))
-		_, err = FindScenario("none")
+		_, err = FindScenario("none", 1)
 		Expect(err).To(MatchError(ErrUsage))
 	})
 })
--- a/internal/measure/round.go
+++ b/internal/measure/round.go
@@ -92,6 +92,7 @@
 func (d *driver) shardMaps() observe.ShardMaps {
 	maps := observe.ShardMaps{}
 	maps.Add(*d.deployment.service)
+	maps.Add(cluster.Repartitioned(*d.deployment.service))
 	return maps
 }
 
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -72,7 +73,10 @@
 // steadyName is the scenario that others are compared with.
 const steadyName = "steady"
 
-// scenarios is the table of scenarios, in the order in which "all" runs them.
+// twoAtOnce stands for two scenarios at once that the seed picks.
+const twoAtOnce = "two-at-once"
+
+// scenarios is the table of scenarios, in the order in which "all" runs them. Steady is the first.
 func scenarios() []Scenario {
 	return []Scenario{
 		{Name: steadyName, Shape: steadyShape, Bounds: steadyBounds()},
@@ -98,11 +102,24 @@
 			Name: "false-health", Shape: steadyShape, Bounds: falseHealthBounds(),
 			Faults: []TimedFault{{Fault: cluster.FalseReports{}}},
 		},
+		{
+			Name: "cold-start", Shape: steadyShape, Bounds: coldStartBounds(),
+			Faults: []TimedFault{{At: faultAt, Fault: cluster.ColdJoin{
+				Share: 0.25, Cold: cluster.Coldness{For: 3 * time.Second, Factor: 5},
+			}}},
+		},
+		{
+			Name: "repartition", Shape: steadyShape,
+			Faults: []TimedFault{{At: faultAt, Fault: cluster.Repartition{Keep: 3 * time.Second}}},
+		},
 	}
 }
 
-// FindScenario returns the named scenario; NAME+NAME gives both at once, with the violations as the only bound.
-func FindScenario(name string) (Scenario, error) {
+// FindScenario returns the named scenario; NAME+NAME gives both at once, and two-at-once two that the seed picks.
+func FindScenario(name string, seed uint64) (Scenario, error) {
+	if name == twoAtOnce {
+		name = pickTwo(seed)
+	}
 	parts := strings.Split(name, "+")
 	out := Scenario{Name: name}
 	for _, part := range parts {
@@ -127,6 +144,14 @@
 	s.Least = max(s.Least, other.Least)
 }
 
+// pickTwo returns the names of two scenarios with faults or floods, by the seed.
+func pickTwo(seed uint64) string {
+	rnd := rand.New(rand.NewPCG(seed, 0)) //nolint:gosec // a choice of faults needs no secrecy
+	table := scenarios()
+	order := rnd.Perm(len(table) - 1)
+	return table[1+order[0]].Name + "+" + table[1+order[1]].Name
+}
+
 // joinLoad returns a flood if there is one, and the lower of two loads otherwise.
 func joinLoad(a, b float64) float64 {
 	switch {
@@ -137,13 +162,13 @@
 }
 
 // expand returns the scenarios to run; "all" stands for the whole table.
-func expand(names []string) ([]Scenario, error) {
+func expand(names []string, seed uint64) ([]Scenario, error) {
+	var out []Scenario
 	if slices.Contains(names, "all") {
-		return scenarios(), nil
+		out, names = scenarios(), []string{twoAtOnce}
 	}
-	var out []Scenario
 	for _, name := range names {
-		s, err := FindScenario(name)
+		s, err := FindScenario(name, seed)
 		if err != nil {
 			return nil, err
 		}
