Split the daemons' processor time for a sub-request by a profile

Daemons, stand-ins and callers share one process, so with -cpu the driver labels the goroutines of each part, profiles the rounds, and states the daemons' time for decision, codec and network. Time that no goroutine accounts for is charged by the daemons' share of the labelled time.

--- a/internal/archtest/imports_test.go
+++ b/internal/archtest/imports_test.go
@@ -63,6 +63,8 @@
 		Entry("the tool's queries on commands", "internal/cli/query", "internal/command"),
 		Entry("dispatch on queries", "internal/dispatch", "internal/query"),
 		Entry("dispatch on commands", "internal/dispatch", "internal/command"),
+		Entry("the driver's commands on its queries", "internal/measure/cluster", "internal/measure/observe"),
+		Entry("the driver's queries on its commands", "internal/measure/observe", "internal/measure/cluster"),
 		Entry("the daemon's code on the stand-ins", "internal/daemon", "internal/standin"),
 	)
 
--- a/internal/measure/cluster/cluster.go
+++ b/internal/measure/cluster/cluster.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"runtime/pprof"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,6 +14,7 @@
 
 	"oleandersill.example/oleandersill/internal/daemon"
 	"oleandersill.example/oleandersill/internal/lockorder"
+	"oleandersill.example/oleandersill/internal/measure/labels"
 	"oleandersill.example/oleandersill/internal/measure/locks"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/platform"
@@ -74,17 +76,21 @@
 }
 
 func (c *Cluster) start(ctx context.Context) error {
-	inv, err := c.startServers()
+	var inv model.Inventory
+	var platformAddress string
+	var err error
+	labelled(ctx, labels.Standin, func() {
+		if inv, err = c.startServers(); err == nil {
+			platformAddress, err = c.startPlatform(ctx)
+		}
+	})
 	if err != nil {
 		return err
 	}
-	platformAddress, err := c.startPlatform(ctx)
+	labelled(ctx, labels.Daemon, func() { err = c.startDaemons(platformAddress) })
 	if err != nil {
 		return err
 	}
-	if err := c.startDaemons(platformAddress); err != nil {
-		return err
-	}
 	c.Platform.SetInstances(instances(inv))
 	if err := c.Apply(ctx, inv, c.cfg.Rules); err != nil {
 		return err
@@ -92,6 +98,11 @@
 	return c.awaitRevision(ctx)
 }
 
+// labelled runs work with a profile label, which the goroutines started by it inherit.
+func labelled(ctx context.Context, part string, work func()) {
+	pprof.Do(ctx, pprof.Labels(labels.Part, part), func(context.Context) { work() })
+}
+
 // startServers starts a stand-in for every server and returns the inventory with their addresses.
 func (c *Cluster) startServers() (model.Inventory, error) {
 	inv := cloneInventory(c.cfg.Inventory)
@@ -208,6 +219,15 @@
 // Record returns the execution record of a service.
 func (c *Cluster) Record(service model.ServiceName) *backendserver.Record { return c.records[service] }
 
+// Started returns the number of sub-requests that the servers of all services started so far.
+func (c *Cluster) Started() int {
+	n := 0
+	for _, r := range c.records {
+		n += r.Counts().Started
+	}
+	return n
+}
+
 // Server returns the stand-in of a server.
 func (c *Cluster) Server(name model.ServerName) *backendserver.Server {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/measure/observe/cpu.go
@@ -0,0 +1,106 @@
+package observe
+
+import (
+	"strings"
+
+	"github.com/google/pprof/profile"
+
+	"oleandersill.example/oleandersill/internal/measure/labels"
+)
+
+// CPU is the processor time of the daemons for one sub-request, in microseconds, split by what it was spent on.
+type CPU struct {
+	Total    float64 `json:"total_us"`
+	Decision float64 `json:"decision_us"`
+	Codec    float64 `json:"codec_us"`
+	Network  float64 `json:"network_us"`
+	Other    float64 `json:"other_us"`
+	// Runtime is the daemons' part, by their share of the labelled time, of time that no goroutine accounts for: garbage
+	// collection and scheduling. It is included in Total.
+	Runtime float64 `json:"runtime_us"`
+	// Process is the processor time of the whole process for one sub-request: daemons, stand-ins and callers.
+	Process     float64 `json:"process_us"`
+	SubRequests int     `json:"sub_requests"`
+}
+
+// category is what processor time is spent on.
+type category int
+
+const (
+	categoryOther category = iota
+	categoryDecision
+	categoryCodec
+	categoryNetwork
+	// categoryEmulation is the driver's own network, which a real daemon does not pay for.
+	categoryEmulation
+	categoryCount
+)
+
+// categoryPrefixes gives the category of functions by the prefix of their names. The innermost function that has one
+// decides.
+var categoryPrefixes = []struct {
+	prefix   string
+	category category
+}{
+	{"encoding/json.", categoryCodec},
+	{"oleandersill.example/oleandersill/internal/measure/cluster.", categoryEmulation},
+	{"oleandersill.example/oleandersill/internal/backend/", categoryCodec},
+	{"oleandersill.example/oleandersill/internal/query/queryhttp.", categoryCodec},
+	{"oleandersill.example/oleandersill/internal/httpapi.", categoryCodec},
+	{"oleandersill.example/oleandersill/internal/", categoryDecision},
+	{"net/http.", categoryNetwork},
+	{"net/textproto.", categoryNetwork},
+	{"net.", categoryNetwork},
+	{"internal/poll.", categoryNetwork},
+	{"syscall.", categoryNetwork},
+	{"internal/runtime/syscall.", categoryNetwork},
+}
+
+// SplitCPU splits a processor profile over the sub-requests that were run while it was taken.
+func SplitCPU(p *profile.Profile, subRequests int) CPU {
+	var daemon [categoryCount]float64
+	var labelled, unlabelled float64
+	value := len(p.SampleType) - 1
+	for _, s := range p.Sample {
+		us := float64(s.Value[value]) / 1000
+		part := s.Label[labels.Part]
+		switch {
+		case len(part) == 0:
+			unlabelled += us
+		case part[0] == labels.Daemon:
+			labelled += us
+			daemon[categoryOf(s)] += us
+		default:
+			labelled += us
+		}
+	}
+	n := float64(max(1, subRequests))
+	out := CPU{
+		Decision:    daemon[categoryDecision] / n,
+		Codec:       daemon[categoryCodec] / n,
+		Network:     daemon[categoryNetwork] / n,
+		Other:       daemon[categoryOther] / n,
+		Process:     (labelled + unlabelled) / n,
+		SubRequests: subRequests,
+	}
+	own := out.Decision + out.Codec + out.Network + out.Other
+	out.Runtime = unlabelled / n * ratio(own, labelled/n)
+	out.Total = own + out.Runtime
+	return out
+}
+
+func categoryOf(s *profile.Sample) category {
+	for _, loc := range s.Location {
+		for _, line := range loc.Line {
+			if line.Function == nil {
+				continue
+			}
+			for _, c := range categoryPrefixes {
+				if strings.HasPrefix(line.Function.Name, c.prefix) {
+					return c.category
+				}
+			}
+		}
+	}
+	return categoryOther
+}
--- a/internal/measure/observe/observe_test.go
+++ b/internal/measure/observe/observe_test.go
@@ -6,10 +6,12 @@
 	"testing"
 	"time"
 
+	"github.com/google/pprof/profile"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/measure/labels"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/standin/backendserver"
 	"oleandersill.example/oleandersill/internal/testing/suite"
@@ -152,4 +154,30 @@
 			map[string]int{"once": 1, "twice": 2}, Leaves{"s": left})
 		Expect(v).To(Equal(Violations{WorkAfterLeave: 1, DoubleRun: 1}))
 	})
+
+	It("charges processor time to the innermost known function, and unlabelled time by the daemons' share", func() {
+		stack := func(part string, us int64, functions ...string) *profile.Sample {
+			s := &profile.Sample{Value: []int64{1, us * 1000}, Label: map[string][]string{}}
+			if part != "" {
+				s.Label[labels.Part] = []string{part}
+			}
+			for _, f := range functions {
+				s.Location = append(s.Location, &profile.Location{Line: []profile.Line{{Function: &profile.Function{Name: f}}}})
+			}
+			return s
+		}
+		const own = "oleandersill.example/oleandersill/internal/"
+		p := &profile.Profile{SampleType: make([]*profile.ValueType, 2), Sample: []*profile.Sample{
+			stack(labels.Daemon, 30, "runtime.mallocgc", "encoding/json.Marshal", own+"dispatch.run"),
+			stack(labels.Daemon, 20, "syscall.write", "net.(*conn).Write", own+"measure/cluster.(*conn).Write", "net/http.x"),
+			stack(labels.Daemon, 500, "time.Sleep", own+"measure/cluster.(*conn).Write", "net/http.x"),
+			stack(labels.Daemon, 10, "runtime.mallocgc", own+"decision/routing.Choose"),
+			stack(labels.Standin, 40, "encoding/json.Marshal"),
+			stack("", 100, "runtime.gcBgMarkWorker"),
+		}}
+		cpu := SplitCPU(p, 10)
+		Expect(cpu).To(Equal(CPU{
+			Codec: 3, Network: 2, Decision: 1, Runtime: 1, Total: 7, Process: 70, SubRequests: 10,
+		}))
+	})
 })
--- a/internal/measure/options.go
+++ b/internal/measure/options.go
@@ -41,6 +41,8 @@
 	Daemons  int
 	// Workers bounds the load generator.
 	Workers int
+	// CPU takes a processor profile of each round.
+	CPU bool
 	// Verbose writes the daemons' warnings to the error output.
 	Verbose bool
 }
@@ -64,6 +66,7 @@
 	fs.DurationVar(&o.Deadline, "deadline", 0, "deadline of queries (default: the rules' default)")
 	fs.IntVar(&o.Daemons, "daemons", 8, "number of daemons")
 	fs.IntVar(&o.Workers, "workers", 2048, "number of workers of the load generator")
+	fs.BoolVar(&o.CPU, "cpu", false, "profile the process and state the daemons' processor time for a sub-request")
 	fs.BoolVar(&o.Verbose, "verbose", false, "write the daemons' warnings to the error output")
 	if err := fs.Parse(args); err != nil {
 		return o, errors.Mark(err, ErrUsage)
--- a/internal/measure/print.go
+++ b/internal/measure/print.go
@@ -68,6 +68,14 @@
 				return err
 			}
 		}
+		if r.CPU != nil {
+			if _, err := fmt.Fprintf(p.out, "  cpu (%s): daemons %.0f us a sub-request = decision %.0f + codec %.0f + network %.0f + "+
+				"other %.0f + runtime %.0f; whole process %.0f us; %d sub-requests; %s, split by a profile\n", r.Policy, r.CPU.Total,
+				r.CPU.Decision, r.CPU.Codec, r.CPU.Network, r.CPU.Other, r.CPU.Runtime, r.CPU.Process, r.CPU.SubRequests,
+				r.Process); err != nil {
+				return err
+			}
+		}
 		if r.Violations.Total() > 0 {
 			if _, err := fmt.Fprintf(p.out, "  violations (%s, %s): %+v\n", r.Policy, r.Rank, r.Violations); err != nil {
 				return err
--- a/internal/measure/round.go
+++ b/internal/measure/round.go
@@ -35,6 +35,8 @@
 	recorded observe.Violations
 	lateness load.Lateness
 	duration time.Duration
+	// cpu is nil without a profile.
+	cpu *observe.CPU
 }
 
 // runRound starts a cluster, warms it up, offers the scenario's load with its faults, and stops the cluster.
@@ -50,13 +52,24 @@
 	defer caller.client.CloseIdleConnections()
 	start := time.Now()
 	faults := d.startFaults(ctx, c, s, start.Add(warmUp), seed)
-	lateness := load.Run(start, arrivals, d.options.Workers, func(a load.Arrival, intended time.Time) {
-		caller.send(ctx, a, intended)
-	})
-	if err := <-faults; err != nil {
-		return nil, errors.Wrapf(err, "measure: faults of %s", s.Name)
+	var lateness load.Lateness
+	work := func() {
+		lateness = load.Run(start, arrivals, d.options.Workers, func(a load.Arrival, intended time.Time) {
+			caller.send(ctx, a, intended)
+		})
 	}
-	return d.evaluate(c, caller.collector, lateness, duration), nil
+	var cpu *observe.CPU
+	if d.options.CPU {
+		cpu, err = profiled(ctx, c, work)
+	} else {
+		work()
+	}
+	if err = errors.CombineErrors(err, <-faults); err != nil {
+		return nil, errors.Wrapf(err, "measure: %s", s.Name)
+	}
+	r := d.evaluate(c, caller.collector, lateness, duration)
+	r.cpu = cpu
+	return r, nil
 }
 
 func (d *driver) clusterConfig(policy model.Policy, seed uint64) cluster.Config {
--- a/internal/measure/row.go
+++ b/internal/measure/row.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"cmp"
 	"slices"
 
 	"oleandersill.example/oleandersill/internal/measure/observe"
@@ -66,6 +67,9 @@
 	MaxLateMs float64 `json:"max_late_ms"`
 	Process   string  `json:"process"`
 
+	// CPU stands in the row of all ranks when the rounds were profiled; it is that of the round with the median total.
+	CPU *observe.CPU `json:"cpu,omitempty"`
+
 	Bounds []BoundResult `json:"bounds,omitempty"`
 }
 
@@ -118,4 +122,21 @@
 			r.Violations.Add(x.recorded)
 		}
 	}
+	if r.Rank == all {
+		r.CPU = medianCPU(rounds)
+	}
+}
+
+func medianCPU(rounds []*round) *observe.CPU {
+	var list []*observe.CPU
+	for _, x := range rounds {
+		if x.cpu != nil {
+			list = append(list, x.cpu)
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	slices.SortFunc(list, func(a, b *observe.CPU) int { return cmp.Compare(a.Total, b.Total) })
+	return list[len(list)/2]
 }
