--- a/internal/measure/cluster/cluster.go
+++ b/internal/measure/cluster/cluster.go
@@ -24,7 +24,9 @@
 )
 
 const (
-	loopback      = "127.0.0.1:0"
+	loopback = "127.0.0.1:0"
+	// token is the credential of the operators' and peers' ports of a cluster.
+	token         = "loopback-only"
 	headerTimeout = 5 * time.Second
 	// readyTimeout bounds the wait for all daemons to have a configuration in force.
 	readyTimeout = 10 * time.Second
@@ -184,6 +186,7 @@
 		s.Zone, s.Region = zone.Name, zone.Region
 		s.CallerAddress, s.OperatorAddress, s.PeerAddress = loopback, loopback, loopback
 		s.PlatformAddress = platformAddress
+		s.OperatorToken, s.PeerToken = token, token
 		s.Policy = c.cfg.Policy
 		place := Place{Zone: zone.Name, Region: zone.Region}
 		d, err := daemon.Start(s, c.log, daemon.WithDialer(c.Network.Dialer(place)))
--- a/internal/measure/cluster/configure.go
+++ b/internal/measure/cluster/configure.go
@@ -27,6 +27,7 @@
 	if err != nil {
 		return errors.Wrap(err, "cluster: building request")
 	}
+	req.Header.Set("Authorization", "Bearer "+token)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return errors.Wrap(err, "cluster: applying configuration")
--- a/internal/measure/deployment.go
+++ b/internal/measure/deployment.go
@@ -1,14 +1,14 @@
 package measure
 
 import (
-	"bytes"
 	"os"
 	"path/filepath"
 
 	"github.com/cockroachdb/errors"
-	"go.yaml.in/yaml/v3"
 
+	"oleandersill.example/oleandersill/internal/document"
 	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/validation"
 )
 
 // deployment is an inventory with its rules and the service that is queried.
@@ -25,10 +25,7 @@
 		dir = filepath.Join("examples", name)
 	}
 	d := &deployment{name: filepath.Base(name)}
-	if err := loadYAML(filepath.Join(dir, "inventory.yaml"), &d.inventory); err != nil {
-		return nil, err
-	}
-	if err := loadYAML(filepath.Join(dir, "rules.yaml"), &d.rules); err != nil {
+	if err := d.load(filepath.Join(dir, "inventory.yaml"), filepath.Join(dir, "rules.yaml")); err != nil {
 		return nil, err
 	}
 	for i := range d.inventory.Services {
@@ -40,14 +37,19 @@
 	return nil, errors.Wrapf(ErrUsage, "no service %q in %s", service, dir)
 }
 
-func loadYAML(path string, into any) error {
-	data, err := os.ReadFile(path) //nolint:gosec // the operator names the file
+func (d *deployment) load(inventory, rules string) error {
+	inventoryData, err := os.ReadFile(inventory) //nolint:gosec // the operator names the file
+	if err != nil {
+		return errors.Wrap(err, "measure")
+	}
+	rulesData, err := os.ReadFile(rules) //nolint:gosec // the operator names the file
 	if err != nil {
 		return errors.Wrap(err, "measure")
 	}
-	dec := yaml.NewDecoder(bytes.NewReader(data))
-	dec.KnownFields(true)
-	return errors.Wrapf(dec.Decode(into), "measure: %s", path)
+	var problems, ofRules validation.Problems
+	d.inventory, problems = document.DecodeInventory(inventory, inventoryData)
+	d.rules, ofRules = document.DecodeRules(rules, rulesData)
+	return append(problems, ofRules...).Err()
 }
 
 // capacity returns the queries per second that the service's slots sustain: the least over its shards, since a query
