--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -39,11 +39,14 @@
 	StatusFailed
 	// StatusCancelled: the attempt was cancelled on this side; it may have run.
 	StatusCancelled
+	// StatusOwnerLost: the daemon that was to send the attempt was lost or did not know the server; it may have run. It
+	// occurs for idempotent requests only.
+	StatusOwnerLost
 )
 
 var statusNames = [...]string{
 	"ok", "unreachable", "shed", "draining", "deadline_passed", "version_not_held", "lost", "mismatched", "failed",
-	"cancelled",
+	"cancelled", "owner_lost",
 }
 
 // String returns the status's name as used in logs and metrics.
@@ -54,7 +57,7 @@
 	switch s {
 	case StatusUnreachable, StatusShed, StatusDraining, StatusDeadlinePassed, StatusVersionNotHeld:
 		return true
-	case StatusOK, StatusLost, StatusMismatched, StatusFailed, StatusCancelled:
+	case StatusOK, StatusLost, StatusMismatched, StatusFailed, StatusCancelled, StatusOwnerLost:
 		return false
 	}
 	return false
--- a/internal/command/fleet/agent.go
+++ b/internal/command/fleet/agent.go
@@ -38,6 +38,7 @@
 type Deps struct {
 	Members    *tables.Members
 	Departures *tables.Departures
+	Owners     *tables.Owners
 	Config     *tables.Config
 	Servers    *tables.Servers
 	Store      platform.Reader
--- a/internal/command/fleet/exchange.go
+++ b/internal/command/fleet/exchange.go
@@ -1,11 +1,14 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"oleandersill.example/oleandersill/internal/decision/spread"
+	"oleandersill.example/oleandersill/internal/model"
 )
 
 const (
@@ -49,6 +52,7 @@
 func (a *Agent) tick(now time.Time) {
 	a.Members.Beat()
 	a.Members.Forget(now)
+	a.Owners.SetMembers(a.ownerCandidates(now), now)
 	for _, name := range a.Departures.Expire(now) {
 		if r := a.Servers.Get(name); r != nil {
 			r.ClearLeaving(now)
@@ -57,6 +61,21 @@
 	}
 }
 
+// ownerCandidates returns the daemons that are alive, this one included, by zone and sorted by instance.
+func (a *Agent) ownerCandidates(now time.Time) map[model.AvailabilityZone][]model.Member {
+	self := a.Members.Self()
+	zones := map[model.AvailabilityZone][]model.Member{self.Zone: {self}}
+	for _, k := range a.Members.Snapshot(nil) {
+		if k.Liveness(now) == spread.Alive && k.Address != "" {
+			zones[k.Zone] = append(zones[k.Zone], k.Member)
+		}
+	}
+	for _, members := range zones {
+		slices.SortFunc(members, func(x, y model.Member) int { return cmp.Compare(x.Instance, y.Instance) })
+	}
+	return zones
+}
+
 func (a *Agent) exchange(ctx context.Context, rnd *rand.Rand) {
 	now := time.Now()
 	address := a.partner(now, rnd)
--- a/internal/command/report/recorder.go
+++ b/internal/command/report/recorder.go
@@ -7,6 +7,8 @@
 	"oleandersill.example/oleandersill/internal/backend"
 	"oleandersill.example/oleandersill/internal/decision/admission"
 	"oleandersill.example/oleandersill/internal/decision/limit"
+	"oleandersill.example/oleandersill/internal/decision/share"
+	"oleandersill.example/oleandersill/internal/dispatch"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/tables"
 )
@@ -40,20 +42,20 @@
 func (c *serviceCapacity) admitted() int { return max(1, int(c.limits.Load()/max(1, c.shards))) }
 
 // ObserveAttempt records the end of an attempt and returns its slowdown.
-func (r *Recorder) ObserveAttempt(
-	s *tables.Server, status backend.Status, latency time.Duration, load backend.Load,
-) float64 {
+func (r *Recorder) ObserveAttempt(s *tables.Server, a dispatch.Attempt) float64 {
 	if r.Policy == model.PolicyBaseline {
 		return 0
 	}
-	r.noticeDraining(s, status, load)
+	r.noticeDraining(s, a.Status, a.Load)
 	t := r.Config.Current()
 	o := tables.Observation{
-		Status:   status,
-		Latency:  latency,
-		Load:     load,
-		Quantile: t.Rules.Hedge.Quantile,
-		MayEject: r.mayEject(t, s),
+		Status:    a.Status,
+		Latency:   a.Latency,
+		Total:     a.Total,
+		Forwarded: a.Forwarded,
+		Load:      a.Load,
+		Quantile:  t.Rules.Hedge.Quantile,
+		MayEject:  r.mayEject(t, s),
 	}
 	finding := s.Observe(o, time.Now())
 	if finding.LimitDelta != 0 {
@@ -109,9 +111,11 @@
 func (r *Recorder) Adopt(t *model.Topology, now time.Time) {
 	daemons := t.Inventory.MaxInstances + t.Inventory.SurgeInstances
 	first := r.Servers.Len() == 0
+	minimums := minimumShares(t)
 	capacity := make(map[model.ServiceName]*serviceCapacity, len(t.Inventory.Services))
 	t.EachServer(func(spec *model.Server) {
 		rec := r.adoptServer(spec, limit.ConnectionBudget(spec.Connections, daemons), joinTime(first, now))
+		rec.SetMinimums(minimums)
 		c := capacity[spec.Service]
 		if c == nil {
 			c = &serviceCapacity{shards: int64(len(t.Service(spec.Service).Shards))}
@@ -124,6 +128,14 @@
 	r.adoptRules(t, capacity, now)
 }
 
+func minimumShares(t *model.Topology) *share.Minimums {
+	var m share.Minimums
+	for i := range m {
+		m[i] = t.RankPolicy(model.Rank(i)).MinShare
+	}
+	return &m
+}
+
 // joinTime returns when a new record's server counts as having joined: servers of a daemon's first configuration are
 // taken as warm.
 func joinTime(first bool, now time.Time) time.Time {
--- a/internal/daemon/control/part.go
+++ b/internal/daemon/control/part.go
@@ -61,9 +61,15 @@
 	Departures *tables.Departures
 	Status     *status.Reader
 	Agent      *fleet.Agent
-	Traffic    peer.Traffic
+	Owners     *tables.Owners
+	// Data calls peers over connections apart from those of the control part, so that neither delays the other.
+	Data *peer.Client
+	// Traffic counts the bytes of the control part's own connections, and those that peers opened.
+	Traffic peer.Traffic
 
 	client   *peer.Client
+	queries  *queryrpc.Service
+	data     peer.Traffic
 	server   *peer.Server
 	http     *http.Server
 	listener net.Listener
@@ -74,7 +80,7 @@
 // Open opens the peers' port, whose address the daemon tells its peers, and makes the tables. Nothing is sent or
 // answered before Start.
 func Open(cfg Config) (*Part, error) {
-	p := &Part{Departures: tables.NewDepartures(), log: cfg.Log}
+	p := &Part{Departures: tables.NewDepartures(), Owners: tables.NewOwners(), log: cfg.Log}
 	self := model.Member{
 		Instance:    cfg.Instance,
 		Incarnation: model.Incarnation(time.Now().UnixNano()),
@@ -89,10 +95,12 @@
 	p.Members = tables.NewMembers(self)
 	p.Status = &status.Reader{Config: cfg.Config, Members: p.Members, Departures: p.Departures, Draining: cfg.Draining}
 	p.client = peer.NewClient(tables.OrderPeers, cfg.PeerToken, &p.Traffic, cfg.Dial)
+	p.Data = peer.NewClient(tables.OrderPeers, cfg.PeerToken, &p.data, cfg.Dial)
 	seed := xxhash.Sum64String(string(cfg.Instance)) ^ uint64(self.Incarnation) //nolint:gosec // any 64 bits will do
 	p.Agent = fleet.New(fleet.Deps{
 		Members:    p.Members,
 		Departures: p.Departures,
+		Owners:     p.Owners,
 		Config:     cfg.Config,
 		Servers:    cfg.Servers,
 		Store:      cfg.Store,
@@ -107,10 +115,14 @@
 	digests := &digest.Builder{Members: p.Members, Departures: p.Departures, Config: cfg.Config}
 	p.server = peer.NewServer(tables.OrderPeers, cfg.PeerToken, &p.Traffic)
 	p.server.Register(peer.ServiceCommands, commandrpc.New(p.Agent))
-	p.server.Register(peer.ServiceQueries, queryrpc.New(digests, cfg.Config, p.Status, p.Agent, seed))
+	p.queries = queryrpc.New(digests, cfg.Config, p.Status, p.Agent, seed)
+	p.server.Register(peer.ServiceQueries, p.queries)
 	return p, nil
 }
 
+// SetReceiver sets what takes forwarded sub-requests. Call it before Start.
+func (p *Part) SetReceiver(r queryrpc.Receiver) { p.queries.SetReceiver(r) }
+
 func (p *Part) listen(cfg Config) error {
 	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", cfg.PeerAddress)
 	if err != nil {
@@ -142,6 +154,7 @@
 func (p *Part) Close() {
 	p.Agent.Close()
 	p.client.Close()
+	p.Data.Close()
 	if p.http != nil {
 		_ = p.http.Close()
 		p.server.Close()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -143,6 +143,7 @@
 func (d *Daemon) Stop() {
 	d.drainer.Begin("stop")
 	<-d.drainer.Done()
+	d.finishForwarded()
 	d.control.Close()
 	d.stopCollector()
 	d.wg.Wait()
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -1,16 +1,22 @@
 package daemon
 
 import (
+	"context"
 	"net/http"
+	"time"
 
 	"oleandersill.example/oleandersill/internal/command/report"
 	"oleandersill.example/oleandersill/internal/daemon/control"
+	"oleandersill.example/oleandersill/internal/dispatch"
 	"oleandersill.example/oleandersill/internal/document"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/peer"
 	"oleandersill.example/oleandersill/internal/query/queryhttp"
 )
 
+// forwardWorkers is the number of batches to other daemons under way at a time.
+const forwardWorkers = 64
+
 // openFleet makes the daemon's control part, which joins the fleet once it is started.
 func (d *Daemon) openFleet(recorder *report.Recorder, dial DialFunc) error {
 	part, err := control.Open(control.Config{
@@ -33,10 +39,30 @@
 		return err
 	}
 	d.control = part
+	if d.settings.Policy == model.PolicyDefault && d.settings.PeerAddress != "" {
+		part.SetReceiver(d.dispatcher.EnableForwarding(dispatch.ForwardingConfig{
+			Sender:   part.Data,
+			Self:     part.Members.Self(),
+			Owners:   part.Owners,
+			Workers:  forwardWorkers,
+			Draining: d.drainer.Draining,
+		}))
+	}
 	recorder.Draining = part.Agent.ServerDraining
 	return nil
 }
 
+// forwardedTimeout bounds the wait for the sub-requests that this daemon sends for others. Those that wait for it are
+// queries in flight at other daemons.
+const forwardedTimeout = 5 * time.Second
+
+// finishForwarded waits for the sub-requests that this daemon sends for others.
+func (d *Daemon) finishForwarded() {
+	ctx, cancel := context.WithTimeout(context.Background(), forwardedTimeout)
+	defer cancel()
+	d.dispatcher.WaitForwarded(ctx)
+}
+
 func (d *Daemon) handleStatus(callers, operators *http.ServeMux) {
 	callers.Handle("GET /readyz", &queryhttp.Ready{Reader: d.control.Status})
 	operators.Handle("GET /v1/status", &queryhttp.Status{Reader: d.control.Status})
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -81,13 +81,11 @@
 }
 
 // ObserveAttempt implements dispatch.Observer.
-func (o *attemptObserver) ObserveAttempt(
-	s *tables.Server, status backend.Status, latency time.Duration, load backend.Load,
-) float64 {
-	slowdown := o.next.ObserveAttempt(s, status, latency, load)
+func (o *attemptObserver) ObserveAttempt(s *tables.Server, a dispatch.Attempt) float64 {
+	slowdown := o.next.ObserveAttempt(s, a)
 	st := s.Status()
-	o.metrics.Attempt(st.Spec.Service, status.String())
-	if status == backend.StatusMismatched {
+	o.metrics.Attempt(st.Spec.Service, a.Status.String())
+	if a.Status == backend.StatusMismatched {
 		o.metrics.DroppedReply(st.Spec.Service)
 	}
 	o.noteState(st)
--- a/internal/decision/admission/pace.go
+++ b/internal/decision/admission/pace.go
@@ -5,7 +5,7 @@
 const (
 	// targetSlowdown is the ratio of latency to uncongested latency up to which work below the urgent rank may load the
 	// servers. Urgent work that arrives then finds short queues at the servers.
-	targetSlowdown = 1.6
+	targetSlowdown = 2.5
 	// paceCut multiplies the limit on congestion, at most once in the mean hold time; paceStep is added for each request
 	// that ended without congestion.
 	paceCut  = 0.85
--- a/internal/decision/admission/queue.go
+++ b/internal/decision/admission/queue.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"oleandersill.example/oleandersill/internal/decision/budget"
+	"oleandersill.example/oleandersill/internal/decision/share"
 	"oleandersill.example/oleandersill/internal/model"
 )
 
@@ -83,8 +84,10 @@
 	cfg     Config
 	running [model.RankCount]int
 	waiting [model.RankCount]lane
-	shares  shares
+	served  share.Ledger
 	pace    pace
+	// minimums are the ranks' minimum shares.
+	minimums share.Minimums
 	// hold is the mean time from admission to end, and fast a low quantile of it.
 	hold time.Duration
 	fast budget.Quantile
@@ -96,11 +99,17 @@
 	for i := range q.waiting {
 		q.waiting[i] = newLane()
 	}
+	q.SetConfig(cfg)
 	return q
 }
 
 // SetConfig replaces the policy. Requests already admitted are not affected.
-func (q *Queue) SetConfig(cfg Config) { q.cfg = cfg }
+func (q *Queue) SetConfig(cfg Config) {
+	q.cfg = cfg
+	for r := range cfg.Ranks {
+		q.minimums[r] = cfg.Ranks[r].MinShare
+	}
+}
 
 // SetLimit changes the number of requests admitted at a time.
 func (q *Queue) SetLimit(n int) { q.cfg.Limit = max(1, n) }
@@ -211,7 +220,9 @@
 	held := now.Sub(w.admitted)
 	q.hold += time.Duration(float64(held-q.hold) * holdWeight)
 	q.fast.Observe(held, fastQuantile)
-	q.pace.onFinish(slowdown, q.hold, q.cfg.Limit, now)
+	if w.Rank != model.RankUrgent {
+		q.pace.onFinish(slowdown, q.hold, q.cfg.Limit, now)
+	}
 }
 
 // WakeAt returns when Next should be called although nothing ended, because waiting work is spaced in time; zero if it
@@ -250,7 +261,7 @@
 	w.state = stateRunning
 	w.admitted = now
 	q.running[w.Rank]++
-	q.shares.add(w.Rank, now)
+	q.served.Add(w.Rank, now)
 	if w.Rank != model.RankUrgent {
 		q.pace.started = now
 	}
@@ -268,19 +279,9 @@
 // admissions is furthest below its minimum goes first, whatever the pace; if there is none, the most urgent rank with
 // waiting work that may start.
 func (q *Queue) pick(now time.Time) *Waiter {
-	best, bestRatio := -1, 1.0
-	for r := range q.waiting {
-		minShare := q.cfg.Ranks[r].MinShare
-		if q.waiting[r].size == 0 || minShare <= 0 {
-			continue
-		}
-		ratio := q.shares.of(model.Rank(r), now) / minShare
-		if ratio < bestRatio {
-			best, bestRatio = r, ratio
-		}
-	}
-	if best >= 0 {
-		return q.waiting[best].pop()
+	waiting := func(r model.Rank) bool { return q.waiting[r].size > 0 }
+	if r, ok := q.served.Neediest(waiting, &q.minimums, now); ok {
+		return q.waiting[r].pop()
 	}
 	for r := range q.waiting {
 		if q.waiting[r].size > 0 && q.mayStart(model.Rank(r), now) {
--- a/internal/decision/limit/adaptive.go
+++ b/internal/decision/limit/adaptive.go
@@ -41,14 +41,23 @@
 // Baseline returns the latency of the server without congestion, or 0 if none was observed.
 func (a *Adaptive) Baseline() time.Duration { return a.baseline }
 
-// OnReply records a reply after latency while inFlight attempts were in flight. It returns the ratio of the latency to
-// the uncongested one, at least 1.
-func (a *Adaptive) OnReply(latency time.Duration, inFlight int) (slowdown float64) {
+// Slowdown returns the ratio of a time to the uncongested latency, at least 1.
+func (a *Adaptive) Slowdown(d time.Duration) float64 {
+	return max(1, float64(d)/float64(max(a.baseline, 1)))
+}
+
+// Note records the latency of a reply that the limit did not bound.
+func (a *Adaptive) Note(latency time.Duration) {
 	if a.baseline == 0 || latency < a.baseline {
 		a.baseline = latency
 	}
 	a.baseline += time.Duration(float64(latency-a.baseline) * baselineDecay)
-	slowdown = max(1, float64(latency)/float64(max(a.baseline, 1)))
+}
+
+// OnReply records a reply after latency while inFlight attempts were in flight.
+func (a *Adaptive) OnReply(latency time.Duration, inFlight int) {
+	a.Note(latency)
+	slowdown := a.Slowdown(latency)
 	switch {
 	case slowdown > congestedSlowdown:
 		a.limit -= (1 - shrinkFactor) / max(1, a.limit)
@@ -56,7 +65,6 @@
 		a.limit += growStep / max(1, a.limit)
 	}
 	a.clamp()
-	return slowdown
 }
 
 // OnOverload records that the server shed an attempt.
--- /dev/null
+++ b/internal/decision/share/ledger.go
@@ -0,0 +1,65 @@
+package share
+
+import (
+	"math"
+	"time"
+
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+// memory is the time constant over which past service is forgotten.
+const memory = 2 * time.Second
+
+// Minimums are the ranks' minimum shares, each in [0, 1].
+type Minimums [model.RankCount]float64
+
+// Ledger counts the service that each rank got, with exponential decay. The zero value is empty. It is not safe for
+// concurrent use.
+type Ledger struct {
+	counts [model.RankCount]float64
+	at     time.Time
+}
+
+// Add counts one unit of service for the rank.
+func (l *Ledger) Add(r model.Rank, now time.Time) {
+	l.decay(now)
+	l.counts[r]++
+}
+
+// Of returns the rank's part of the recent service, in [0, 1].
+func (l *Ledger) Of(r model.Rank, now time.Time) float64 {
+	l.decay(now)
+	total := 0.0
+	for _, c := range l.counts {
+		total += c
+	}
+	if total == 0 {
+		return 0
+	}
+	return l.counts[r] / total
+}
+
+// Neediest returns the waiting rank that is furthest below its minimum share, or false if none is below.
+func (l *Ledger) Neediest(waiting func(model.Rank) bool, min *Minimums, now time.Time) (model.Rank, bool) {
+	best, bestRatio, found := model.RankUrgent, 1.0, false
+	for r := range model.RankCount {
+		rank := model.Rank(r)
+		if min[r] <= 0 || !waiting(rank) {
+			continue
+		}
+		if ratio := l.Of(rank, now) / min[r]; ratio < bestRatio {
+			best, bestRatio, found = rank, ratio, true
+		}
+	}
+	return best, found
+}
+
+func (l *Ledger) decay(now time.Time) {
+	if !l.at.IsZero() {
+		f := math.Exp(-float64(now.Sub(l.at)) / float64(memory))
+		for i := range l.counts {
+			l.counts[i] *= f
+		}
+	}
+	l.at = now
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -16,9 +16,20 @@
 
 // Observer is told what attempts showed about servers. It is called on a worker, without locks.
 type Observer interface {
-	// ObserveAttempt records the end of an attempt. It returns the ratio of its latency to the server's uncongested one,
-	// or 0 without a reply.
-	ObserveAttempt(server *tables.Server, status backend.Status, latency time.Duration, load backend.Load) float64
+	// ObserveAttempt records the end of an attempt. It returns the ratio of its total time to the server's uncongested
+	// latency, or 0 without a reply.
+	ObserveAttempt(server *tables.Server, o Attempt) float64
+}
+
+// Attempt is what the end of an attempt showed.
+type Attempt struct {
+	Status backend.Status
+	// Latency is the time from sending to the reply, and Total the time that the attempt waited before as well.
+	Latency time.Duration
+	Total   time.Duration
+	Load    backend.Load
+	// Forwarded tells that the server's owner sent the attempt.
+	Forwarded bool
 }
 
 // Config places a dispatcher and sizes its pools.
@@ -47,7 +58,9 @@
 	ready    *tables.Ready
 	pools    []*pool.Pool
 	observer Observer
-	draws    atomic.Uint64
+	// forwarding is nil if all attempts are sent from here.
+	forwarding *Forwarding
+	draws      atomic.Uint64
 }
 
 // New returns a running dispatcher over the given tables.
@@ -77,6 +90,9 @@
 
 // Close ends the pools once the attempts in them have ended.
 func (d *Dispatcher) Close() {
+	if d.forwarding != nil {
+		d.forwarding.close()
+	}
 	d.ready.Close()
 	for _, p := range d.pools {
 		p.Wait()
@@ -124,7 +140,7 @@
 }
 
 func (d *Dispatcher) release(s *tables.Server) {
-	for _, a := range s.Release() {
+	for _, a := range s.Release(time.Now()) {
 		d.ready.Push(a)
 	}
 }
@@ -132,9 +148,12 @@
 // Metrics returns what counts hedges and retries; it may be nil, which counts nothing.
 func (d *Dispatcher) Metrics() *telemetry.Metrics { return d.cfg.Metrics }
 
-// end reports the end of an attempt that was sent at begin, gives its headroom back and returns its slowdown.
-func (d *Dispatcher) end(s *tables.Server, status backend.Status, begin time.Time, load backend.Load) float64 {
-	slowdown := d.observer.ObserveAttempt(s, status, time.Since(begin), load)
+// end reports the end of an attempt that was sent at begin after waiting, gives its headroom back and returns its slowdown.
+func (d *Dispatcher) end(
+	s *tables.Server, status backend.Status, begin time.Time, waited time.Duration, load backend.Load,
+) float64 {
+	took := time.Since(begin)
+	slowdown := d.observer.ObserveAttempt(s, Attempt{Status: status, Latency: took, Total: waited + took, Load: load})
 	d.release(s)
 	return slowdown
 }
--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -74,7 +74,7 @@
 	}
 	begin := time.Now()
 	if a.Trial && !a.healthy() {
-		a.d.end(a.Server, backend.StatusUnreachable, begin, backend.Load{})
+		a.d.end(a.Server, backend.StatusUnreachable, begin, 0, backend.Load{})
 		a.done <- ExecuteEnd{Tried: true, Result: backend.ExecuteResult{Status: backend.StatusUnreachable}}
 		return
 	}
@@ -86,14 +86,14 @@
 	}
 	begin = time.Now()
 	result := a.Server.Client().Execute(a.ctx, a.Request)
-	slowdown := a.d.end(a.Server, result.Status, begin, backend.Load{})
+	slowdown := a.d.end(a.Server, result.Status, begin, 0, backend.Load{})
 	a.done <- ExecuteEnd{Tried: true, Result: result, Slowdown: slowdown}
 }
 
 // endTrial reports a trial that ended without evidence, so that another one may follow.
 func (a *ExecuteAttempt) endTrial() {
 	if a.Trial {
-		a.d.observer.ObserveAttempt(a.Server, backend.StatusCancelled, 0, backend.Load{})
+		a.d.observer.ObserveAttempt(a.Server, Attempt{Status: backend.StatusCancelled})
 	}
 }
 
--- /dev/null
+++ b/internal/dispatch/forward.go
@@ -0,0 +1,206 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/forwarding"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/pool"
+	"oleandersill.example/oleandersill/internal/tables"
+)
+
+const (
+	// sendTimeout bounds the delivery of a batch. The receiver only queues it, so that a longer time means a peer that is
+	// paused or cut off.
+	sendTimeout = 500 * time.Millisecond
+	// avoidFailed is how long a daemon that did not take a batch owns no servers for this daemon, and avoidDraining the
+	// same for one that is stopping.
+	avoidFailed   = time.Second
+	avoidDraining = 10 * time.Second
+	// forwardGrace is the time after its deadline for which the owner waits for an attempt.
+	forwardGrace = 50 * time.Millisecond
+)
+
+// Sender delivers batches to other daemons.
+type Sender interface {
+	// Forward delivers a batch to the daemon at address and returns its receipt.
+	Forward(ctx context.Context, address string, b forwarding.Batch) (forwarding.Receipt, error)
+}
+
+// Forwarding is the part of a dispatcher that sends sub-requests through the owners of their servers. Create it with
+// EnableForwarding.
+type Forwarding struct {
+	d        *Dispatcher
+	sender   Sender
+	self     model.Member
+	owners   *tables.Owners
+	forwards *tables.Forwards
+	draining func() bool
+	senders  *pool.Pool
+}
+
+// ForwardingConfig is what Forwarding works on.
+type ForwardingConfig struct {
+	Sender Sender
+	Self   model.Member
+	Owners *tables.Owners
+	// Workers is the number of batches under way at a time.
+	Workers int
+	// Draining tells whether this daemon is stopping.
+	Draining func() bool
+}
+
+// EnableForwarding makes the dispatcher send idempotent sub-requests through the owners of their servers. Call it before
+// the first request.
+func (d *Dispatcher) EnableForwarding(cfg ForwardingConfig) *Forwarding {
+	f := &Forwarding{
+		d: d, sender: cfg.Sender, self: cfg.Self, owners: cfg.Owners,
+		forwards: tables.NewForwards(), draining: cfg.Draining,
+	}
+	f.senders = pool.Start(cfg.Workers, f.nextBatch)
+	d.forwarding = f
+	return f
+}
+
+// route returns the daemon through which sub-requests for the server go, or false if this daemon sends them itself.
+func (d *Dispatcher) route(s *tables.Server) (model.Member, bool) {
+	f := d.forwarding
+	if f == nil {
+		return model.Member{}, false
+	}
+	owner, ok := s.Owner(f.owners.View())
+	return owner, ok && owner.Instance != f.self.Instance
+}
+
+// forward queues an attempt for the owner of its server.
+func (f *Forwarding) forward(q *QueryAttempt, owner model.Member) {
+	q.forwarded = true
+	q.Server.AddForwarded(1)
+	f.forwards.Forward(forwarding.Query{
+		Server:  q.Server.Name(),
+		Rank:    q.Rank,
+		Request: q.Request,
+		Left:    q.Request.Deadline.Sub(q.Started),
+	}, tables.Pending{Peer: owner, End: func(r forwarding.Result) { f.end(q, r) }})
+}
+
+// end takes the result of a forwarded attempt.
+func (f *Forwarding) end(q *QueryAttempt, r forwarding.Result) {
+	q.Server.AddForwarded(-1)
+	total := time.Since(q.Started)
+	q.Slowdown = f.d.observer.ObserveAttempt(q.Server, Attempt{
+		Status:    r.Result.Status,
+		Latency:   max(0, total-r.Waited),
+		Total:     total,
+		Load:      r.Result.Reply.Load,
+		Forwarded: true,
+	})
+	q.stop()
+	q.Done(q, r.Result)
+}
+
+// lose ends a forwarded attempt whose owner was lost. It says nothing about the server.
+func (f *Forwarding) lose(q tables.Pending, id backend.AttemptID) {
+	q.End(forwarding.Result{ID: id, Result: backend.QueryResult{Status: backend.StatusOwnerLost}})
+}
+
+// cancel ends a forwarded attempt and tells whether it was still pending.
+func (f *Forwarding) cancel(q *QueryAttempt) bool {
+	if !f.forwards.Cancel(q.Request.ID) {
+		return false
+	}
+	q.Server.AddForwarded(-1)
+	q.stop()
+	return true
+}
+
+// nextBatch is the source of the senders' work.
+func (f *Forwarding) nextBatch() (func(), bool) {
+	to, batch, ok := f.forwards.Take()
+	if !ok {
+		return nil, false
+	}
+	return func() { f.send(to, batch) }, true
+}
+
+func (f *Forwarding) send(to model.Member, batch forwarding.Batch) {
+	batch.From = f.self
+	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	defer cancel()
+	receipt, err := f.sender.Forward(ctx, to.Address, batch)
+	f.forwards.Sent(to.Instance)
+	now := time.Now()
+	switch {
+	case err != nil:
+		f.owners.Avoid(to, now.Add(avoidFailed), now)
+		for id, p := range f.forwards.Lose(to.Instance) {
+			f.lose(p, id)
+		}
+	case receipt.Draining:
+		f.owners.Avoid(to, now.Add(avoidDraining), now)
+	}
+}
+
+// Receive takes a batch from another daemon. It only queues work and takes results, so it returns at once.
+func (f *Forwarding) Receive(b forwarding.Batch) forwarding.Receipt {
+	for _, id := range b.Cancels {
+		if cancel := f.forwards.Forget(id); cancel != nil {
+			cancel()
+		}
+	}
+	for i := range b.Queries {
+		f.accept(b.From, &b.Queries[i])
+	}
+	for _, r := range b.Results {
+		if p, ok := f.forwards.Settle(r.ID); ok {
+			p.End(r)
+		}
+	}
+	return forwarding.Receipt{Draining: f.draining()}
+}
+
+// accept sends a sub-request for another daemon. It is never forwarded again, so that differing views of the members
+// cannot pass it around.
+func (f *Forwarding) accept(from model.Member, sent *forwarding.Query) {
+	s := f.d.Servers.Get(sent.Server)
+	if s == nil {
+		f.forwards.Return(from, forwarding.Result{
+			ID: sent.Request.ID, Result: backend.QueryResult{Status: backend.StatusOwnerLost},
+		})
+		return
+	}
+	now := time.Now()
+	request := sent.Request
+	request.Deadline = now.Add(sent.Left)
+	ctx, release := context.WithDeadline(context.Background(), request.Deadline.Add(forwardGrace))
+	q := &QueryAttempt{Server: s, Rank: sent.Rank, Request: request}
+	q.Done = func(q *QueryAttempt, r backend.QueryResult) {
+		release()
+		f.forwards.Return(from, forwarding.Result{ID: q.Request.ID, Result: r, Waited: q.waited})
+	}
+	f.forwards.Accept(request.ID, func() {
+		if q.Cancel() {
+			release()
+		}
+	})
+	f.d.startHere(ctx, q, now)
+}
+
+// WaitForwarded waits until the sub-requests that this daemon sends for others have ended, or ctx has.
+func (d *Dispatcher) WaitForwarded(ctx context.Context) {
+	if d.forwarding == nil {
+		return
+	}
+	select {
+	case <-d.forwarding.forwards.Idle():
+	case <-ctx.Done():
+	}
+}
+
+// close ends the senders once everything queued was sent.
+func (f *Forwarding) close() {
+	f.forwards.Close()
+	f.senders.Wait()
+}
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -28,15 +28,34 @@
 	ctx      context.Context //nolint:containedctx // the attempt's own lifetime, cancelled by Cancel
 	stop     context.CancelFunc
 	once     sync.Once
+	// forwarded tells that the server's owner sends the attempt, and waited how long it waited before it was sent here.
+	forwarded bool
+	waited    time.Duration
 }
 
-// StartQuery sends the attempt when its server and a worker are free. ctx must carry the request's deadline.
+// StartQuery sends the attempt through the owner of its server, or when the server and a worker are free. ctx must carry
+// the request's deadline.
 func (d *Dispatcher) StartQuery(ctx context.Context, q *QueryAttempt, now time.Time) {
+	owner, ok := d.route(q.Server)
+	if !ok {
+		d.startHere(ctx, q, now)
+		return
+	}
+	q.prepare(ctx, d, now)
+	d.forwarding.forward(q, owner)
+}
+
+// startHere sends the attempt from this daemon.
+func (d *Dispatcher) startHere(ctx context.Context, q *QueryAttempt, now time.Time) {
+	q.prepare(ctx, d, now)
+	d.submit(&q.attempt)
+}
+
+func (q *QueryAttempt) prepare(ctx context.Context, d *Dispatcher, now time.Time) {
 	q.d = d
 	q.Started = now
 	q.ctx, q.stop = context.WithCancel(ctx)
 	q.attempt = tables.Attempt{Server: q.Server, Rank: q.Rank, Run: q.run}
-	d.submit(&q.attempt)
 }
 
 // Cancel ends the attempt: it is withdrawn if it was not sent, otherwise the server is told, over a spare connection if
@@ -44,6 +63,10 @@
 // Done is not called.
 func (q *QueryAttempt) Cancel() (withdrawn bool) {
 	q.once.Do(func() {
+		if q.forwarded {
+			withdrawn = q.d.forwarding.cancel(q)
+			return
+		}
 		if q.Server.Withdraw(&q.attempt) {
 			withdrawn = true
 			q.stop()
@@ -63,8 +86,9 @@
 func (q *QueryAttempt) run() {
 	q.sent.Store(true)
 	begin := time.Now()
+	q.waited = begin.Sub(q.Started)
 	result := q.Server.Client().Query(q.ctx, q.Request)
-	q.Slowdown = q.d.end(q.Server, result.Status, begin, result.Reply.Load)
+	q.Slowdown = q.d.end(q.Server, result.Status, begin, q.waited, result.Reply.Load)
 	q.stop()
 	q.Done(q, result)
 }
--- /dev/null
+++ b/internal/forwarding/messages.go
@@ -0,0 +1,41 @@
+package forwarding
+
+import (
+	"time"
+
+	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+// Batch is what one daemon has for another: sub-requests to send, results of sub-requests that the other one forwarded,
+// and attempts to cancel.
+type Batch struct {
+	From    model.Member
+	Queries []Query
+	Results []Result
+	Cancels []backend.AttemptID
+}
+
+// Query is a sub-request for a server that the receiver owns. Request.Deadline is not used; Left replaces it, since
+// daemons have no common clock.
+type Query struct {
+	Server  model.ServerName
+	Rank    model.Rank
+	Request backend.QueryRequest
+	// Left is the time until the deadline.
+	Left time.Duration
+}
+
+// Result is the end of a forwarded sub-request.
+type Result struct {
+	ID     backend.AttemptID
+	Result backend.QueryResult
+	// Waited is the time that the attempt waited at the owner before it was sent.
+	Waited time.Duration
+}
+
+// Receipt acknowledges a batch.
+type Receipt struct {
+	// Draining tells that the receiver is stopping: it serves the batch, but wants no further queries.
+	Draining bool
+}
--- a/internal/measure/options.go
+++ b/internal/measure/options.go
@@ -87,7 +87,7 @@
 		return errors.Wrap(ErrUsage, "rounds, duration, daemons and workers must be positive")
 	}
 	for _, p := range o.Policies {
-		if p != model.PolicyDefault && p != model.PolicyBaseline {
+		if p != model.PolicyDefault && p != model.PolicyDirect && p != model.PolicyBaseline {
 			return errors.Wrapf(ErrUsage, "policy %q is neither default nor baseline", p)
 		}
 	}
--- a/internal/model/identity.go
+++ b/internal/model/identity.go
@@ -78,6 +78,8 @@
 const (
 	// PolicyDefault is the product's own policy.
 	PolicyDefault Policy = "default"
+	// PolicyDirect is PolicyDefault without forwarding: every daemon sends to every server itself.
+	PolicyDirect Policy = "direct"
 	// PolicyBaseline is kept for comparison: random replica, first-in first-out, fixed timeout, two retries, no hedge, no
 	// ranks, no adaptive limits.
 	PolicyBaseline Policy = "baseline"
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"oleandersill.example/oleandersill/internal/configdoc"
+	"oleandersill.example/oleandersill/internal/forwarding"
 	"oleandersill.example/oleandersill/internal/lockorder"
 )
 
@@ -73,6 +74,13 @@
 	return c.call(ctx, address, MethodLeaving, l, &Empty{})
 }
 
+// Forward delivers sub-requests, results and cancellations to the peer.
+func (c *Client) Forward(ctx context.Context, address string, b forwarding.Batch) (forwarding.Receipt, error) {
+	var reply forwarding.Receipt
+	err := c.call(ctx, address, MethodForward, b, &reply)
+	return reply, err
+}
+
 // Status asks the peer for its status and decodes it into reply.
 func (c *Client) Status(ctx context.Context, address string, reply any) error {
 	return c.call(ctx, address, MethodStatus, StatusRequest{}, reply)
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -13,9 +13,9 @@
 // ErrTooLarge means that a message exceeds the limit of its direction.
 var ErrTooLarge = errors.New("peer: message too large")
 
-// Limits of one message. Requests are digests and notices; the largest reply is a PartsReply.
+// Limits of one message. The largest request is a batch of results for another daemon, the largest reply a PartsReply.
 const (
-	maxRequestBytes = 64 << 10
+	maxRequestBytes = 4 << 20
 	maxReplyBytes   = MaxPartsBytes + 512<<10
 )
 
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -15,6 +15,7 @@
 	MethodDigest  = ServiceQueries + ".Digest"
 	MethodParts   = ServiceQueries + ".Parts"
 	MethodStatus  = ServiceQueries + ".Status"
+	MethodForward = ServiceQueries + ".Forward"
 )
 
 // MaxDepartures bounds the leaving servers in a message, MaxHashes the values asked for in a call, and MaxPartsBytes the
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -192,8 +192,8 @@
 		sh.held = append(sh.held, r.Retained...)
 		c.retry(i, now)
 	case backend.StatusCancelled, backend.StatusDeadlinePassed:
-	case backend.StatusUnreachable, backend.StatusDraining:
-		// The server spent nothing on the attempt, so that another one adds no load and needs no budget.
+	case backend.StatusUnreachable, backend.StatusDraining, backend.StatusOwnerLost:
+		// The server spent nothing on the attempt, or its owner is lost, so that another one needs no budget.
 		c.resend(i, now)
 	case backend.StatusShed, backend.StatusLost, backend.StatusMismatched, backend.StatusFailed:
 		c.retry(i, now)
--- a/internal/tables/doc.go
+++ b/internal/tables/doc.go
@@ -8,6 +8,7 @@
 //	OrderConfig      Config        the Topology in force
 //	OrderMembers     Members       known daemons
 //	OrderDepartures  Departures    backend servers that are leaving
+//	OrderOwners      Owners        daemons that may own servers
 //	OrderPeers       (peer)        open connections between daemons
 //	OrderAdmissions  Admissions    one admission queue a service
 //	OrderExecutions  Executions    non-idempotent requests of this daemon
@@ -15,6 +16,7 @@
 //	OrderServers     Servers       the index of server records
 //	OrderServer      Server        one lock a record; one record at a time
 //	OrderReady       Ready         attempts that hold headroom, by rank
+//	OrderForwards    Forwards      sub-requests on their way to and from owners
 //	OrderBudgets     Budgets       hedge and retry windows
 //	OrderTimer       (pool.Timer)  the shared deadline heap
 //
--- /dev/null
+++ b/internal/tables/forwards.go
@@ -0,0 +1,233 @@
+package tables
+
+import (
+	"sync"
+
+	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/forwarding"
+	"oleandersill.example/oleandersill/internal/lockorder"
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+const (
+	// maxBatch bounds the queries, results and cancellations that one message carries.
+	maxBatch = 64
+	// maxBatchesPerPeer bounds the messages on their way to one peer at a time, so that a peer that does not answer holds
+	// few workers.
+	maxBatchesPerPeer = 16
+)
+
+// Pending is a sub-request that was forwarded and has not ended. End is called once, with its result or with the status
+// of a lost one.
+type Pending struct {
+	Peer model.Member
+	End  func(forwarding.Result)
+}
+
+// Forwards holds what goes to other daemons and what is expected back. Owner: dispatch. Invariant: an attempt is in
+// pending from Forward until its result, its withdrawal or the loss of its peer.
+type Forwards struct {
+	mu      lockorder.Mutex
+	cond    *sync.Cond
+	outbox  map[model.InstanceID]*outbox
+	ready   []*outbox
+	pending map[backend.AttemptID]Pending
+	// inbound holds how to cancel the sub-requests that this daemon sends for others.
+	inbound map[backend.AttemptID]func()
+	// idle, unless nil, is closed when inbound becomes empty.
+	idle   chan struct{}
+	closed bool
+}
+
+type outbox struct {
+	peer    model.Member
+	batch   forwarding.Batch
+	sending int
+	queued  bool
+}
+
+// NewForwards returns an empty table.
+func NewForwards() *Forwards {
+	f := &Forwards{
+		mu:      lockorder.New(OrderForwards),
+		outbox:  map[model.InstanceID]*outbox{},
+		pending: map[backend.AttemptID]Pending{},
+		inbound: map[backend.AttemptID]func(){},
+	}
+	f.cond = sync.NewCond(&f.mu)
+	return f
+}
+
+// Forward queues a sub-request for its owner. p.End is called when it ends.
+func (f *Forwards) Forward(q forwarding.Query, p Pending) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pending[q.Request.ID] = p
+	box := f.box(p.Peer)
+	box.batch.Queries = append(box.batch.Queries, q)
+	f.offer(box)
+}
+
+// Return queues a result for the daemon that forwarded the sub-request.
+func (f *Forwards) Return(to model.Member, r forwarding.Result) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.removeInbound(r.ID)
+	box := f.box(to)
+	box.batch.Results = append(box.batch.Results, r)
+	f.offer(box)
+}
+
+// Cancel forgets a pending sub-request and queues its cancellation, and tells whether it was pending.
+func (f *Forwards) Cancel(id backend.AttemptID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, ok := f.pending[id]
+	if !ok {
+		return false
+	}
+	delete(f.pending, id)
+	box := f.box(p.Peer)
+	box.batch.Cancels = append(box.batch.Cancels, id)
+	f.offer(box)
+	return true
+}
+
+// Accept records a sub-request that this daemon sends for another, with the way to cancel it.
+func (f *Forwards) Accept(id backend.AttemptID, cancel func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.inbound[id] = cancel
+}
+
+// Forget removes a sub-request that was accepted and returns the way to cancel it, or nil.
+func (f *Forwards) Forget(id backend.AttemptID) func() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	cancel := f.inbound[id]
+	f.removeInbound(id)
+	return cancel
+}
+
+func (f *Forwards) removeInbound(id backend.AttemptID) {
+	delete(f.inbound, id)
+	if len(f.inbound) == 0 && f.idle != nil {
+		close(f.idle)
+		f.idle = nil
+	}
+}
+
+// Idle returns a channel that is closed once this daemon is sending no sub-request for others.
+func (f *Forwards) Idle() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	idle := f.idle
+	if idle == nil {
+		idle = make(chan struct{})
+	}
+	if len(f.inbound) == 0 {
+		close(idle)
+		return idle
+	}
+	f.idle = idle
+	return idle
+}
+
+// Settle takes the pending sub-request of a result, or false if there is none: the result is late or crossed.
+func (f *Forwards) Settle(id backend.AttemptID) (Pending, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, ok := f.pending[id]
+	delete(f.pending, id)
+	return p, ok
+}
+
+// Lose takes all sub-requests that are pending at a peer.
+func (f *Forwards) Lose(peer model.InstanceID) map[backend.AttemptID]Pending {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	lost := map[backend.AttemptID]Pending{}
+	for id, p := range f.pending {
+		if p.Peer.Instance == peer {
+			lost[id] = p
+			delete(f.pending, id)
+		}
+	}
+	return lost
+}
+
+// Take waits for a batch to send. It returns false once the table is closed and nothing is left to send.
+func (f *Forwards) Take() (to model.Member, batch forwarding.Batch, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for len(f.ready) == 0 {
+		if f.closed {
+			return to, batch, false
+		}
+		f.cond.Wait()
+	}
+	box := f.ready[0]
+	f.ready = f.ready[1:]
+	box.queued = false
+	box.sending++
+	batch = box.take()
+	f.offer(box)
+	return box.peer, batch, true
+}
+
+// Sent records that a batch to the peer was delivered or failed.
+func (f *Forwards) Sent(peer model.InstanceID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	box := f.outbox[peer]
+	box.sending--
+	f.offer(box)
+}
+
+// Close lets the senders end once the outboxes are empty.
+func (f *Forwards) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closed = true
+	f.cond.Broadcast()
+}
+
+func (f *Forwards) box(peer model.Member) *outbox {
+	box := f.outbox[peer.Instance]
+	if box == nil {
+		box = &outbox{}
+		f.outbox[peer.Instance] = box
+	}
+	box.peer = peer
+	return box
+}
+
+// offer makes a box available to a sender if it has something to send and may.
+func (f *Forwards) offer(box *outbox) {
+	if box.queued || box.sending >= maxBatchesPerPeer || box.empty() {
+		return
+	}
+	box.queued = true
+	f.ready = append(f.ready, box)
+	f.cond.Signal()
+}
+
+func (b *outbox) empty() bool {
+	return len(b.batch.Queries) == 0 && len(b.batch.Results) == 0 && len(b.batch.Cancels) == 0
+}
+
+// take removes at most maxBatch entries of each kind.
+func (b *outbox) take() forwarding.Batch {
+	var out forwarding.Batch
+	out.Queries, b.batch.Queries = cut(b.batch.Queries)
+	out.Results, b.batch.Results = cut(b.batch.Results)
+	out.Cancels, b.batch.Cancels = cut(b.batch.Cancels)
+	return out
+}
+
+func cut[T any](list []T) (head, tail []T) {
+	if len(list) <= maxBatch {
+		return list, nil
+	}
+	return list[:maxBatch:maxBatch], list[maxBatch:]
+}
--- a/internal/tables/order.go
+++ b/internal/tables/order.go
@@ -7,6 +7,7 @@
 	OrderConfig lockorder.Order = iota + 1
 	OrderMembers
 	OrderDepartures
+	OrderOwners
 	OrderPeers
 	OrderAdmissions
 	OrderExecutions
@@ -14,6 +15,7 @@
 	OrderServers
 	OrderServer
 	OrderReady
+	OrderForwards
 	OrderBudgets
 	OrderTimer
 )
--- /dev/null
+++ b/internal/tables/owners.go
@@ -0,0 +1,101 @@
+package tables
+
+import (
+	"sync/atomic"
+	"time"
+
+	"oleandersill.example/oleandersill/internal/lockorder"
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+// Owners holds the daemons of each zone that may own servers, this one included. Owner: command/fleet (members) and
+// dispatch (avoided members). Reads take no lock.
+type Owners struct {
+	mu      lockorder.Mutex
+	members map[model.AvailabilityZone][]model.Member
+	avoided map[model.InstanceID]avoidance
+	current atomic.Pointer[OwnerView]
+}
+
+type avoidance struct {
+	incarnation model.Incarnation
+	until       time.Time
+}
+
+// OwnerView is an immutable state of Owners. Version grows with every change.
+type OwnerView struct {
+	Version uint64
+	Zones   map[model.AvailabilityZone][]model.Member
+}
+
+// NewOwners returns a table without members.
+func NewOwners() *Owners {
+	o := &Owners{mu: lockorder.New(OrderOwners), avoided: map[model.InstanceID]avoidance{}}
+	o.current.Store(&OwnerView{})
+	return o
+}
+
+// View returns the current state.
+func (o *Owners) View() *OwnerView { return o.current.Load() }
+
+// SetMembers replaces the members; each zone's list must be sorted by instance.
+func (o *Owners) SetMembers(zones map[model.AvailabilityZone][]model.Member, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.members = zones
+	o.publish(now)
+}
+
+// Avoid keeps a member from owning servers until the given time, unless it restarts before.
+func (o *Owners) Avoid(m model.Member, until, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.avoided[m.Instance] = avoidance{incarnation: m.Incarnation, until: until}
+	o.publish(now)
+}
+
+// publish makes a new view if it differs from the current one.
+func (o *Owners) publish(now time.Time) {
+	for id, a := range o.avoided {
+		if !a.until.After(now) {
+			delete(o.avoided, id)
+		}
+	}
+	zones := make(map[model.AvailabilityZone][]model.Member, len(o.members))
+	for zone, members := range o.members {
+		for _, m := range members {
+			if a, ok := o.avoided[m.Instance]; ok && a.incarnation == m.Incarnation {
+				continue
+			}
+			zones[zone] = append(zones[zone], m)
+		}
+	}
+	old := o.current.Load()
+	if !sameZones(old.Zones, zones) {
+		o.current.Store(&OwnerView{Version: old.Version + 1, Zones: zones})
+	}
+}
+
+func sameZones(a, b map[model.AvailabilityZone][]model.Member) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for zone, ms := range a {
+		if !sameMembers(ms, b[zone]) {
+			return false
+		}
+	}
+	return true
+}
+
+func sameMembers(a, b []model.Member) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Instance != b[i].Instance || a[i].Incarnation != b[i].Incarnation || a[i].Address != b[i].Address {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/tables/server.go
+++ b/internal/tables/server.go
@@ -7,6 +7,7 @@
 	"oleandersill.example/oleandersill/internal/decision/budget"
 	"oleandersill.example/oleandersill/internal/decision/limit"
 	"oleandersill.example/oleandersill/internal/decision/routing"
+	"oleandersill.example/oleandersill/internal/decision/share"
 	"oleandersill.example/oleandersill/internal/lockorder"
 	"oleandersill.example/oleandersill/internal/model"
 )
@@ -30,25 +31,31 @@
 	limit    limit.Adaptive
 	waiting  [model.RankCount][]*Attempt
 	queued   int
-	health   routing.Health
-	latency  time.Duration
-	observed time.Time
-	quantile budget.Quantile
-	joined   time.Time
-	leaving  time.Time
-	load     backend.Load
+	served   share.Ledger
+	minimums *share.Minimums
+	// forwarded counts the attempts that this daemon has pending at the server's owner.
+	forwarded int
+	owner     ownerCache
+	health    routing.Health
+	latency   time.Duration
+	observed  time.Time
+	quantile  budget.Quantile
+	joined    time.Time
+	leaving   time.Time
+	load      backend.Load
 }
 
 // NewServer returns the record of a server that joined at joined, reached through client with a connection budget.
 func NewServer(spec *model.Server, client backend.Server, connections int, joined time.Time) *Server {
 	return &Server{
-		mu:     lockorder.New(OrderServer),
-		name:   spec.Name,
-		spec:   spec,
-		client: client,
-		budget: connections,
-		limit:  limit.NewAdaptive(connections, connections),
-		joined: joined,
+		mu:       lockorder.New(OrderServer),
+		minimums: &share.Minimums{},
+		name:     spec.Name,
+		spec:     spec,
+		client:   client,
+		budget:   connections,
+		limit:    limit.NewAdaptive(connections, connections),
+		joined:   joined,
 	}
 }
 
@@ -77,7 +84,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.Server = s.spec
-	c.Pending = s.inFlight + s.queued
+	c.Pending = s.inFlight + s.queued + s.forwarded
 	c.Limit = s.limit.Limit()
 	c.Slots = s.spec.Slots
 	c.Latency = routing.FadeLatency(s.latency, s.limit.Baseline(), now.Sub(s.observed))
@@ -119,13 +126,13 @@
 }
 
 // Release gives headroom back and returns the waiting attempts that may start now, most urgent first.
-func (s *Server) Release() []*Attempt {
+func (s *Server) Release(now time.Time) []*Attempt {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inFlight--
 	var started []*Attempt
 	for s.inFlight < s.limit.Limit() {
-		a := s.popWaiting()
+		a := s.popWaiting(now)
 		if a == nil {
 			break
 		}
@@ -135,16 +142,23 @@
 	return started
 }
 
-func (s *Server) popWaiting() *Attempt {
-	for r := range s.waiting {
-		if len(s.waiting[r]) > 0 {
-			a := s.waiting[r][0]
-			s.waiting[r] = s.waiting[r][1:]
-			s.queued--
-			return a
-		}
+// popWaiting removes and returns the attempt to send next, or nil: one of a rank below its minimum share, or else one of
+// the most urgent rank that waits.
+func (s *Server) popWaiting(now time.Time) *Attempt {
+	if s.queued == 0 {
+		return nil
 	}
-	return nil
+	waiting := func(r model.Rank) bool { return len(s.waiting[r]) > 0 }
+	rank, ok := s.served.Neediest(waiting, s.minimums, now)
+	for r := 0; !ok && r < model.RankCount; r++ {
+		rank = model.Rank(r)
+		ok = waiting(rank)
+	}
+	a := s.waiting[rank][0]
+	s.waiting[rank] = s.waiting[rank][1:]
+	s.queued--
+	s.served.Add(rank, now)
+	return a
 }
 
 // Withdraw removes a waiting attempt and tells whether it was waiting here.
@@ -185,9 +199,13 @@
 
 // Observation is what an attempt showed about its server.
 type Observation struct {
-	Status  backend.Status
+	Status backend.Status
+	// Latency is the time from sending to the reply, and Total the time that the attempt waited before as well.
 	Latency time.Duration
-	Load    backend.Load
+	Total   time.Duration
+	// Forwarded tells that the server's owner sent the attempt, so that its end says nothing about this daemon's limit.
+	Forwarded bool
+	Load      backend.Load
 	// Quantile is the hedge rule's quantile, in (0, 1).
 	Quantile float64
 	// MayEject tells whether the shard's ejection cap leaves room for one more.
@@ -216,7 +234,8 @@
 	switch o.Status {
 	case backend.StatusOK:
 		s.health.OnSuccess(now)
-		slowdown = s.limit.OnReply(o.Latency, s.inFlight)
+		s.observeReply(o)
+		slowdown = s.limit.Slowdown(o.Total)
 		s.quantile.Observe(o.Latency, o.Quantile)
 		s.observeLatency(o.Latency, now)
 		s.load = o.Load
@@ -224,7 +243,9 @@
 			s.markLeaving(now)
 		}
 	case backend.StatusShed:
-		s.limit.OnOverload()
+		if !o.Forwarded {
+			s.limit.OnOverload()
+		}
 		s.health.EndProbe()
 	case backend.StatusDraining:
 		s.markLeaving(now)
@@ -237,12 +258,20 @@
 			s.observeLatency(o.Latency, now)
 		}
 		s.health.EndProbe()
-	case backend.StatusDeadlinePassed, backend.StatusVersionNotHeld:
+	case backend.StatusDeadlinePassed, backend.StatusVersionNotHeld, backend.StatusOwnerLost:
 		s.health.EndProbe()
 	}
 	return slowdown
 }
 
+func (s *Server) observeReply(o Observation) {
+	if o.Forwarded {
+		s.limit.Note(o.Latency)
+		return
+	}
+	s.limit.OnReply(o.Latency, s.inFlight)
+}
+
 func (s *Server) observeLatency(d time.Duration, now time.Time) {
 	s.observed = now
 	if s.latency == 0 {
