Measure the control part of many daemons in one process

The driver starts the control part of up to 256 daemons over loopback and takes the store's calls, the bytes, processor time and memory of a daemon, and the time for a change to be in force everywhere: at the start, in steady state, after changes, after an outage of the store and when all restart at once.

--- a/cmd/oleandersill-measure/main.go
+++ b/cmd/oleandersill-measure/main.go
@@ -23,6 +23,9 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	if len(os.Args) > 1 && os.Args[1] == fleetMode {
+		return runFleet(os.Args[2:])
+	}
 	options, err := measure.ParseOptions(os.Args[1:], os.Stderr)
 	if errors.Is(err, flag.ErrHelp) {
 		return 0
--- a/internal/command/drain/drainer.go
+++ b/internal/command/drain/drainer.go
@@ -46,12 +46,17 @@
 }
 
 // Begin starts the drain in the background, and tells whether it had not begun before.
-func (d *Drainer) Begin(reason string) (started bool) {
+func (d *Drainer) Begin(reason string) (started bool) { return d.begin(reason, d.cfg.Grace) }
+
+// BeginAtOnce is Begin without the grace time, for a caller that has taken the daemon out of the balancer already.
+func (d *Drainer) BeginAtOnce(reason string) (started bool) { return d.begin(reason, 0) }
+
+func (d *Drainer) begin(reason string, grace time.Duration) (started bool) {
 	d.once.Do(func() {
 		started = true
 		close(d.began)
 		d.cfg.Log.Info().Str("reason", reason).Msg("drain_started")
-		go d.run()
+		go d.run(grace)
 	})
 	return started
 }
@@ -72,7 +77,7 @@
 	}
 }
 
-func (d *Drainer) run() {
+func (d *Drainer) run(grace time.Duration) {
 	defer close(d.done)
 	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.Timeout)
 	defer cancel()
@@ -80,7 +85,7 @@
 	for _, l := range listeners {
 		l.SetKeepAlivesEnabled(false)
 	}
-	wait(ctx, d.cfg.Grace)
+	wait(ctx, grace)
 	d.cfg.RefuseQueued()
 	complete := true
 	for _, l := range listeners {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -139,9 +139,9 @@
 // OperatorAddress returns the operators' address, host:port.
 func (d *Daemon) OperatorAddress() string { return d.listeners[1].Addr().String() }
 
-// Stop drains the daemon, unless that has happened already, and ends it.
+// Stop drains the daemon without a grace time, unless that has happened already, and ends it.
 func (d *Daemon) Stop() {
-	d.drainer.Begin("stop")
+	d.drainer.BeginAtOnce("stop")
 	<-d.drainer.Done()
 	d.control.Close()
 	d.stopCollector()
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -13,6 +13,7 @@
 
 // openFleet makes the daemon's control part, which joins the fleet once it is started.
 func (d *Daemon) openFleet(recorder *report.Recorder, dial DialFunc) error {
+	d.platform.Identify(d.settings.Instance, d.settings.Zone)
 	part, err := control.Open(control.Config{
 		Instance:    d.settings.Instance,
 		Zone:        d.settings.Zone,
--- /dev/null
+++ b/internal/measure/fleetload/fleet.go
@@ -0,0 +1,167 @@
+package fleetload
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"oleandersill.example/oleandersill/internal/daemon/control"
+	"oleandersill.example/oleandersill/internal/document"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/peer"
+	"oleandersill.example/oleandersill/internal/platform"
+	"oleandersill.example/oleandersill/internal/platform/platformhttp"
+	"oleandersill.example/oleandersill/internal/standin/platformserver"
+	"oleandersill.example/oleandersill/internal/tables"
+)
+
+const (
+	loopback = "127.0.0.1:0"
+	token    = "fleet measurement"
+	// dialTimeout bounds the opening of a connection to the platform.
+	dialTimeout = 2 * time.Second
+)
+
+// member is the control part of one daemon.
+type member struct {
+	config *tables.Config
+	client *platformhttp.Client
+	// part is nil while the daemon is stopped.
+	part *control.Part
+	// other counts the traffic with the platform, and with peers in earlier lives.
+	other   peer.Traffic
+	name    model.InstanceID
+	zone    model.AvailabilityZone
+	address string
+}
+
+// traffic returns the bytes sent and received in all lives.
+func (m *member) traffic() (sent, received int64) {
+	sent, received = m.other.Sent.Load(), m.other.Received.Load()
+	if m.part != nil {
+		sent += m.part.Traffic.Sent.Load()
+		received += m.part.Traffic.Received.Load()
+	}
+	return sent, received
+}
+
+// open prepares the daemon; at its first start the system chooses the port.
+func (m *member) open(platformAddress string) error {
+	m.config = tables.NewConfig()
+	m.client = platformhttp.NewWithDialer(platformAddress, m.dialPlatform)
+	m.client.Identify(m.name, m.zone)
+	part, err := control.Open(control.Config{
+		Instance: m.name, Zone: m.zone, PeerAddress: m.address, PeerToken: token,
+		Dial:  (&net.Dialer{}).DialContext,
+		Store: m.client, Instances: m.client, Config: m.config, Servers: tables.NewServers(),
+		Validate: func(inv model.Inventory, rules model.Rules) error { return document.Validate(inv, rules).Err() },
+		Adopt:    func(*model.Topology, time.Time) {},
+		Draining: func() bool { return false },
+		Log:      zerolog.Nop(),
+	})
+	if err != nil {
+		return err
+	}
+	m.part = part
+	m.address = part.Members.Self().Address
+	return nil
+}
+
+func (m *member) dialPlatform(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return m.other.Count(conn), nil
+}
+
+func (m *member) close() {
+	if m.part == nil {
+		return
+	}
+	m.part.Close()
+	m.client.Close()
+	m.other.Sent.Add(m.part.Traffic.Sent.Load())
+	m.other.Received.Add(m.part.Traffic.Received.Load())
+	m.part = nil
+}
+
+// fleet is all daemons of a measurement with their platform.
+type fleet struct {
+	platform *platformserver.Server
+	address  string
+	members  []*member
+	zones    int
+	stop     func()
+	revision model.Revision
+}
+
+func newFleet(daemons, zones int) (*fleet, error) {
+	f := &fleet{platform: platformserver.New(), zones: zones}
+	endpoint, err := f.platform.Listen(loopback, "")
+	if err != nil {
+		return nil, err
+	}
+	f.stop = endpoint.Shut
+	f.address = endpoint.Address()
+	for i := range daemons {
+		f.members = append(f.members, &member{
+			name:    model.InstanceID(fmt.Sprintf("entry-%04d", i)),
+			zone:    zoneName(i % zones),
+			address: loopback,
+		})
+	}
+	return f, nil
+}
+
+// start starts all daemons at once, after all of their ports are open and listed.
+func (f *fleet) start() error {
+	list := make([]platform.Instance, 0, len(f.members))
+	for _, m := range f.members {
+		if err := m.open(f.address); err != nil {
+			return err
+		}
+		list = append(list, platform.Instance{
+			Name: string(m.name), Role: platform.RoleEntry, Zone: m.zone, Address: m.address, State: platform.InstanceLive,
+		})
+	}
+	f.platform.SetInstances(list)
+	for _, m := range f.members {
+		m.part.Start()
+	}
+	return nil
+}
+
+func (f *fleet) closeMembers() {
+	ended := make(chan struct{})
+	for _, m := range f.members {
+		go func() {
+			m.close()
+			ended <- struct{}{}
+		}()
+	}
+	for range f.members {
+		<-ended
+	}
+}
+
+func (f *fleet) storeCalls() int {
+	calls := 0
+	for _, c := range f.platform.Counts() {
+		calls += c.Calls
+	}
+	return calls
+}
+
+func (f *fleet) relays() int {
+	n := 0
+	for _, m := range f.members {
+		if m.part.Status.Read(time.Now()).Relay {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/measure/fleetload/meter.go
@@ -0,0 +1,89 @@
+package fleetload
+
+import (
+	"context"
+	"runtime"
+	"syscall"
+	"time"
+)
+
+// meter takes rates over a phase.
+type meter struct {
+	fleet    *fleet
+	begin    time.Time
+	cpu      float64
+	calls    int
+	sent     int64
+	received int64
+	peak     chan int
+	cancel   context.CancelFunc
+}
+
+// sampleInterval is the length of the seconds among which the peak of store calls is found.
+const sampleInterval = time.Second
+
+func (f *fleet) startMeter() *meter {
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &meter{fleet: f, begin: time.Now(), cpu: cpuSeconds(), calls: f.storeCalls(), peak: make(chan int, 1), cancel: cancel}
+	m.sent, m.received = f.bytes()
+	go func() { m.peak <- f.watchPeak(ctx) }()
+	return m
+}
+
+// watchPeak returns the highest number of store calls in one interval until ctx ends.
+func (f *fleet) watchPeak(ctx context.Context) int {
+	ticker := time.NewTicker(sampleInterval)
+	defer ticker.Stop()
+	peak, before := 0, f.storeCalls()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return max(peak, f.storeCalls()-before)
+		}
+		now := f.storeCalls()
+		peak = max(peak, now-before)
+		before = now
+	}
+}
+
+// fill ends the measurement and sets the row's rates.
+func (m *meter) fill(r *Row) {
+	m.cancel()
+	r.PeakStoreCalls = <-m.peak
+	seconds := time.Since(m.begin).Seconds()
+	n := float64(len(m.fleet.members))
+	sent, received := m.fleet.bytes()
+	r.Daemons, r.Zones, r.DurationS = len(m.fleet.members), m.fleet.zones, seconds
+	r.StoreCalls = float64(m.fleet.storeCalls()-m.calls) / seconds
+	r.SentBytes = float64(sent-m.sent) / seconds / n
+	r.ReceivedBytes = float64(received-m.received) / seconds / n
+	r.CPUPercent = (cpuSeconds() - m.cpu) / seconds / n * 100
+	r.Relays = m.fleet.relays()
+}
+
+func (f *fleet) bytes() (sent, received int64) {
+	for _, m := range f.members {
+		s, r := m.traffic()
+		sent += s
+		received += r
+	}
+	return sent, received
+}
+
+// memoryMB returns the live heap and the stacks of the process, in MB.
+func memoryMB() float64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return float64(s.HeapAlloc+s.StackInuse) / (1 << 20)
+}
+
+// cpuSeconds returns the processor time that the process has used in user and kernel mode, in seconds.
+func cpuSeconds() float64 {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic("fleetload: getrusage: " + err.Error())
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano()).Seconds()
+}
--- /dev/null
+++ b/internal/measure/fleetload/row.go
@@ -0,0 +1,89 @@
+package fleetload
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Phase is what a row measures.
+type Phase string
+
+// The phases, in the order in which they run.
+const (
+	PhaseStart   Phase = "start"
+	PhaseSteady  Phase = "steady"
+	PhaseChanges Phase = "changes"
+	PhaseOutage  Phase = "after_outage"
+	PhaseRestart Phase = "restart_all"
+)
+
+// Row is the result of one phase with one number of daemons.
+type Row struct {
+	Daemons int   `json:"daemons"`
+	Zones   int   `json:"zones"`
+	Phase   Phase `json:"phase"`
+	// DurationS is the time over which rates were taken, in seconds.
+	DurationS float64 `json:"duration_s"`
+	// StoreCalls is the rate of calls to the platform by all daemons, in calls/s; PeakStoreCalls is the highest count in
+	// one second. A watch counts once, when it starts.
+	StoreCalls     float64 `json:"store_calls_s"`
+	PeakStoreCalls int     `json:"peak_store_calls_s"`
+	// SentBytes and ReceivedBytes are rates of one daemon on average, in bytes/s, peers and platform together.
+	SentBytes     float64 `json:"sent_bytes_s"`
+	ReceivedBytes float64 `json:"received_bytes_s"`
+	// CPUPercent is the share of one core that one daemon uses on average.
+	CPUPercent float64 `json:"cpu_percent"`
+	// MemoryMB is the live heap and the stacks of one daemon on average, in MB.
+	MemoryMB float64 `json:"memory_mb"`
+	// P50Ms, P99Ms and MaxMs are the times until a revision was in force at a daemon, over all daemons and changes, or 0
+	// if the phase has no change.
+	P50Ms float64 `json:"p50_ms"`
+	P99Ms float64 `json:"p99_ms"`
+	MaxMs float64 `json:"max_ms"`
+	// Missing counts daemons and changes that were not in force within the target.
+	Missing int `json:"missing"`
+	// Relays is the number of daemons that took themselves for a relay at the end of the phase.
+	Relays int `json:"relays"`
+}
+
+// highestLatency bounds what the histogram of propagation times holds.
+const highestLatency = time.Minute
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, highestLatency.Microseconds(), 3)
+}
+
+func (r *Row) fillPropagation(h *hdrhistogram.Histogram) {
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	r.P50Ms, r.P99Ms, r.MaxMs = ms(h.ValueAtQuantile(50)), ms(h.ValueAtQuantile(99)), ms(h.Max())
+}
+
+// PrintTable writes the rows as a Markdown table.
+func PrintTable(w io.Writer, rows []Row) error {
+	_, err := fmt.Fprintln(w, "| daemons | zones | phase | store calls/s | peak calls/s | sent B/s | received B/s | CPU % of a core |"+
+		" memory MB | p50 ms | p99 ms | max ms | missing | relays |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	for _, r := range rows {
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(w, "| %d | %d | %s | %.1f | %d | %.0f | %.0f | %.3f | %.2f | %.0f | %.0f | %.0f | %d | %d |\n",
+			r.Daemons, r.Zones, r.Phase, r.StoreCalls, r.PeakStoreCalls, r.SentBytes, r.ReceivedBytes, r.CPUPercent,
+			r.MemoryMB, r.P50Ms, r.P99Ms, r.MaxMs, r.Missing, r.Relays)
+	}
+	return err
+}
+
+// PrintJSON writes the rows as JSON, one a line.
+func PrintJSON(w io.Writer, rows []Row) error {
+	enc := json.NewEncoder(w)
+	for _, r := range rows {
+		if err := enc.Encode(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/measure/fleetload/run_test.go
@@ -0,0 +1,39 @@
+package fleetload_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oleandersill.example/oleandersill/internal/measure/fleetload"
+	"oleandersill.example/oleandersill/internal/testing/suite"
+)
+
+func TestFleetload(t *testing.T) { suite.Run(t, "./internal/measure/fleetload") }
+
+var _ = Describe("the measurement of the control part", func() {
+	// Guards against a driver that reports rows although daemons never got their configuration.
+	It("gives a row for each phase, with every change in force in time", func() {
+		rows, err := fleetload.Run(context.Background(), fleetload.Options{
+			Sizes:  []fleetload.Size{{Daemons: 4, Zones: 2}},
+			Steady: time.Second, Outage: 500 * time.Millisecond, Changes: 2,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		var phases []fleetload.Phase
+		for _, r := range rows {
+			phases = append(phases, r.Phase)
+			Expect(r.Missing).To(BeZero(), string(r.Phase))
+			Expect(r.Relays).To(BeNumerically(">", 0), string(r.Phase))
+		}
+		Expect(phases).To(Equal([]fleetload.Phase{
+			fleetload.PhaseStart, fleetload.PhaseSteady, fleetload.PhaseChanges, fleetload.PhaseOutage, fleetload.PhaseRestart,
+		}))
+		var out strings.Builder
+		Expect(fleetload.PrintTable(&out, rows)).To(Succeed())
+		Expect(strings.Count(out.String(), "\n")).To(Equal(len(rows) + 2))
+	})
+})
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -193,7 +193,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "peer: dialling %s", address)
 	}
-	conn := countedConn{Conn: raw, traffic: c.traffic}
+	conn := c.traffic.Count(raw)
 	reader, err := c.connect(ctx, conn, address)
 	if err != nil {
 		_ = conn.Close()
