Test the readiness and the drain of a whole daemon

The specs guard against a daemon that is ready without a configuration, and against a drain that cuts off requests in flight or refuses those that arrive before the balancer has noticed.

--- /dev/null
+++ b/internal/daemon/lifecycle_test.go
@@ -0,0 +1,163 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"oleandersill.example/oleandersill/internal/command/configure"
+	"oleandersill.example/oleandersill/internal/daemon"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/query/status"
+	"oleandersill.example/oleandersill/internal/settings"
+	"oleandersill.example/oleandersill/internal/standin/backendserver"
+	"oleandersill.example/oleandersill/internal/standin/netfault"
+	"oleandersill.example/oleandersill/internal/standin/platformserver"
+	"oleandersill.example/oleandersill/internal/testing/suite"
+)
+
+func TestDaemon(t *testing.T) { suite.Run(t, "./internal/daemon") }
+
+// within is the stated target for a change to be in force, used as a generous limit.
+const within = 16 * time.Second
+
+const loopback = "127.0.0.1:0"
+
+func configuration(server string) configure.Change {
+	return configure.Change{
+		Inventory: model.Inventory{
+			MaxInstances: 1, SurgeInstances: 1,
+			Zones: []model.ZoneSpec{{Name: "a", Region: "r"}},
+			Services: []model.ServiceSpec{{Name: "search", ShardMapEpoch: 1, Shards: []model.ShardSpec{
+				{Name: "s0", KeyTo: model.KeySpace, Servers: []model.ServerSpec{
+					{Name: "srv", Address: server, Zone: "a", Slots: 4, Connections: 8},
+				}},
+			}}},
+		},
+		Rules: model.Rules{
+			Ranks: []model.RankRule{
+				{Rank: "urgent", MinShare: 0.6, TargetMs: 150, MaxQueueMs: 5000},
+				{Rank: "standard", MinShare: 0.3, TargetMs: 300, MaxQueueMs: 5000},
+				{Rank: "deferred", MinShare: 0.1, TargetMs: 1000, MaxQueueMs: 5000},
+			},
+			Hedge:     model.HedgeRule{WindowMs: 10_000, Quantile: 0.95},
+			Retry:     model.RetryRule{WindowMs: 10_000, MaxAttempts: 1},
+			Deadlines: model.DeadlineRule{DefaultMs: 8_000, MaxMs: 10_000},
+		},
+		Editor: "test", Reason: "test",
+	}
+}
+
+func get(address, path string) (int, string) {
+	resp, err := http.Get("http://" + address + path)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body)
+}
+
+func readiness(d *daemon.Daemon) func() int {
+	return func() int {
+		code, _ := get(d.CallerAddress(), "/readyz")
+		return code
+	}
+}
+
+var _ = Describe("the life of a daemon", func() {
+	var (
+		p        *platformserver.Server
+		s        settings.Settings
+		endpoint *netfault.Endpoint
+		log      *syncBuffer
+	)
+	BeforeEach(func() {
+		p = platformserver.New()
+		var err error
+		endpoint, err = p.Listen(loopback, "")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(endpoint.Shut)
+		s = settings.Defaults()
+		s.Instance, s.Zone, s.Region = "entry-0", "a", "r"
+		s.CallerAddress, s.OperatorAddress, s.PeerAddress = loopback, loopback, loopback
+		s.PlatformAddress, s.WorkersPerRank = endpoint.Address(), 4
+		log = &syncBuffer{}
+	})
+	start := func() *daemon.Daemon {
+		d, err := daemon.Start(s, zerolog.New(log))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(d.Stop)
+		return d
+	}
+	apply := func(server string) {
+		c := configure.Configurer{Store: p.Data(), Now: time.Now}
+		Expect(c.Apply(context.Background(), configuration(server)).Verdict).To(Equal(configure.Accepted))
+	}
+
+	It("is not ready without a configuration, says so once in its log, and recovers", func() {
+		p.SetFaults(platformserver.Faults{Down: true})
+		d := start()
+		Expect(readiness(d)()).To(Equal(http.StatusServiceUnavailable))
+		_, body := get(d.CallerAddress(), "/readyz")
+		Expect(body).To(ContainSubstring("no configuration"))
+		Eventually(log.String, within).Should(ContainSubstring("config_missing"))
+		p.SetFaults(platformserver.Faults{})
+		apply("127.0.0.1:9")
+		Eventually(readiness(d), within).Should(Equal(http.StatusOK))
+		Expect(strings.Count(log.String(), "config_missing")).To(Equal(1))
+		var st status.Status
+		_, body = get(d.OperatorAddress(), "/v1/status")
+		Expect(json.Unmarshal([]byte(body), &st)).To(Succeed())
+		Expect(st.Revision).To(Equal(model.Revision(1)))
+		Expect(st.StoreContact).To(BeTemporally("~", time.Now(), time.Minute))
+	})
+
+	// Guards against G7: requests that were sent before the drain and during its grace time end whole.
+	It("answers requests in flight and during the grace time of a drain", func() {
+		server := backendserver.New(backendserver.Config{
+			Shard: "s0", Epoch: 1, Version: 1, Slots: 4, ServiceTime: 500 * time.Millisecond, Items: 3,
+		})
+		backend := netfault.NewEndpoint(server, netfault.Config{})
+		Expect(backend.Open(loopback)).To(Succeed())
+		DeferCleanup(backend.Shut)
+		apply(backend.Address())
+		s.DrainGraceMs = 2000
+		d := start()
+		Eventually(readiness(d), within).Should(Equal(http.StatusOK))
+		answers := make(chan string, 2)
+		query := func() {
+			req, _ := http.NewRequest(http.MethodPost, "http://"+d.CallerAddress()+"/v1/services/search/query",
+				bytes.NewBufferString(`{"text":"x","limit":3}`))
+			req.Header.Set("X-Caller", "c")
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				answers <- err.Error()
+				return
+			}
+			defer resp.Body.Close()
+			answers <- resp.Header.Get("X-Outcome")
+		}
+		go query()
+		resp, err := http.Post("http://"+d.OperatorAddress()+"/v1/drain", "application/json", nil)
+		Expect(err).NotTo(HaveOccurred())
+		resp.Body.Close()
+		Expect(resp.StatusCode).To(Equal(http.StatusAccepted))
+		Expect(readiness(d)()).To(Equal(http.StatusServiceUnavailable))
+		go query()
+		Eventually(answers, within).Should(Receive(Equal("complete")))
+		Eventually(answers, within).Should(Receive(Equal("complete")))
+		Eventually(d.Drained(), within).Should(BeClosed())
+		code, _ := get(d.CallerAddress(), "/readyz")
+		Expect(code).To(BeZero(), "the port is closed")
+	})
+})
