Spread any number of leaving servers

A digest and a notice named the 64 latest leaving servers, so that with more than that, as when a zone is emptied, some were never told to peers. A digest now names a random sample, and a notice names the servers whose first sign was just seen, in several messages if need be. The measurement takes the time until all daemons know a leaving server.

--- a/internal/command/fleet/leaving.go
+++ b/internal/command/fleet/leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"oleandersill.example/oleandersill/internal/model"
@@ -98,13 +99,15 @@
 		}
 		a.Log.Info().Str("server", string(name)).Msg("server_leaving")
 	}
-	l := peer.Leaving{From: a.Members.Self(), Departures: a.Departures.Current(now, peer.MaxDepartures)}
-	a.tell(func(ctx context.Context, address string) error { return a.Peers.Leaving(ctx, address, l) })
+	for part := range slices.Chunk(first, peer.MaxDepartures) {
+		l := peer.Leaving{From: a.Members.Self(), Departures: a.Departures.Of(part, now)}
+		a.tell(func(ctx context.Context, address string) error { return a.Peers.Leaving(ctx, address, l) })
+	}
 }
 
 // markRecords marks the records of all servers that are known to be leaving, after records may have been replaced.
 func (a *Agent) markRecords(now time.Time) {
-	for _, d := range a.Departures.Current(now, a.Servers.Len()) {
+	for _, d := range a.Departures.Current(now) {
 		if r := a.Servers.Get(d.Server); r != nil {
 			r.MarkLeaving(now)
 		}
--- a/internal/digest/builder.go
+++ b/internal/digest/builder.go
@@ -23,7 +23,7 @@
 		From:       self,
 		InForce:    b.Config.Document().Offer,
 		Members:    spread.Entries(self, b.Members.Snapshot(nil), now, rnd),
-		Departures: b.Departures.Current(now, peer.MaxDepartures),
+		Departures: b.Departures.Sample(now, peer.MaxDepartures, rnd),
 	}
 	if contact := b.Config.StoreContact(); !contact.IsZero() {
 		d.StoreContactMs = contact.UnixMilli()
--- a/internal/measure/fleetload/fleet.go
+++ b/internal/measure/fleetload/fleet.go
@@ -95,6 +95,7 @@
 	address  string
 	members  []*member
 	zones    int
+	listed   []platform.Instance
 	stop     func()
 	revision model.Revision
 }
@@ -128,6 +129,7 @@
 			Name: string(m.name), Role: platform.RoleEntry, Zone: m.zone, Address: m.address, State: platform.InstanceLive,
 		})
 	}
+	f.listed = list
 	f.platform.SetInstances(list)
 	for _, m := range f.members {
 		m.part.Start()
@@ -135,6 +137,16 @@
 	return nil
 }
 
+// listLeaving puts the i-th leaving server on the platform's list and returns its name.
+func (f *fleet) listLeaving(i int) model.ServerName {
+	name := fmt.Sprintf("leaving-%d", i)
+	f.listed = append(f.listed, platform.Instance{
+		Name: name, Role: platform.RoleServer, Zone: zoneName(0), State: platform.InstanceLeaving,
+	})
+	f.platform.SetInstances(f.listed)
+	return model.ServerName(name)
+}
+
 func (f *fleet) closeMembers() {
 	ended := make(chan struct{})
 	for _, m := range f.members {
--- a/internal/measure/fleetload/row.go
+++ b/internal/measure/fleetload/row.go
@@ -17,6 +17,7 @@
 	PhaseStart   Phase = "start"
 	PhaseSteady  Phase = "steady"
 	PhaseChanges Phase = "changes"
+	PhaseLeaving Phase = "leaving_server"
 	PhaseOutage  Phase = "after_outage"
 	PhaseRestart Phase = "restart_all"
 )
@@ -39,8 +40,8 @@
 	CPUPercent float64 `json:"cpu_percent"`
 	// MemoryMB is the live heap and the stacks of one daemon on average, in MB.
 	MemoryMB float64 `json:"memory_mb"`
-	// P50Ms, P99Ms and MaxMs are the times until a revision was in force at a daemon, over all daemons and changes, or 0
-	// if the phase has no change.
+	// P50Ms, P99Ms and MaxMs are the times until a revision was in force at a daemon, or until it knew a leaving server
+	// after the platform listed it, over all daemons and changes; 0 if the phase has none.
 	P50Ms float64 `json:"p50_ms"`
 	P99Ms float64 `json:"p99_ms"`
 	MaxMs float64 `json:"max_ms"`
--- a/internal/measure/fleetload/run.go
+++ b/internal/measure/fleetload/run.go
@@ -79,6 +79,9 @@
 	if err := r.changes(ctx); err != nil {
 		return r.rows, err
 	}
+	if err := r.leaving(ctx); err != nil {
+		return r.rows, err
+	}
 	if err := r.outage(ctx); err != nil {
 		return r.rows, err
 	}
@@ -133,6 +136,21 @@
 	return ctx.Err()
 }
 
+// leaving lists one server after the other as leaving, and measures when daemons know it.
+func (r *run) leaving(ctx context.Context) error {
+	h := newHistogram()
+	missing := 0
+	m := r.fleet.startMeter()
+	for i := range r.o.Changes {
+		begin := time.Now()
+		name := r.fleet.listLeaving(i)
+		missing += r.fleet.each(ctx, begin, h, func(ctx context.Context, m *member) bool { return m.awaitLeaving(ctx, name) })
+		pause(ctx, begin.Add(r.o.Between))
+	}
+	r.add(PhaseLeaving, m, h, missing)
+	return ctx.Err()
+}
+
 // outage takes the store down, and measures a change that is made at the moment when it is back.
 func (r *run) outage(ctx context.Context) error {
 	r.fleet.platform.SetFaults(platformserver.Faults{Down: true})
@@ -151,38 +169,69 @@
 
 // await records when the revision came into force at each daemon, and returns at how many it did not within the target.
 func (f *fleet) await(ctx context.Context, rev model.Revision, begin time.Time, h *hdrhistogram.Histogram) int {
+	return f.each(ctx, begin, h, func(ctx context.Context, m *member) bool { return m.awaitRevision(ctx, rev) })
+}
+
+// each waits for all daemons at once, and returns how many did not arrive within the target.
+func (f *fleet) each(
+	ctx context.Context, begin time.Time, h *hdrhistogram.Histogram, arrive func(context.Context, *member) bool,
+) int {
 	ctx, cancel := context.WithDeadline(ctx, begin.Add(target))
 	defer cancel()
-	took := make(chan time.Duration, len(f.members))
+	type arrival struct {
+		took    time.Duration
+		arrived bool
+	}
+	arrivals := make(chan arrival, len(f.members))
 	for _, m := range f.members {
-		go func() { took <- m.await(ctx, rev, begin) }()
+		go func() {
+			arrived := arrive(ctx, m)
+			arrivals <- arrival{took: time.Since(begin), arrived: arrived}
+		}()
 	}
 	missing := 0
 	for range f.members {
-		d := <-took
-		if d == 0 {
+		a := <-arrivals
+		if !a.arrived {
 			missing++
 			continue
 		}
 		// Values lie within the histogram's range, as the target does.
-		_ = h.RecordValue(d.Microseconds())
+		_ = h.RecordValue(a.took.Microseconds())
 	}
 	return missing
 }
 
-// await returns the time from begin until the revision is in force, or 0 if ctx ends first.
-func (m *member) await(ctx context.Context, rev model.Revision, begin time.Time) time.Duration {
+// awaitRevision returns whether the revision came into force before ctx ended.
+func (m *member) awaitRevision(ctx context.Context, rev model.Revision) bool {
 	for {
 		changed := m.config.Changed()
 		if m.config.Revision() >= rev {
-			return time.Since(begin)
+			return true
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return 0
+			return false
+		}
+	}
+}
+
+// leavingPoll is how often a daemon's table is looked at, which bounds the precision of the figures.
+const leavingPoll = 20 * time.Millisecond
+
+// awaitLeaving returns whether the daemon knew that the server is leaving before ctx ended.
+func (m *member) awaitLeaving(ctx context.Context, name model.ServerName) bool {
+	ticker := time.NewTicker(leavingPoll)
+	defer ticker.Stop()
+	for len(m.part.Departures.Of([]model.ServerName{name}, time.Now())) == 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
 		}
 	}
+	return true
 }
 
 func pause(ctx context.Context, until time.Time) {
--- a/internal/measure/fleetload/run_test.go
+++ b/internal/measure/fleetload/run_test.go
@@ -30,7 +30,8 @@
 			Expect(r.Relays).To(BeNumerically(">", 0), string(r.Phase))
 		}
 		Expect(phases).To(Equal([]fleetload.Phase{
-			fleetload.PhaseStart, fleetload.PhaseSteady, fleetload.PhaseChanges, fleetload.PhaseOutage, fleetload.PhaseRestart,
+			fleetload.PhaseStart, fleetload.PhaseSteady, fleetload.PhaseChanges, fleetload.PhaseLeaving,
+			fleetload.PhaseOutage, fleetload.PhaseRestart,
 		}))
 		var out strings.Builder
 		Expect(fleetload.PrintTable(&out, rows)).To(Succeed())
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -20,7 +20,7 @@
 // MaxDepartures bounds the leaving servers in a message, MaxHashes the values asked for in a call, and MaxPartsBytes the
 // compressed values in a reply.
 const (
-	MaxDepartures = 64
+	MaxDepartures = 128
 	MaxHashes     = 64
 	MaxPartsBytes = 1 << 20
 )
--- a/internal/query/status/status.go
+++ b/internal/query/status/status.go
@@ -1,6 +1,7 @@
 package status
 
 import (
+	"slices"
 	"time"
 
 	"oleandersill.example/oleandersill/internal/decision/spread"
@@ -24,7 +25,7 @@
 	// Rejected is the last revision that was offered and not put in force, or nil.
 	Rejected *Rejected `json:"rejected,omitempty"`
 	Members  Members   `json:"members"`
-	// Leaving are the backend servers that get no new work because they are leaving.
+	// Leaving are backend servers that get no new work because they are leaving, in order and at most maxLeaving.
 	Leaving []model.ServerName `json:"leaving"`
 }
 
@@ -77,9 +78,11 @@
 	if doc.Root != nil {
 		s.Editor = doc.Root.Editor
 	}
-	for _, d := range r.Departures.Current(now, maxLeaving) {
+	for _, d := range r.Departures.Current(now) {
 		s.Leaving = append(s.Leaving, d.Server)
 	}
+	slices.Sort(s.Leaving)
+	s.Leaving = s.Leaving[:min(len(s.Leaving), maxLeaving)]
 	return s
 }
 
--- a/internal/tables/departures.go
+++ b/internal/tables/departures.go
@@ -1,7 +1,7 @@
 package tables
 
 import (
-	"slices"
+	"math/rand/v2"
 	"time"
 
 	"oleandersill.example/oleandersill/internal/decision/spread"
@@ -65,8 +65,8 @@
 	return ended
 }
 
-// Current returns what to tell a peer at now: at most limit servers, the latest signs first.
-func (t *Departures) Current(now time.Time, limit int) []model.Departure {
+// Current returns all servers that are leaving at now.
+func (t *Departures) Current(now time.Time) []model.Departure {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make([]model.Departure, 0, len(t.until))
@@ -75,6 +75,29 @@
 			out = append(out, model.Departure{Server: name, Hold: hold})
 		}
 	}
-	slices.SortFunc(out, func(a, b model.Departure) int { return int(b.Hold - a.Hold) })
-	return out[:min(limit, len(out))]
+	return out
+}
+
+// Sample returns at most limit of the servers that are leaving at now, chosen at random, so that over several exchanges
+// a peer hears of all of them.
+func (t *Departures) Sample(now time.Time, limit int, rnd *rand.Rand) []model.Departure {
+	all := t.Current(now)
+	if len(all) <= limit {
+		return all
+	}
+	rnd.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:limit]
+}
+
+// Of returns those of the named servers that are leaving at now.
+func (t *Departures) Of(names []model.ServerName, now time.Time) []model.Departure {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]model.Departure, 0, len(names))
+	for _, name := range names {
+		if hold := t.until[name].Sub(now); hold > 0 {
+			out = append(out, model.Departure{Server: name, Hold: hold})
+		}
+	}
+	return out
 }
--- a/internal/tables/fleet_test.go
+++ b/internal/tables/fleet_test.go
@@ -1,6 +1,8 @@
 package tables_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -88,6 +90,25 @@
 		Expect(t.Expire(begin.Add(10 * time.Second))).To(ConsistOf(model.ServerName("srv")))
 	})
 
+	// Guards against servers that no peer hears of because others fill every message.
+	It("names all servers over several samples", func() {
+		t := tables.NewDepartures()
+		for i := range 40 {
+			t.Sign(model.ServerName(fmt.Sprintf("srv-%d", i)), begin)
+		}
+		rnd := rand.New(rand.NewPCG(1, 1))
+		named := map[model.ServerName]bool{}
+		for range 100 {
+			sample := t.Sample(begin, 10, rnd)
+			Expect(sample).To(HaveLen(10))
+			for _, d := range sample {
+				named[d.Server] = true
+			}
+		}
+		Expect(named).To(HaveLen(40))
+		Expect(t.Of([]model.ServerName{"srv-3", "other"}, begin)).To(HaveLen(1))
+	})
+
 	It("bounds the hold that a peer can ask for", func() {
 		t := tables.NewDepartures()
 		t.Heard([]model.Departure{{Server: "srv", Hold: time.Hour}}, begin)
