List the fleet's log events and take the store contact of the fleet into the metric

A daemon that is no relay does not contact the store itself, so the age of its own contact grew without a fault. The metric now takes the contact that digests carry.

--- a/internal/command/fleet/exchange.go
+++ b/internal/command/fleet/exchange.go
@@ -52,7 +52,7 @@
 	for _, name := range a.Departures.Expire(now) {
 		if r := a.Servers.Get(name); r != nil {
 			r.ClearLeaving(now)
-			a.Log.Info().Str("server", string(name)).Msg("server_leaving_ended")
+			a.Log.Info().Str("server", string(name)).Msg("leaving_mark_ended")
 		}
 	}
 }
--- a/internal/command/fleet/leaving.go
+++ b/internal/command/fleet/leaving.go
@@ -97,7 +97,7 @@
 		if r := a.Servers.Get(name); r != nil {
 			r.MarkLeaving(now)
 		}
-		a.Log.Info().Str("server", string(name)).Msg("server_leaving")
+		a.Log.Info().Str("server", string(name)).Msg("leaving_mark_set")
 	}
 	for part := range slices.Chunk(first, peer.MaxDepartures) {
 		l := peer.Leaving{From: a.Members.Self(), Departures: a.Departures.Of(part, now)}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -19,7 +19,7 @@
 // sample reads the tables for the metrics.
 func (d *Daemon) sample() telemetry.Sample {
 	s := telemetry.Sample{Revision: d.config.Revision(), StoreContactAge: -time.Second}
-	if at := d.platform.LastContact(); !at.IsZero() {
+	if at := d.config.StoreContact(); !at.IsZero() {
 		s.StoreContactAge = time.Since(at)
 	}
 	for _, q := range d.dispatcher.Admissions.Lengths() {
