--- a/cmd/oleandersill-measure/fleet.go
+++ b/cmd/oleandersill-measure/fleet.go
@@ -16,10 +16,14 @@
 
 func runFleet(args []string) int {
 	fs := flag.NewFlagSet(fleetMode, flag.ContinueOnError)
+	holdings := fs.Bool("holdings", false, "measure what a daemon holds of large configurations instead")
 	asJSON := fs.Bool("json", false, "print rows as JSON instead of a table")
 	if err := fs.Parse(args); err != nil {
 		return exitUsage
 	}
+	if *holdings {
+		return runHoldings()
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	rows, err := fleetload.Run(ctx, fleetload.DefaultOptions())
@@ -36,3 +40,22 @@
 	}
 	return 0
 }
+
+// holdingSizes are the numbers of servers whose configuration is measured; the last one is the target.
+var holdingSizes = []int{320, 7_300, 73_000}
+
+func runHoldings() int {
+	var rows []fleetload.Holding
+	for _, n := range holdingSizes {
+		h, err := fleetload.Hold(n)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitFailure
+		}
+		rows = append(rows, h)
+	}
+	if err := fleetload.PrintHoldings(os.Stdout, rows); err != nil {
+		return exitFailure
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/measure/fleetload/holding.go
@@ -0,0 +1,112 @@
+package fleetload
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"time"
+
+	"oleandersill.example/oleandersill/internal/configdoc"
+	"oleandersill.example/oleandersill/internal/document"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/peer"
+)
+
+// Holding is what one daemon holds of a configuration and what a change of one shard costs it.
+type Holding struct {
+	Servers int `json:"servers"`
+	Parts   int `json:"parts"`
+	// RootBytes and PackedRootBytes are the size of the root, as stored and as it travels.
+	RootBytes       int `json:"root_bytes"`
+	PackedRootBytes int `json:"packed_root_bytes"`
+	// PartBytes and PackedPartBytes are the same for the largest part.
+	PartBytes       int `json:"part_bytes"`
+	PackedPartBytes int `json:"packed_part_bytes"`
+	// MemoryMB is the live heap for the raw values and the Topology, in MB.
+	MemoryMB float64 `json:"memory_mb"`
+	// TakeMs is the processor time to join, validate and index the configuration, on one core.
+	TakeMs float64 `json:"take_ms"`
+}
+
+// Hold measures a configuration with the given number of servers, 2 in each shard and 4,600 in each service.
+func Hold(servers int) (Holding, error) {
+	parts := configdoc.Split(largeInventory(servers), rules())
+	root := &configdoc.Root{Revision: 1, Editor: "fleetload", Parts: map[configdoc.PartName]configdoc.Hash{}}
+	values := map[configdoc.Hash][]byte{}
+	h := Holding{Servers: servers, Parts: len(parts)}
+	stored := 0
+	for name, p := range parts {
+		root.Parts[name] = p.Hash
+		values[p.Hash] = p.Value
+		stored += len(p.Value)
+		if len(p.Value) > h.PartBytes {
+			h.PartBytes, h.PackedPartBytes = len(p.Value), len(peer.Pack(p.Hash, p.Value).Gzip)
+		}
+	}
+	encoded := root.Encode()
+	h.RootBytes, h.PackedRootBytes = len(encoded), len(peer.Pack(configdoc.HashOf(encoded), encoded).Gzip)
+	before := memoryMB()
+	begin := time.Now()
+	inv, rules, err := configdoc.Join(root, func(hash configdoc.Hash) []byte { return values[hash] })
+	if err != nil {
+		return h, err
+	}
+	if err := document.Validate(inv, rules).Err(); err != nil {
+		return h, err
+	}
+	topology := model.NewTopology(1, inv, rules)
+	h.TakeMs = float64(time.Since(begin).Microseconds()) / 1000
+	h.MemoryMB = memoryMB() - before + float64(stored)/(1<<20)
+	runtime.KeepAlive(topology)
+	runtime.KeepAlive(values)
+	return h, nil
+}
+
+const serversPerLargeService = 4_600
+
+func largeInventory(servers int) model.Inventory {
+	inv := model.Inventory{MaxInstances: 5_600, SurgeInstances: 400}
+	for z := range 20 {
+		inv.Zones = append(inv.Zones, model.ZoneSpec{Name: zoneName(z), Region: model.Region(zoneName(z % 8))})
+	}
+	for first := 0; first < servers; first += serversPerLargeService {
+		inv.Services = append(inv.Services, largeService(first, min(serversPerLargeService, servers-first)))
+	}
+	return inv
+}
+
+func largeService(first, servers int) model.ServiceSpec {
+	svc := model.ServiceSpec{Name: model.ServiceName(fmt.Sprintf("service-%d", first)), ShardMapEpoch: 1}
+	shards := servers / serversPerShard
+	for i := range shards {
+		sh := model.ShardSpec{
+			Name:    model.ShardName(fmt.Sprintf("shard-%d", i)),
+			KeyFrom: i * model.KeySpace / shards,
+			KeyTo:   (i + 1) * model.KeySpace / shards,
+		}
+		for r := range serversPerShard {
+			n := first + i*serversPerShard + r
+			sh.Servers = append(sh.Servers, model.ServerSpec{
+				Name:    model.ServerName(fmt.Sprintf("server-%d", n)),
+				Address: fmt.Sprintf("10.%d.%d.%d:7000", n>>16, n>>8&255, n&255),
+				Zone:    zoneName((i + r) % 20), Slots: 2, Connections: 25, ConnectionCostMs: 5,
+			})
+		}
+		svc.Shards = append(svc.Shards, sh)
+	}
+	return svc
+}
+
+// PrintHoldings writes holdings as a Markdown table.
+func PrintHoldings(w io.Writer, hs []Holding) error {
+	_, err := fmt.Fprintln(w, "| servers | parts | root B | packed root B | largest part B | packed part B | memory MB | take ms |\n"+
+		"|---|---|---|---|---|---|---|---|")
+	for _, h := range hs {
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(w, "| %d | %d | %d | %d | %d | %d | %.1f | %.0f |\n",
+			h.Servers, h.Parts, h.RootBytes, h.PackedRootBytes, h.PartBytes, h.PackedPartBytes, h.MemoryMB, h.TakeMs)
+	}
+	return err
+}
--- a/internal/measure/fleetload/run_test.go
+++ b/internal/measure/fleetload/run_test.go
@@ -38,3 +38,12 @@
 		Expect(strings.Count(out.String(), "\n")).To(Equal(len(rows) + 2))
 	})
 })
+
+var _ = Describe("what a daemon holds", func() {
+	// Guards against a generated inventory that a daemon would reject, so that the figures describe nothing real.
+	It("is measured on a valid configuration", func() {
+		h, err := fleetload.Hold(4_800)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(h.PackedPartBytes).To(BeNumerically("<", h.PartBytes))
+	})
+})
