Check the collector's lease immediately before each delete

A collection stopped at its context's deadline. After a pause of the process the context may end later than the next delete is sent, so the window of the lease is now checked on the monotonic clock before each one.

--- a/internal/command/configure/collect.go
+++ b/internal/command/configure/collect.go
@@ -9,6 +9,7 @@
 
 	"oleandersill.example/oleandersill/internal/configdoc"
 	"oleandersill.example/oleandersill/internal/configstore"
+	"oleandersill.example/oleandersill/internal/decision/lease"
 	"oleandersill.example/oleandersill/internal/platform"
 )
 
@@ -28,7 +29,7 @@
 	// Kept and Removed count parts.
 	Kept    int
 	Removed int
-	// Skipped counts unused parts that were written meanwhile.
+	// Skipped counts unused parts that were written meanwhile, or that were left because time was up.
 	Skipped int
 	// Unconfirmed counts unused parts whose delete was not answered.
 	Unconfirmed int
@@ -57,21 +58,22 @@
 //
 // Roots are never removed: they are the audit trail.
 func (c *Configurer) Collect(ctx context.Context) (Collection, error) {
-	lease, err := c.lockCollector(ctx)
+	window := lease.Window{Granted: c.Now(), TTL: collectorLease / 2}
+	held, err := c.lockCollector(ctx)
 	if err != nil {
 		return Collection{}, err
 	}
-	limited, cancel := context.WithTimeout(ctx, collectorLease/2)
+	limited, cancel := context.WithTimeout(ctx, window.TTL)
 	defer cancel()
-	done, err := c.collect(limited)
+	done, err := c.collect(limited, window)
 	if done.Unconfirmed == 0 {
 		// Without an answer the lease lapses by itself.
-		_ = c.Store.Revoke(ctx, lease)
+		_ = c.Store.Revoke(ctx, held)
 	}
 	return done, err
 }
 
-func (c *Configurer) collect(ctx context.Context) (Collection, error) {
+func (c *Configurer) collect(ctx context.Context, window lease.Window) (Collection, error) {
 	head, err := c.reader().Head(ctx)
 	if err != nil || head.Root == nil {
 		return Collection{}, err
@@ -87,21 +89,21 @@
 	if err := c.fenceWriters(ctx, head); err != nil {
 		return Collection{}, err
 	}
-	return c.removeUnused(ctx, listed, used), nil
+	return c.removeUnused(ctx, window, listed, used), nil
 }
 
 // lockCollector takes the lease that excludes other collections. A lost reply counts as not taken: the lease then
 // lapses by itself.
 func (c *Configurer) lockCollector(ctx context.Context) (platform.LeaseID, error) {
-	lease, err := c.Store.Grant(ctx, collectorLease)
+	id, err := c.Store.Grant(ctx, collectorLease)
 	if err != nil {
 		return "", errors.Wrap(err, "granting the collector's lease")
 	}
-	_, err = c.Store.Put(ctx, configdoc.KeyCollector, []byte("{}"), 0, lease)
+	_, err = c.Store.Put(ctx, configdoc.KeyCollector, []byte("{}"), 0, id)
 	if errors.Is(err, platform.ErrConflict) {
 		return "", ErrCollecting
 	}
-	return lease, errors.Wrap(err, "taking the collector's lease")
+	return id, errors.Wrap(err, "taking the collector's lease")
 }
 
 // usedParts returns the keys of the parts that the newest roots name.
@@ -134,14 +136,18 @@
 	return errors.Wrap(err, "rewriting the head")
 }
 
-func (c *Configurer) removeUnused(ctx context.Context, listed []platform.Entry, used map[string]bool) Collection {
+// removeUnused checks the window of the lease before each delete: after a pause of the process, ctx may end later than
+// the next delete is sent.
+func (c *Configurer) removeUnused(
+	ctx context.Context, window lease.Window, listed []platform.Entry, used map[string]bool,
+) Collection {
 	var done Collection
 	for _, part := range listed {
 		if used[part.Key] {
 			done.Kept++
 			continue
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || !window.Valid(c.Now()) {
 			done.Skipped++
 			continue
 		}
