End a pull that makes no progress, and leave out daemons without a peers' address

A peer that answered a request for parts with others was asked for ever, which would have held up the one worker that takes offers. Daemons whose peers' port is closed were chosen for exchanges that could only fail.

--- a/internal/command/fleet/leaving_test.go
+++ b/internal/command/fleet/agent_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -8,8 +9,10 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"oleandersill.example/oleandersill/internal/configdoc"
 	"oleandersill.example/oleandersill/internal/decision/spread"
 	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/peer"
 	"oleandersill.example/oleandersill/internal/tables"
 	"oleandersill.example/oleandersill/internal/testing/suite"
 )
@@ -55,3 +58,41 @@
 		Expect(b.take(1, now.Add(readWindow+time.Second))).To(BeTrue())
 	})
 })
+
+// fakePeers answers calls for parts from a list of replies, the last one again and again.
+type fakePeers struct {
+	Peers
+	replies []peer.PartsReply
+	asked   int
+}
+
+func (f *fakePeers) Parts(context.Context, string, []configdoc.Hash) (peer.PartsReply, error) {
+	reply := f.replies[min(f.asked, len(f.replies)-1)]
+	f.asked++
+	return reply, nil
+}
+
+var _ = Describe("pulling values from a peer", func() {
+	pack := func(value string) peer.PackedPart {
+		return peer.Pack(configdoc.HashOf([]byte(value)), []byte(value))
+	}
+	hashes := []configdoc.Hash{configdoc.HashOf([]byte("a")), configdoc.HashOf([]byte("b"))}
+
+	// Guards against a daemon that asks a peer for ever and never takes another offer.
+	DescribeTable("ends whatever the peer answers",
+		func(calls, got int, replies ...peer.PartsReply) {
+			f := &fakePeers{replies: replies}
+			a := New(Deps{Peers: f, Members: tables.NewMembers(model.Member{}), Log: zerolog.Nop()})
+			values, err := a.pull(context.Background(), "peer", hashes)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(f.asked).To(Equal(calls))
+			Expect(without(hashes, values)).To(HaveLen(len(hashes) - got))
+		},
+		Entry("all at once", 1, 2, peer.PartsReply{Parts: []peer.PackedPart{pack("a"), pack("b")}}),
+		Entry("one a reply", 2, 2, peer.PartsReply{Parts: []peer.PackedPart{pack("a")}},
+			peer.PartsReply{Parts: []peer.PackedPart{pack("b")}}),
+		Entry("one of two", 2, 1, peer.PartsReply{Parts: []peer.PackedPart{pack("a")}}, peer.PartsReply{}),
+		Entry("nothing", 1, 0, peer.PartsReply{}),
+		Entry("something else", 1, 0, peer.PartsReply{Parts: []peer.PackedPart{pack("other")}}),
+	)
+})
--- a/internal/command/fleet/load.go
+++ b/internal/command/fleet/load.go
@@ -39,7 +39,8 @@
 	return true
 }
 
-// pull gets values from a peer. Values that the peer has not got are absent from the result.
+// pull gets values from a peer. Values that the peer has not got are absent from the result. It asks again for values that
+// did not fit into a reply, as long as each reply brings some that were asked for.
 func (a *Agent) pull(ctx context.Context, address string, hashes []configdoc.Hash) (map[configdoc.Hash][]byte, error) {
 	values := make(map[configdoc.Hash][]byte, len(hashes))
 	for len(hashes) > 0 {
@@ -47,9 +48,6 @@
 		if err != nil {
 			return values, err
 		}
-		if len(reply.Parts) == 0 {
-			return values, nil
-		}
 		for _, p := range reply.Parts {
 			v, err := p.Unpack()
 			if err != nil {
@@ -57,7 +55,11 @@
 			}
 			values[p.Hash] = v
 		}
-		hashes = without(hashes, values)
+		rest := without(hashes, values)
+		if len(rest) == len(hashes) {
+			return values, nil
+		}
+		hashes = rest
 	}
 	return values, nil
 }
--- a/internal/tables/fleet_test.go
+++ b/internal/tables/fleet_test.go
@@ -65,6 +65,15 @@
 		Expect(t.Snapshot(nil)).To(BeEmpty())
 	})
 
+	// Guards against exchanges and notices that are spent on daemons that no peer can reach.
+	It("never holds a daemon without a peers' address", func() {
+		t := tables.NewMembers(member("self", 0))
+		m := member("i", 1)
+		m.Address = ""
+		t.Contacted(m, begin)
+		Expect(t.Snapshot(nil)).To(BeEmpty())
+	})
+
 	It("never holds the daemon itself", func() {
 		t := tables.NewMembers(member("self", 0))
 		t.Contacted(member("self", 9), begin)
--- a/internal/tables/members.go
+++ b/internal/tables/members.go
@@ -67,8 +67,9 @@
 	}
 }
 
+// put ignores the daemon itself and daemons whose peers' port is closed: nothing can be sent to them.
 func (t *Members) put(m model.Member, evidence time.Time) {
-	if m.Instance == t.self.Instance || m.Instance == "" {
+	if m.Instance == t.self.Instance || m.Instance == "" || m.Address == "" {
 		return
 	}
 	k := t.known[m.Instance]
