--- a/internal/command/execute/faults_test.go
+++ b/internal/command/execute/faults_test.go
@@ -8,6 +8,7 @@
 
 	"oleandersill.example/oleandersill/internal/command/execute"
 	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/testing/scripted"
 )
 
 // told is an answer with the number of runs at that time.
@@ -30,44 +31,44 @@
 			inBubble(func() {
 				w := newWorld()
 				defer w.close()
-				w.set(f)
+				w.Set(f)
 				key := keyAt(time.Now())
 				for i := range got {
 					a := w.daemons[i].do(key, "12 pesos", i == 0)
-					got[i] = told{a.Outcome, w.ran(key)}
+					got[i] = told{a.Outcome, w.Runs(key)}
 					time.Sleep(time.Minute)
-					w.settle()
+					w.Settle()
 				}
 			})
 			Expect(got).To(Equal([2]told{first, retry}))
 		},
 		Entry("no fault", faults{}, done, done),
-		Entry("store down", faults{puts: []fault{down}}, notRun, done),
-		Entry("store slow", faults{puts: []fault{slow}, gets: []fault{down}}, notRun, done),
-		Entry("claim lost before the effect", faults{puts: []fault{before}}, done, done),
-		Entry("claim lost after the effect", faults{puts: []fault{after}}, done, done),
+		Entry("store down", faults{Puts: list{down}}, notRun, done),
+		Entry("store slow", faults{Puts: list{slow}, Gets: list{down}}, notRun, done),
+		Entry("claim lost before the effect", faults{Puts: list{before}}, done, done),
+		Entry("claim lost after the effect", faults{Puts: list{after}}, done, done),
 		Entry("claim lost after the effect, store then down",
-			faults{puts: []fault{after}, gets: []fault{down}}, notRun, done),
-		Entry("claim lost after the effect, stale read", faults{puts: []fault{after}, gets: []fault{stale}}, done, done),
-		Entry("claim delayed beyond a second one", faults{puts: []fault{late}}, done, done),
-		Entry("result lost before the effect", faults{puts: []fault{fine, before}}, done, done),
-		Entry("result lost after the effect", faults{puts: []fault{fine, after}}, done, done),
-		Entry("result never recorded", faults{puts: append([]fault{fine}, repeat(down, 200)...)}, done, unknown1),
-		Entry("server refuses the connection", faults{serves: []fault{down}}, done, done),
-		Entry("server sheds", faults{serves: []fault{shed}}, done, done),
-		Entry("server drains", faults{serves: []fault{drains}}, done, done),
-		Entry("every server sheds", faults{serves: repeat(shed, 3)}, notRun, done),
+			faults{Puts: list{after}, Gets: list{down}}, notRun, done),
+		Entry("claim lost after the effect, stale read", faults{Puts: list{after}, Gets: list{stale}}, done, done),
+		Entry("claim delayed beyond a second one", faults{Puts: list{late}}, done, done),
+		Entry("result lost before the effect", faults{Puts: list{fine, before}}, done, done),
+		Entry("result lost after the effect", faults{Puts: list{fine, after}}, done, done),
+		Entry("result never recorded", faults{Puts: append(list{fine}, repeat(down, 200)...)}, done, unknown1),
+		Entry("server refuses the connection", faults{Requests: list{down}}, done, done),
+		Entry("server sheds", faults{Requests: list{shed}}, done, done),
+		Entry("server drains", faults{Requests: list{drains}}, done, done),
+		Entry("every server sheds", faults{Requests: repeat(shed, 3)}, notRun, done),
 		Entry("release never recorded",
-			faults{serves: repeat(shed, 3), puts: append([]fault{fine}, repeat(down, 200)...)}, notRun, unknown0),
-		Entry("connection cut before the run", faults{serves: []fault{before}}, unknown0, unknown0),
-		Entry("connection cut after the run", faults{serves: []fault{after}}, unknown1, unknown1),
-		Entry("connection cut, the server runs it later", faults{serves: []fault{late}}, unknown0, unknown1),
-		Entry("crossed reply", faults{serves: []fault{crossed}}, unknown1, unknown1),
-		Entry("the server ran it and reports an error", faults{serves: []fault{failed}}, unknown1, unknown1),
-		Entry("server slow beyond the deadline", faults{serves: []fault{slow}}, unknown1, unknown1),
-		Entry("daemon paused between claim and send", faults{puts: []fault{paused}}, notRun, done),
+			faults{Requests: repeat(shed, 3), Puts: append(list{fine}, repeat(down, 200)...)}, notRun, unknown0),
+		Entry("connection cut before the run", faults{Requests: list{before}}, unknown0, unknown0),
+		Entry("connection cut after the run", faults{Requests: list{after}}, unknown1, unknown1),
+		Entry("connection cut, the server runs it later", faults{Requests: list{late}}, unknown0, unknown1),
+		Entry("crossed reply", faults{Requests: list{crossed}}, unknown1, unknown1),
+		Entry("the server ran it and reports an error", faults{Requests: list{failed}}, unknown1, unknown1),
+		Entry("server slow beyond the deadline", faults{Requests: list{slow}}, unknown1, unknown1),
+		Entry("daemon paused between claim and send", faults{Puts: list{paused}}, notRun, done),
 		Entry("daemon stopped after the claim",
-			faults{puts: append([]fault{paused}, repeat(down, 200)...)}, notRun, unknown0),
+			faults{Puts: append(list{paused}, repeat(down, 200)...)}, notRun, unknown0),
 	)
 
 	DescribeTable("is unknown and not not_run when an earlier attempt may have run and the store cannot tell",
@@ -77,16 +78,16 @@
 				w := newWorld()
 				defer w.close()
 				key := keyAt(time.Now())
-				w.set(faults{serves: []fault{after}})
+				w.Set(faults{Requests: list{after}})
 				w.daemons[0].do(key, "b", true)
-				w.set(f)
+				w.Set(f)
 				a = w.daemons[1].do(key, "b", first)
 			})
 			Expect(a.Outcome).To(Equal(model.OutcomeUnknown))
 			Expect(a.RetryAfter).To(BeNumerically(">", 0))
 		},
-		Entry("the caller does not exclude it", false, faults{puts: []fault{down}}),
-		Entry("the caller excludes it wrongly and the claim conflicts", true, faults{gets: []fault{down}}),
+		Entry("the caller does not exclude it", false, faults{Puts: list{down}}),
+		Entry("the caller excludes it wrongly and the claim conflicts", true, faults{Gets: list{down}}),
 	)
 
 	It("runs once for concurrent requests with one key at one daemon, and all get the answer", func() {
@@ -106,7 +107,7 @@
 			for range answers {
 				<-ended
 			}
-			runs = w.ran(key)
+			runs = w.Runs(key)
 		})
 		Expect(runs).To(Equal(1))
 		for _, a := range answers {
@@ -138,8 +139,8 @@
 	)
 })
 
-func repeat(f fault, n int) []fault {
-	out := make([]fault, n)
+func repeat(f scripted.Fault, n int) list {
+	out := make(list, n)
 	for i := range out {
 		out[i] = f
 	}
--- a/internal/command/execute/harness_test.go
+++ b/internal/command/execute/harness_test.go
@@ -5,7 +5,6 @@
 	"encoding/binary"
 	"fmt"
 	"io"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,14 +12,12 @@
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
-	"oleandersill.example/oleandersill/internal/backend"
 	"oleandersill.example/oleandersill/internal/command/execute"
 	"oleandersill.example/oleandersill/internal/command/report"
 	"oleandersill.example/oleandersill/internal/dispatch"
 	"oleandersill.example/oleandersill/internal/model"
-	"oleandersill.example/oleandersill/internal/platform"
 	"oleandersill.example/oleandersill/internal/tables"
-	"oleandersill.example/oleandersill/internal/testing/memplatform"
+	"oleandersill.example/oleandersill/internal/testing/scripted"
 	"oleandersill.example/oleandersill/internal/testing/suite"
 )
 
@@ -34,81 +31,30 @@
 // inBubble runs a scenario on a virtual clock. Assertions belong outside of it.
 func inBubble(scenario func()) { synctest.Test(suiteT, func(*testing.T) { scenario() }) }
 
-// fault is what goes wrong with one call to the store or to a server.
-type fault string
-
 const (
-	fine    fault = ""
-	down    fault = "down"
-	before  fault = "lost before the effect"
-	after   fault = "lost after the effect"
-	late    fault = "lost, and takes effect later"
-	slow    fault = "slow beyond the deadline"
-	stale   fault = "stale read"
-	paused  fault = "daemon paused past its window after the reply"
-	shed    fault = "shed"
-	drains  fault = "draining"
-	crossed fault = "crossed reply"
-	failed  fault = "ran and failed"
+	window   = 2 * time.Second
+	deadline = 10 * time.Second
 )
 
+// Short names of the scripted faults, for the tables.
 const (
-	window   = 2 * time.Second
-	deadline = 10 * time.Second
-	pauseFor = 3 * time.Second
+	fine, down, before, after = scripted.Fine, scripted.Down, scripted.LostBefore, scripted.LostAfter
+	late, slow, stale, paused = scripted.Late, scripted.Slow, scripted.Stale, scripted.Paused
+	shed, drains              = scripted.Shed, scripted.Draining
+	crossed, failed           = scripted.Crossed, scripted.Failed
 )
 
-// world is a store and two servers with scripted faults, shared by two daemons.
+type (
+	faults = scripted.Script
+	list   = []scripted.Fault
+)
+
+// world is a scripted world with two daemons.
 type world struct {
-	*memplatform.Platform
-	mu      sync.Mutex
-	script  faults
-	runs    map[string]int
-	pending []func()
+	*scripted.World
 	daemons []*daemon
 }
 
-// faults are the scripted faults of the next calls; calls beyond them succeed.
-type faults struct {
-	puts, gets, serves []fault
-}
-
-func (w *world) locked(f func()) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	f()
-}
-
-func (w *world) set(f faults) { w.locked(func() { w.script = f }) }
-
-func (w *world) run(key string) { w.locked(func() { w.runs[key]++ }) }
-
-func (w *world) later(effect func()) { w.locked(func() { w.pending = append(w.pending, effect) }) }
-
-func (w *world) ran(key string) (n int) {
-	w.locked(func() { n = w.runs[key] })
-	return n
-}
-
-func (w *world) next(list *[]fault) (f fault) {
-	w.locked(func() {
-		if len(*list) > 0 {
-			f, *list = (*list)[0], (*list)[1:]
-		}
-	})
-	return f
-}
-
-// settle ends the scripted faults and lets delayed effects happen.
-func (w *world) settle() {
-	w.set(faults{})
-	var effects []func()
-	w.locked(func() { effects, w.pending = w.pending, nil })
-	for _, effect := range effects {
-		effect()
-	}
-}
-
 type daemon struct {
 	*execute.Executor
 	dispatcher *dispatch.Dispatcher
@@ -116,7 +62,7 @@
 }
 
 func newWorld() *world {
-	w := &world{Platform: memplatform.New(nil), runs: map[string]int{}}
+	w := &world{World: scripted.New()}
 	for i := range 2 {
 		w.daemons = append(w.daemons, newDaemon(w, model.InstanceID(fmt.Sprint("entry-", i))))
 	}
@@ -164,75 +110,3 @@
 	id[6] = id[6]&0x0f | 0x70
 	return id.String()
 }
-
-func (w *world) Put(ctx context.Context, key string, v []byte, expect platform.Version, l platform.LeaseID) (
-	platform.Version, error,
-) {
-	f := w.next(&w.script.puts)
-	put := func() (platform.Version, error) { return w.Platform.Put(context.Background(), key, v, expect, l) }
-	switch f {
-	case down:
-		return 0, platform.ErrUnavailable
-	case slow:
-		<-ctx.Done()
-	case late:
-		w.later(func() { _, _ = put() })
-	case after:
-		_, _ = put()
-	case paused:
-		defer time.Sleep(pauseFor)
-		return put()
-	case fine:
-		return put()
-	default:
-	}
-	return 0, platform.ErrUnknown
-}
-
-func (w *world) Get(ctx context.Context, key string) (platform.Entry, error) {
-	switch w.next(&w.script.gets) {
-	case down:
-		return platform.Entry{}, platform.ErrUnavailable
-	case stale:
-		w.SetFaults(memplatform.Faults{StaleBy: pauseFor})
-		defer w.SetFaults(memplatform.Faults{})
-	default:
-	}
-	return w.Platform.Get(ctx, key)
-}
-
-// Connect implements backend.Connector; both servers share the world's script and record of runs.
-func (w *world) Connect(*model.Server, int) backend.Server { return server{w: w} }
-
-type server struct {
-	backend.Server
-	w *world
-}
-
-func (s server) Health(context.Context) (backend.Health, error) {
-	return backend.Health{Serving: true}, nil
-}
-
-func (s server) Execute(ctx context.Context, req backend.ExecuteRequest) backend.ExecuteResult {
-	f := s.w.next(&s.w.script.serves)
-	switch f {
-	case down, shed, drains, before:
-	case late:
-		s.w.later(func() { s.w.run(req.Key) })
-	default:
-		s.w.run(req.Key)
-	}
-	status := map[fault]backend.Status{
-		down: backend.StatusUnreachable, shed: backend.StatusShed, drains: backend.StatusDraining,
-		before: backend.StatusLost, after: backend.StatusLost, late: backend.StatusLost,
-		crossed: backend.StatusMismatched, failed: backend.StatusFailed, slow: backend.StatusLost,
-	}[f]
-	switch f {
-	case slow:
-		<-ctx.Done()
-	case fine:
-		time.Sleep(5 * time.Millisecond)
-	default:
-	}
-	return backend.ExecuteResult{Status: status, Result: "receipt " + req.Body}
-}
--- a/internal/command/execute/property_test.go
+++ b/internal/command/execute/property_test.go
@@ -25,7 +25,7 @@
 			rt.Repeat(map[string]func(*rapid.T){
 				"request":        m.request,
 				"two at a time":  m.race,
-				"delayed effect": func(*rapid.T) { m.world.settle() },
+				"delayed effect": func(*rapid.T) { m.world.Settle() },
 			})
 		})
 	})
@@ -64,13 +64,13 @@
 }
 
 func (m *machine) draw(t *rapid.T) string {
-	storeFaults := rapid.SampledFrom([]fault{fine, fine, down, before, after, late, slow, paused})
-	readFaults := rapid.SampledFrom([]fault{fine, down, stale})
-	serverFaults := rapid.SampledFrom([]fault{fine, fine, down, before, after, late, slow, shed, drains, crossed, failed})
-	m.world.set(faults{
-		puts:   rapid.SliceOfN(storeFaults, 0, 6).Draw(t, "store"),
-		gets:   rapid.SliceOfN(readFaults, 0, 4).Draw(t, "reads"),
-		serves: rapid.SliceOfN(serverFaults, 0, 3).Draw(t, "servers"),
+	storeFaults := rapid.SampledFrom(list{fine, fine, down, before, after, late, slow, paused})
+	readFaults := rapid.SampledFrom(list{fine, down, stale})
+	serverFaults := rapid.SampledFrom(list{fine, fine, down, before, after, late, slow, shed, drains, crossed, failed})
+	m.world.Set(faults{
+		Puts:     rapid.SliceOfN(storeFaults, 0, 6).Draw(t, "store"),
+		Gets:     rapid.SliceOfN(readFaults, 0, 4).Draw(t, "reads"),
+		Requests: rapid.SliceOfN(serverFaults, 0, 3).Draw(t, "servers"),
 	})
 	return rapid.SampledFrom(m.keys).Draw(t, "key")
 }
@@ -78,7 +78,7 @@
 // check compares an answer with the servers' record. After not_run was told, a request that was sent at the same time may
 // have taken the released claim over.
 func (m *machine) check(t *rapid.T, key string, a execute.Answer, racing bool) {
-	runs := m.world.ran(key)
+	runs := m.world.Runs(key)
 	if runs > 1 {
 		t.Fatalf("%d runs", runs)
 	}
