--- a/internal/testing/acceptance/execute_test.go
+++ b/internal/testing/acceptance/execute_test.go
@@ -59,15 +59,22 @@
 		Editor: "test", Reason: "test",
 		Inventory: model.Inventory{
 			MaxInstances: 2, Zones: []model.ZoneSpec{{Name: "luzon", Region: "luzon"}},
-			Services: []model.ServiceSpec{{Name: "payouts", Shards: []model.ShardSpec{{
+			Services: []model.ServiceSpec{{Name: "payouts", ShardMapEpoch: 1, Shards: []model.ShardSpec{{
 				Name: "all", KeyTo: model.KeySpace, Servers: []model.ServerSpec{
 					{Name: "ledger-1", Address: s.ledger.Address(), Zone: "luzon", Slots: 2, Connections: 8},
 				},
 			}}}},
 		},
-		Rules: model.Rules{Deadlines: model.DeadlineRule{DefaultMs: 10_000, MaxMs: 20_000}},
+		Rules: model.Rules{
+			Ranks: []model.RankRule{
+				{Rank: "urgent", TargetMs: 1000}, {Rank: "standard", TargetMs: 1000}, {Rank: "deferred", TargetMs: 1000},
+			},
+			Hedge:     model.HedgeRule{WindowMs: 10_000, Quantile: 0.95},
+			Retry:     model.RetryRule{WindowMs: 10_000, MaxAttempts: 3},
+			Deadlines: model.DeadlineRule{DefaultMs: 10_000, MaxMs: 20_000},
+		},
 	})
-	Expect(result.Verdict).To(Equal(configure.Accepted), result.Detail)
+	Expect(result.Verdict).To(Equal(configure.Accepted), "%+v", result)
 	return s
 }
 
