--- a/internal/command/execute/acquire.go
+++ b/internal/command/execute/acquire.go
@@ -59,6 +59,7 @@
 			continue
 		}
 		if err != nil {
+			cl.contested = cl.contested || errors.Is(err, ErrMalformedClaim)
 			return cl.held, e.giveUp(c, cl, ReasonStoreUnreachable), false
 		}
 		action := claim.Decide(existing, cl.held.record.Nonce, c.digest)
--- a/internal/command/execute/faults_test.go
+++ b/internal/command/execute/faults_test.go
@@ -50,6 +50,8 @@
 		Entry("claim lost after the effect, store then down",
 			faults{Puts: list{after}, Gets: list{down}}, notRun, done),
 		Entry("claim lost after the effect, stale read", faults{Puts: list{after}, Gets: list{stale}}, done, done),
+		Entry("claim delayed, store then down",
+			faults{Puts: list{late}, Gets: list{down}}, notRun, unknown0),
 		Entry("claim delayed beyond a second one", faults{Puts: list{late}}, done, done),
 		Entry("result lost before the effect", faults{Puts: list{fine, before}}, done, done),
 		Entry("result lost after the effect", faults{Puts: list{fine, after}}, done, done),
--- a/internal/command/execute/recorder.go
+++ b/internal/command/execute/recorder.go
@@ -18,7 +18,8 @@
 	recordQueue   = 1024
 	// recordTimeout bounds the writing of one record, retries included.
 	recordTimeout = 5 * time.Second
-	recordPause   = 100 * time.Millisecond
+	// recordPause is the wait before the second try; it doubles with each further one.
+	recordPause = 100 * time.Millisecond
 )
 
 // recordJob replaces a claim after its request ended.
@@ -100,12 +101,12 @@
 	defer close(job.done)
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
-	for {
+	for wait := recordPause; ; wait *= 2 {
 		err := r.tryWrite(ctx, &job)
 		if err == nil || settled(err) {
 			return
 		}
-		if !pause(ctx) {
+		if !pause(ctx, wait) {
 			r.log.Warn().Err(err).Str("service", string(job.key.Service)).Str("key", job.key.Key).
 				Str("state", string(job.next.State)).Msg("claim_record_failed")
 			return
@@ -114,10 +115,9 @@
 }
 
 // settled tells whether another try cannot help: a conflict means that an earlier try took effect, since nobody else
-// replaces a claim that is held.
+// replaces a claim that is held. A claim that is not found may still arrive.
 func settled(err error) bool {
-	return errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrTooLarge) ||
-		errors.Is(err, platform.ErrNotFound)
+	return errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrTooLarge)
 }
 
 func (r *recorder) tryWrite(ctx context.Context, job *recordJob) error {
@@ -136,8 +136,8 @@
 }
 
 // pause waits before another try, and returns false if the time is up.
-func pause(ctx context.Context) bool {
-	t := time.NewTimer(recordPause)
+func pause(ctx context.Context, wait time.Duration) bool {
+	t := time.NewTimer(wait)
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/internal/testing/acceptance/execute_test.go
+++ b/internal/testing/acceptance/execute_test.go
@@ -83,6 +83,7 @@
 	set := settings.Defaults()
 	set.Instance, set.Zone, set.Region, set.PlatformAddress = name, "luzon", "luzon", s.address
 	set.CallerAddress, set.OperatorAddress = "127.0.0.1:0", "127.0.0.1:0"
+	set.DrainGraceMs = 0
 	set.OperatorToken, set.PeerToken = "token-of-the-operators", "token-of-the-peers"
 	d, err := daemon.Start(set, zerolog.Nop())
 	Expect(err).NotTo(HaveOccurred())
@@ -233,9 +234,11 @@
 			told{}, told{model.OutcomeUnknown, "claimed_by_another_attempt", 0}),
 	)
 
-	It("are counted in the metrics under the inventory's names", func() {
+	It("cost two store writes and one lease, and are counted in the metrics under the inventory's names", func() {
 		base := s.startDaemon("entry-1")
 		Expect(s.execute(base, newKey(), false, deadlineMs).Outcome).To(Equal(model.OutcomeComplete))
+		Expect(s.store.Counts()[platformserver.KindPut].Calls).To(Equal(2))
+		Expect(s.store.Counts()[platformserver.KindGrant].Calls).To(Equal(1))
 		Eventually(func() string {
 			_, page := get(base + "/metrics")
 			return page
