Report each ejection once, from the server's record

The change is taken under the record's lock; before, two workers that ended attempts at the same time kept the last logged state in a map outside of the tables. The exclusion of tried replicas is now one function for both trees.

--- a/internal/command/execute/send.go
+++ b/internal/command/execute/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"oleandersill.example/oleandersill/internal/backend"
@@ -23,8 +22,8 @@
 	d.Budgets.OnRequest(time.Now())
 	for attempt := uint32(1); int(attempt) <= max(1, c.Topology.Rules.Retry.MaxAttempts); attempt++ {
 		cs, records := d.Candidates(nil, nil, c.shard, time.Now())
-		exclude(cs, tried)
-		i, ok := routing.Choose(cs, rnd)
+		routing.Exclude(cs, tried)
+		i, ok := d.Choose(cs, rnd)
 		if !ok || (attempt > 1 && !d.Budgets.SpendRetry(time.Now())) {
 			return refusal
 		}
@@ -74,12 +73,3 @@
 		Deadline: c.Deadline,
 	}
 }
-
-// exclude removes the servers that were tried.
-func exclude(cs []routing.Candidate, tried []model.ServerName) {
-	for i := range cs {
-		if slices.Contains(tried, cs[i].Server.Name) {
-			cs[i].Usable, cs[i].Probe = false, false
-		}
-	}
-}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -71,13 +70,11 @@
 	})
 }
 
-// attemptObserver counts attempts and logs changes of servers' states before it passes attempts on.
+// attemptObserver counts attempts and logs ejections after it passed the attempts on.
 type attemptObserver struct {
 	next    dispatch.Observer
 	metrics *telemetry.Metrics
 	log     zerolog.Logger
-	// states holds the last logged state of servers whose state is not ordinary.
-	states sync.Map
 }
 
 // ObserveAttempt implements dispatch.Observer.
@@ -85,40 +82,23 @@
 	s *tables.Server, status backend.Status, latency time.Duration, load backend.Load,
 ) float64 {
 	slowdown := o.next.ObserveAttempt(s, status, latency, load)
-	st := s.Status()
-	o.metrics.Attempt(st.Spec.Service, status.String())
+	spec := s.Spec()
+	o.metrics.Attempt(spec.Service, status.String())
 	if status == backend.StatusMismatched {
-		o.metrics.DroppedReply(st.Spec.Service)
+		o.metrics.DroppedReply(spec.Service)
+	}
+	switch s.TakeEjectionChange() {
+	case tables.EjectionBegan:
+		o.metrics.Ejection(spec.Service, spec.Zone)
+		o.event(spec).Msg("server_ejected")
+	case tables.EjectionEnded:
+		o.event(spec).Msg("server_in_use")
+	case tables.EjectionSame:
 	}
-	o.noteState(st)
 	return slowdown
 }
 
-// noteState logs a server's change between in use, ejected and leaving. Changes of the in-flight limit are too frequent
-// for the log.
-func (o *attemptObserver) noteState(st tables.ServerStatus) {
-	var before any
-	if st.State == tables.ServerEjected || st.State == tables.ServerLeaving {
-		before, _ = o.states.Swap(st.Spec.Name, st.State)
-	} else {
-		before, _ = o.states.LoadAndDelete(st.Spec.Name)
-		st.State = tables.ServerOrdinary
-		if before == nil {
-			return
-		}
-	}
-	if before == st.State {
-		return
-	}
-	event := o.log.Info().Str("service", string(st.Spec.Service)).Str("shard", string(st.Spec.Shard)).
-		Str("server", string(st.Spec.Name)).Str("zone", string(st.Spec.Zone))
-	switch st.State {
-	case tables.ServerEjected:
-		o.metrics.Ejection(st.Spec.Service, st.Spec.Zone)
-		event.Msg("server_ejected")
-	case tables.ServerLeaving:
-		event.Msg("server_leaving")
-	case tables.ServerLimited, tables.ServerOrdinary:
-		event.Msg("server_in_use")
-	}
+func (o *attemptObserver) event(spec *model.Server) *zerolog.Event {
+	return o.log.Info().Str("service", string(spec.Service)).Str("shard", string(spec.Shard)).
+		Str("server", string(spec.Name)).Str("zone", string(spec.Zone))
 }
--- a/internal/decision/routing/choose.go
+++ b/internal/decision/routing/choose.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"oleandersill.example/oleandersill/internal/model"
@@ -108,6 +109,15 @@
 	return max(floor, time.Duration(float64(observed)*f))
 }
 
+// Exclude makes the servers that were tried neither usable nor due a probe.
+func Exclude(cs []Candidate, tried []model.ServerName) {
+	for i := range cs {
+		if slices.Contains(tried, cs[i].Server.Name) {
+			cs[i].Usable, cs[i].Probe = false, false
+		}
+	}
+}
+
 // Choose returns the index of the candidate that should get the next attempt, or false if none is usable. A candidate
 // due a probe is taken first, so that an ejected server is tried once and its attempt can be hedged or retried elsewhere.
 func Choose(cs []Candidate, rnd *rand.Rand) (int, bool) {
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -121,7 +121,7 @@
 func (c *call) sendTo(i int, now time.Time) bool {
 	sh := &c.shards[i]
 	c.candidates, c.records = c.searcher.Dispatcher.Candidates(c.candidates, c.records, sh.shard, now)
-	excludeTried(c.candidates, sh.tried)
+	routing.Exclude(c.candidates, sh.tried)
 	j, ok := c.searcher.Dispatcher.Choose(c.candidates, c.rnd)
 	if !ok {
 		return false
@@ -138,16 +138,6 @@
 	return slices.ContainsFunc(cs, func(c routing.Candidate) bool { return c.Usable })
 }
 
-func excludeTried(cs []routing.Candidate, tried []model.ServerName) {
-	for i := range cs {
-		for _, name := range tried {
-			if cs[i].Server.Name == name {
-				cs[i].Usable, cs[i].Probe = false, false
-			}
-		}
-	}
-}
-
 func (c *call) send(i int, server *tables.Server, now time.Time) {
 	sh := &c.shards[i]
 	c.attempts++
--- a/internal/query/scatter/hedge.go
+++ b/internal/query/scatter/hedge.go
@@ -75,7 +75,7 @@
 func (c *call) hedgeShard(i int, now time.Time) {
 	sh := &c.shards[i]
 	c.candidates, c.records = c.searcher.Dispatcher.Candidates(c.candidates, c.records, sh.shard, now)
-	excludeTried(c.candidates, sh.tried)
+	routing.Exclude(c.candidates, sh.tried)
 	target := idleCandidate(c.candidates, c.records)
 	if target == nil || !c.searcher.Dispatcher.Budgets.SpendHedge(c.req.Rank, now) {
 		return
--- a/internal/tables/server.go
+++ b/internal/tables/server.go
@@ -37,6 +37,8 @@
 	joined   time.Time
 	leaving  time.Time
 	load     backend.Load
+	// notedEjected is the ejection state that TakeEjectionChange last returned.
+	notedEjected bool
 }
 
 // NewServer returns the record of a server that joined at joined, reached through client with a connection budget.
--- a/internal/tables/state.go
+++ b/internal/tables/state.go
@@ -22,6 +22,31 @@
 	Limit    int
 }
 
+// EjectionChange is a server's step into or out of ejection.
+type EjectionChange int
+
+// The changes.
+const (
+	EjectionSame EjectionChange = iota
+	EjectionBegan
+	EjectionEnded
+)
+
+// TakeEjectionChange returns the change since its last call, so that each change is reported once.
+func (s *Server) TakeEjectionChange() EjectionChange {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ejected := s.health.Ejected()
+	if ejected == s.notedEjected {
+		return EjectionSame
+	}
+	s.notedEjected = ejected
+	if ejected {
+		return EjectionBegan
+	}
+	return EjectionEnded
+}
+
 // Status returns the server's present status.
 func (s *Server) Status() ServerStatus {
 	s.mu.Lock()
