Judge the age of the claims' lease by the wall clock too

The monotonic clock stands still while an instance is suspended, so a lease could look younger than the store holds it to be, and claims attached to it would go before their keys are too old. A result above the store's value limit is now logged when it is not recorded.

--- a/internal/command/execute/claims.go
+++ b/internal/command/execute/claims.go
@@ -59,6 +59,13 @@
 	granted time.Time
 }
 
+// age is the greater of the lease's ages by the monotonic and by the wall clock: the monotonic clock stands still while
+// the instance is suspended, and the store's does not.
+func (l *claimLease) age() time.Duration {
+	now := time.Now()
+	return max(now.Sub(l.granted), now.Round(0).Sub(l.granted.Round(0)))
+}
+
 // Write implements ClaimStore.
 func (s *StoreClaims) Write(ctx context.Context, key ClaimKey, r claim.Record, expect platform.Version) (
 	platform.Version, error,
@@ -100,10 +107,10 @@
 // one; only without a usable lease does each request ask for its own.
 func (s *StoreClaims) currentLease(ctx context.Context) (*claimLease, error) {
 	current := s.lease.Load()
-	if current == nil || time.Since(current.granted) > leaseMaxAge {
+	if current == nil || current.age() > leaseMaxAge {
 		return s.grant(ctx)
 	}
-	if time.Since(current.granted) > leaseRenewal && s.granting.CompareAndSwap(false, true) {
+	if current.age() > leaseRenewal && s.granting.CompareAndSwap(false, true) {
 		defer s.granting.Store(false)
 		if renewed, err := s.grant(ctx); err == nil {
 			return renewed, nil
--- a/internal/command/execute/recorder.go
+++ b/internal/command/execute/recorder.go
@@ -103,10 +103,11 @@
 	defer cancel()
 	for wait := recordPause; ; wait *= 2 {
 		err := r.tryWrite(ctx, &job)
-		if err == nil || settled(err) {
+		if err == nil || errors.Is(err, platform.ErrConflict) {
+			// A conflict means that an earlier try took effect, since nobody else replaces a claim that is held.
 			return
 		}
-		if !pause(ctx, wait) {
+		if errors.Is(err, platform.ErrTooLarge) || !pause(ctx, wait) {
 			r.log.Warn().Err(err).Str("service", string(job.key.Service)).Str("key", job.key.Key).
 				Str("state", string(job.next.State)).Msg("claim_record_failed")
 			return
@@ -114,14 +115,9 @@
 	}
 }
 
-// settled tells whether another try cannot help: a conflict means that an earlier try took effect, since nobody else
-// replaces a claim that is held. A claim that is not found may still arrive.
-func settled(err error) bool {
-	return errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrTooLarge)
-}
-
 func (r *recorder) tryWrite(ctx context.Context, job *recordJob) error {
 	if job.version == 0 {
+		// A claim that is not found may still arrive.
 		existing, version, err := r.claims.Read(ctx, job.key)
 		if err != nil {
 			return err
