--- a/internal/standin/backendserver/server.go
+++ b/internal/standin/backendserver/server.go
@@ -10,8 +10,8 @@
 	"oleandersill.example/oleandersill/internal/standin/netfault"
 )
 
-// Server is the stand-in. Create it with New, serve it with Start (or as an http.Handler) and end it with Close. Start,
-// Crash, Restart and Close must not be called at the same time; everything else may.
+// Server is the stand-in. Create it with New, serve it with Start (or as an http.Handler) and end it with Close. Its
+// methods are safe for concurrent use.
 type Server struct {
 	cfg      Config
 	mux      *http.ServeMux
--- a/internal/standin/backendserver/server_test.go
+++ b/internal/standin/backendserver/server_test.go
@@ -12,30 +12,94 @@
 	"oleandersill.example/oleandersill/internal/backend/backendhttp"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/standin/backendserver"
+	"oleandersill.example/oleandersill/internal/testing/contract"
 	"oleandersill.example/oleandersill/internal/testing/suite"
 )
 
 func TestBackendServer(t *testing.T) { suite.Run(t, "./internal/standin/backendserver") }
 
+const patience = 30 * time.Second
+
 var _ = Describe("the stand-in of a backend server", func() {
-	It("answers again on its address after a crash, with the items of its shard", func() {
-		s := backendserver.New(backendserver.Config{Shard: "s1", Epoch: 3, Version: 7, Slots: 2, Items: 50})
+	contract.CheckGoroutines()
+
+	start := func(cfg backendserver.Config) (*backendserver.Server, backend.Server) {
+		cfg.Shard, cfg.Slots, cfg.Items = "s1", 1, 50
+		s := backendserver.New(cfg)
 		DeferCleanup(s.Close)
 		Expect(s.Start("127.0.0.1:0")).To(Succeed())
 		connector := &backendhttp.Connector{}
 		DeferCleanup(connector.Close)
-		client := connector.Connect(&model.Server{ServerSpec: model.ServerSpec{Name: "a", Address: s.Address()}}, 2)
-		request := backend.QueryRequest{
-			ID:    backend.AttemptID{Request: "d1-1-1", Incarnation: 1, Attempt: 1},
-			Shard: "s1", Epoch: 3, Text: "tea", Limit: 5, Deadline: time.Now().Add(time.Minute),
+		return s, connector.Connect(&model.Server{ServerSpec: model.ServerSpec{Address: s.Address()}}, 4)
+	}
+	request := func(instance string, attempt uint32) backend.QueryRequest {
+		return backend.QueryRequest{
+			ID:    backend.AttemptID{Request: model.RequestID(instance + "-1-1"), Attempt: attempt},
+			Shard: "s1", Limit: 5, Deadline: time.Now().Add(time.Hour),
 		}
+	}
+	send := func(ctx context.Context, client backend.Server, r backend.QueryRequest) <-chan backend.Status {
+		ended := make(chan backend.Status, 1)
+		go func() { ended <- client.Query(ctx, r).Status }()
+		return ended
+	}
+
+	It("never starts a waiting request that is cancelled, and frees its place", func(ctx SpecContext) {
+		s, client := start(backendserver.Config{Queue: 1, ServiceTime: time.Hour})
+		running := send(ctx, client, request("d1", 1))
+		Eventually(s.Load).WithTimeout(patience).Should(Equal(backend.Load{Running: 1}))
+		waiting := send(ctx, client, request("d1", 2))
+		Eventually(s.Load).WithTimeout(patience).Should(Equal(backend.Load{Running: 1, Waiting: 1}))
+		Expect(client.Query(ctx, request("d1", 3)).Status).To(Equal(backend.StatusShed))
+		Expect(client.Cancel(ctx, request("d1", 2).ID)).To(BeTrue())
+		Eventually(waiting).WithTimeout(patience).Should(Receive(Equal(backend.StatusCancelled)))
+		Expect(s.Load()).To(Equal(backend.Load{Running: 1}))
+		Expect(s.Record().Counts().Started).To(Equal(1))
+		Expect(client.Cancel(ctx, request("d1", 1).ID)).To(BeTrue())
+		Eventually(running).WithTimeout(patience).Should(Receive(Equal(backend.StatusCancelled)))
+	})
+
+	It("is silent to the daemon that is cut off and answers the other", func(ctx SpecContext) {
+		s, client := start(backendserver.Config{})
+		s.SetFaults(backendserver.Faults{CutOff: []model.InstanceID{"d1"}})
+		cut, giveUp := context.WithCancel(ctx)
+		silent := send(cut, client, request("d1", 1))
+		Expect(client.Query(ctx, request("d12", 1)).Status).To(Equal(backend.StatusOK))
+		Consistently(silent).WithTimeout(50 * time.Millisecond).ShouldNot(Receive())
+		giveUp()
+		Eventually(silent).WithTimeout(patience).Should(Receive(Equal(backend.StatusCancelled)))
+		Expect(s.Record().Counts().Started).To(Equal(1))
+	})
+
+	// Only lower bounds, because a busy machine may add any time.
+	DescribeTable("holds the slot for at least the service time under a fault",
+		func(ctx SpecContext, cfg backendserver.Config, f backendserver.Faults, least time.Duration) {
+			cfg.ServiceTime = 5 * time.Millisecond
+			s, client := start(cfg)
+			s.SetFaults(f)
+			Expect(client.Query(ctx, request("d1", 1)).Status).To(Equal(backend.StatusOK))
+			run := s.Record().Queries()[0]
+			Expect(run.End).To(Equal(backendserver.EndCompleted))
+			Expect(run.Stop.Sub(run.Start)).To(BeNumerically(">=", least))
+		},
+		Entry("none", backendserver.Config{}, backendserver.Faults{}, 5*time.Millisecond),
+		Entry("slow", backendserver.Config{}, backendserver.Faults{SlowFactor: 10}, 50*time.Millisecond),
+		Entry("cold", backendserver.Config{ColdFor: time.Hour, ColdFactor: 4}, backendserver.Faults{},
+			20*time.Millisecond),
+		Entry("in the tail", backendserver.Config{TailRatio: 1, TailFactor: 6}, backendserver.Faults{},
+			30*time.Millisecond),
+	)
+
+	It("ends what runs when it crashes and serves again on its address", func(ctx SpecContext) {
+		s, client := start(backendserver.Config{ServiceTime: time.Hour})
+		running := send(ctx, client, request("d1", 1))
+		Eventually(s.Load).WithTimeout(patience).Should(Equal(backend.Load{Running: 1}))
+		address := s.Address()
 		s.Crash()
-		Expect(client.Query(context.Background(), request).Status).To(Equal(backend.StatusUnreachable))
+		Eventually(running).WithTimeout(patience).Should(Receive(Equal(backend.StatusLost)))
+		Expect(s.Record().Queries()[0].End).To(Equal(backendserver.EndCrashed))
 		Expect(s.Restart()).To(Succeed())
-		result := client.Query(context.Background(), request)
-		Expect(result.Status).To(Equal(backend.StatusOK))
-		Expect(result.Reply.Items).To(Equal(backendserver.Generate(
-			backendserver.Content{Shard: "s1", Epoch: 3, Version: 7, Text: "tea", Items: 50}, 5)))
-		Expect(s.Record().Queries()).To(HaveLen(1))
+		Expect(s.Address()).To(Equal(address))
+		Expect(client.Health(ctx)).To(Equal(backend.Health{Serving: true}))
 	})
 })
--- a/internal/standin/netfault/endpoint.go
+++ b/internal/standin/netfault/endpoint.go
@@ -15,8 +15,11 @@
 
 const headerTimeout = 5 * time.Second
 
+// ErrOpen means that the endpoint is open already.
+var ErrOpen = errors.New("netfault: endpoint is open already")
+
 // Endpoint serves one handler on one address and can be shut and opened again, as an instance that crashes and comes
-// back. Open and Shut must not be called at the same time.
+// back. Its methods are safe for concurrent use.
 type Endpoint struct {
 	handler http.Handler
 	cfg     Config
@@ -51,9 +54,9 @@
 	server := &http.Server{ReadHeaderTimeout: headerTimeout}
 	server.Handler = e.gate(server)
 	served := make(chan struct{})
-	e.mu.Lock()
-	e.address, e.listener, e.server, e.served = l.Addr().String(), listener, server, served
-	e.mu.Unlock()
+	if !e.install(listener, server, served) {
+		return errors.CombineErrors(ErrOpen, listener.Close())
+	}
 	go func() {
 		defer close(served)
 		// Serve returns when Shut closes the listener.
@@ -62,6 +65,16 @@
 	return nil
 }
 
+func (e *Endpoint) install(listener *Listener, server *http.Server, served chan struct{}) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.server != nil {
+		return false
+	}
+	e.address, e.listener, e.server, e.served = listener.Addr().String(), listener, server, served
+	return true
+}
+
 // gate counts the requests being served and cuts those that arrive when the server is being shut.
 func (e *Endpoint) gate(server *http.Server) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
