State who calls at the platform, and list the stand-ins on the design page

Cause: a platform that is cut off from one daemon only needs to know who calls, and the client's Identify was not used.

Change: the daemon identifies itself by instance and zone.

No measurement.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -62,6 +62,7 @@
 		platform:  platformhttp.NewWithDialer(s.PlatformAddress, o.dial),
 		connector: &backendhttp.Connector{Dial: o.dial},
 	}
+	d.platform.Identify(s.Instance, s.Zone)
 	recorder := &report.Recorder{Config: d.config, Servers: tables.NewServers(), Connector: d.connector, Policy: s.Policy}
 	d.metrics = telemetry.NewMetrics(d.sample)
 	d.dispatcher = dispatch.New(dispatch.Config{
--- a/internal/tables/doc.go
+++ b/internal/tables/doc.go
@@ -18,6 +18,6 @@
 //	OrderBudgets     Budgets       hedge and retry windows
 //	OrderTimer       (pool.Timer)  the shared deadline heap
 //
-// A package that adds a table adds its order here and nowhere else. Every lock is a lockorder.Mutex, whose check panics
-// in tests on any acquisition against this order.
+// A package that adds a table adds its order here and nowhere else; the stand-ins' orders, all above these, are in
+// package standin. Every lock is a lockorder.Mutex, whose check panics in tests on any acquisition against this order.
 package tables
