Keep a shard's ranked items in the backend stand-in

Cause: every sub-request generated and sorted all items of its shard, after its slot was free, so that the stand-ins' processor time weighed on measurements.

Change: the server keeps the ranked items of the contents that were asked for; only the returned items are copied.

--- a/internal/standin/backendserver/queries.go
+++ b/internal/standin/backendserver/queries.go
@@ -29,7 +29,7 @@
 	content := Content{Shard: h.shard, Epoch: h.epoch, Version: version, Text: body.Text, Items: s.cfg.Items}
 	reply := backendhttp.QueryReplyBody{
 		Shard: h.shard, Epoch: h.epoch, Version: version, Retained: retained,
-		Items: Generate(content, body.Limit), Load: s.state.load(s.actualLoad()),
+		Items: s.state.items(content, body.Limit), Load: s.state.load(s.actualLoad()),
 	}
 	fault, id := s.state.drawReply(body.ID)
 	reply.ID = id
--- a/internal/standin/backendserver/state.go
+++ b/internal/standin/backendserver/state.go
@@ -11,6 +11,9 @@
 	"oleandersill.example/oleandersill/internal/standin"
 )
 
+// maxRanked bounds the contents whose items are kept.
+const maxRanked = 8
+
 // holding is a shard of one shard map.
 type holding struct {
 	shard model.ShardName
@@ -25,7 +28,9 @@
 	// holdings are the current shard and those retained from earlier shard maps, newest first.
 	holdings []holding
 	// versions are the current index version and the retained ones, newest first.
-	versions  []model.IndexVersion
+	versions []model.IndexVersion
+	// ranked are the items of the contents that were asked for, by content without its text.
+	ranked    map[Content][]model.Item
 	coldUntil time.Time
 	rnd       *rand.Rand
 	// lastAttempt is the attempt answered last, which a crossed reply echoes.
@@ -40,6 +45,7 @@
 		cfg:       cfg,
 		holdings:  []holding{{shard: cfg.Shard, epoch: cfg.Epoch}},
 		versions:  []model.IndexVersion{cfg.Version},
+		ranked:    map[Content][]model.Item{},
 		coldUntil: time.Now().Add(cfg.ColdFor),
 		rnd:       rand.New(rand.NewPCG(cfg.Seed, 1)), //nolint:gosec // fault draws need no secrecy
 	}
@@ -83,6 +89,24 @@
 	return s.holdings[i], want, retained, slices.Contains(s.versions, want)
 }
 
+// items returns what Generate returns, without generating and sorting a shard's items for each request.
+func (s *state) items(c Content, limit int) []model.Item {
+	return answer(s.rankedItems(Content{Shard: c.Shard, Epoch: c.Epoch, Version: c.Version, Items: c.Items}), c.Text, limit)
+}
+
+func (s *state) rankedItems(c Content) []model.Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ranked, ok := s.ranked[c]; ok {
+		return ranked
+	}
+	if len(s.ranked) >= maxRanked {
+		clear(s.ranked)
+	}
+	s.ranked[c] = rank(c)
+	return s.ranked[c]
+}
+
 func (s *state) setVersion(v model.IndexVersion, retain int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
