--- a/cmd/oleandersilld/signals_test.go
+++ b/internal/testing/acceptance/signals_test.go
@@ -1,4 +1,4 @@
-package main_test
+package acceptance_test
 
 import (
 	"net/http"
@@ -10,9 +10,6 @@
 	. "github.com/onsi/gomega"
 )
 
-// unreachable is an address on which nothing listens.
-const unreachable = "127.0.0.1:1"
-
 var _ = Describe("signals to a daemon process", func() {
 	exitCode := func(daemon *exec.Cmd) func() int {
 		ended := make(chan struct{})
@@ -30,21 +27,29 @@
 		}
 	}
 
-	It("drain it at the first SIGTERM, and it ends with code 0", func() {
-		daemon, base := start(unreachable)
+	readiness := func(base string) func() string {
+		return func() string {
+			_, body := get(base + "/readyz")
+			return body
+		}
+	}
+
+	It("drain it at the first SIGTERM, and it ends with code 0", func(ctx SpecContext) {
+		daemon, base := newSite(ctx).startProcess()
 		code := exitCode(daemon)
 		Expect(daemon.Process.Signal(syscall.SIGTERM)).To(Succeed())
-		Eventually(func() string { return read(base + "/readyz") }, "2s").Should(ContainSubstring("draining"))
-		Expect(get(base + "/healthz")).To(Equal(http.StatusOK))
+		Eventually(readiness(base), "2s").Should(ContainSubstring("draining"))
+		status, _ := get(base + "/healthz")
+		Expect(status).To(Equal(http.StatusOK))
 		Eventually(code, 30*time.Second).Should(Equal(0))
 	})
 
 	// Guards against an operator who cannot end a process that hangs in its drain.
-	It("end it at once with code 3 at the second SIGTERM", func() {
-		daemon, base := start(unreachable)
+	It("end it at once with code 3 at the second SIGTERM", func(ctx SpecContext) {
+		daemon, base := newSite(ctx).startProcess()
 		code := exitCode(daemon)
 		Expect(daemon.Process.Signal(syscall.SIGTERM)).To(Succeed())
-		Eventually(func() string { return read(base + "/readyz") }, "2s").Should(ContainSubstring("draining"))
+		Eventually(readiness(base), "2s").Should(ContainSubstring("draining"))
 		Expect(daemon.Process.Signal(syscall.SIGTERM)).To(Succeed())
 		Eventually(code, 30*time.Second).Should(Equal(3))
 	})
