--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/validation"
 )
 
@@ -41,6 +42,9 @@
 	if level, err := zerolog.ParseLevel(s.LogLevel); err != nil || level < zerolog.TraceLevel || level > zerolog.ErrorLevel {
 		ps.Add(validation.KindRange, "log_level", levelsAllowed, "is %q", s.LogLevel)
 	}
+	if s.Policy != model.PolicyDefault && s.Policy != model.PolicyBaseline {
+		ps.Add(validation.KindRange, "policy", "default, baseline", "is %q", string(s.Policy))
+	}
 	s.checkTokens(&ps)
 	return ps
 }
