--- a/internal/cli/command/drain.go
+++ b/internal/cli/command/drain.go
@@ -8,14 +8,9 @@
 	"net/http"
 
 	"oleandersill.example/oleandersill/internal/cli"
+	"oleandersill.example/oleandersill/internal/command/commandhttp"
 )
 
-// drainAnswer is the daemon's reply to POST /v1/drain.
-type drainAnswer struct {
-	// Started is false if the daemon was draining already.
-	Started bool `json:"started"`
-}
-
 func drainCommand() cli.Command {
 	return cli.Command{
 		Name:    "drain",
@@ -36,7 +31,7 @@
 		if reply.Status != http.StatusAccepted {
 			return reply.Failure()
 		}
-		var answer drainAnswer
+		var answer commandhttp.DrainResponse
 		if err := reply.Decode(&answer); err != nil {
 			return err
 		}
--- a/internal/cli/query/plan.go
+++ b/internal/cli/query/plan.go
@@ -86,5 +86,5 @@
 	for _, d := range p.Changes {
 		_, _ = fmt.Fprintln(w, d)
 	}
-	_, _ = fmt.Fprintf(w, "%d changes in %d parts; apply with -expect %d\n", len(p.Changes), len(p.Parts), p.Revision)
+	_, _ = fmt.Fprintf(w, "differences: %d, parts written: %d; apply with -expect %d\n", len(p.Changes), len(p.Parts), p.Revision)
 }
--- a/internal/cli/query/status.go
+++ b/internal/cli/query/status.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"io"
 	"time"
 
 	"oleandersill.example/oleandersill/internal/cli"
-	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/query/status"
 )
 
 func statusCommand() cli.Command {
@@ -20,45 +19,19 @@
 	}
 }
 
-// statusAnswer is the part of GET /v1/status that the table shows.
-type statusAnswer struct {
-	Instance     model.InstanceID       `json:"instance"`
-	Zone         model.AvailabilityZone `json:"zone"`
-	Revision     model.Revision         `json:"revision"`
-	Editor       string                 `json:"editor"`
-	Ready        bool                   `json:"ready"`
-	Draining     bool                   `json:"draining"`
-	Relay        bool                   `json:"relay"`
-	StoreContact time.Time              `json:"store_contact"`
-	Rejected     *struct {
-		Revision model.Revision `json:"revision"`
-		Reason   string         `json:"reason"`
-	} `json:"rejected"`
-	Members struct {
-		Alive     int `json:"alive"`
-		Suspected int `json:"suspected"`
-		Dead      int `json:"dead"`
-	} `json:"members"`
-	Leaving []model.ServerName `json:"leaving"`
-}
-
 func setupStatus(fs *flag.FlagSet, env *cli.Env) cli.RunFunc {
 	client := cli.OperatorFlags(fs, env)
 	format := cli.OutputFlag(fs)
 	return func(ctx context.Context, env *cli.Env) error {
-		var raw json.RawMessage
-		if err := client.Get(ctx, "/v1/status", &raw); err != nil {
-			return err
-		}
-		var s statusAnswer
-		if err := json.Unmarshal(raw, &s); err != nil {
+		var s status.Status
+		if err := client.Get(ctx, "/v1/status", &s); err != nil {
 			return err
 		}
-		return format.Print(env, raw, func(w io.Writer) { statusTable(w, s) })
+		return format.Print(env, s, func(w io.Writer) { statusTable(w, s) })
 	}
 }
 
-func statusTable(w io.Writer, s statusAnswer) {
+func statusTable(w io.Writer, s status.Status) {
 	cli.Row(w, "instance", s.Instance)
 	cli.Row(w, "zone", s.Zone)
 	cli.Row(w, "revision in force", s.Revision)
--- /dev/null
+++ b/internal/cli/session_test.go
@@ -0,0 +1,228 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"oleandersill.example/oleandersill/internal/cli"
+	"oleandersill.example/oleandersill/internal/cli/command"
+	"oleandersill.example/oleandersill/internal/cli/query"
+	"oleandersill.example/oleandersill/internal/daemon"
+	"oleandersill.example/oleandersill/internal/settings"
+	"oleandersill.example/oleandersill/internal/standin/platformserver"
+	"oleandersill.example/oleandersill/internal/testing/suite"
+)
+
+func TestCLI(t *testing.T) { suite.Run(t, "./internal/cli") }
+
+const (
+	changeToken = "token-of-an-editor"
+	readToken   = "token-of-a-reader"
+)
+
+// session runs the tool against one daemon and keeps a transcript.
+type session struct {
+	dir        string
+	env        map[string]string
+	transcript bytes.Buffer
+	log        bytes.Buffer
+}
+
+func (s *session) run(args ...string) (int, string) {
+	var stdout, stderr bytes.Buffer
+	env := &cli.Env{Stdout: &stdout, Stderr: &stderr, Getenv: func(name string) string { return s.env[name] }}
+	code := cli.Run(context.Background(), env, s.expand(args), slices.Concat(query.All(), command.All()))
+	_, _ = fmt.Fprintf(&s.transcript, "$ oleandersill %s\n%s%sexit %d\n\n", strings.Join(args, " "), &stdout, &stderr, code)
+	return code, stdout.String()
+}
+
+// expand replaces DIR by the session's directory.
+func (s *session) expand(args []string) []string {
+	out := make([]string, len(args))
+	for i, a := range args {
+		out[i] = strings.ReplaceAll(a, "DIR", s.dir)
+	}
+	return out
+}
+
+var volatile = []struct {
+	pattern *regexp.Regexp
+	text    string
+}{
+	{regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\dZ`), "TIME"},
+	{regexp.MustCompile(`[0-9a-f]{64}`), "HASH"},
+	{regexp.MustCompile(`time_ms: \d+`), "time_ms: TIME"},
+	{regexp.MustCompile(`127\.0\.0\.1:\d{5}`), "ADDRESS"},
+}
+
+func (s *session) normalised() string {
+	text := strings.ReplaceAll(s.transcript.String(), s.dir, "DIR")
+	for _, v := range volatile {
+		text = v.pattern.ReplaceAllString(text, v.text)
+	}
+	return text
+}
+
+// startSession starts a platform stand-in, a daemon and the documents of a small example.
+func startSession() *session {
+	platform := httptest.NewServer(platformserver.New())
+	DeferCleanup(platform.Close)
+	s := &session{dir: GinkgoT().TempDir()}
+	cfg := settings.Defaults()
+	cfg.Instance, cfg.Zone, cfg.Region = "i1", "z1", "north"
+	cfg.CallerAddress, cfg.OperatorAddress = "127.0.0.1:0", "127.0.0.1:0"
+	cfg.PlatformAddress = strings.TrimPrefix(platform.URL, "http://")
+	cfg.DrainGraceMs = 0
+	cfg.OperatorToken, cfg.OperatorReadToken = changeToken, readToken
+	d, err := daemon.Start(cfg, zerolog.New(&s.log))
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(d.Stop)
+	s.env = map[string]string{
+		cli.EnvDaemon: d.OperatorAddress(), cli.EnvCallers: d.CallerAddress(), cli.EnvToken: changeToken, "USER": "anna",
+	}
+	s.write("inventory.yaml", inventoryDoc)
+	s.write("rules.yaml", rulesDoc)
+	return s
+}
+
+func (s *session) write(name, content string) {
+	Expect(os.WriteFile(filepath.Join(s.dir, name), []byte(content), 0o600)).To(Succeed())
+}
+
+// awaitRevision waits until the daemon has a revision in force, without a trace in the transcript.
+func (s *session) awaitRevision(revision int) {
+	before := s.transcript.Len()
+	Eventually(func() string { _, out := s.run("status", "-o", "yaml"); return out }).
+		Should(ContainSubstring(fmt.Sprintf("\nrevision: %d\n", revision)))
+	s.transcript.Truncate(before)
+}
+
+func documents(inventory string) []string {
+	return []string{"-inventory", "DIR/" + inventory, "-rules", "DIR/rules.yaml"}
+}
+
+func with(args ...any) []string {
+	var out []string
+	for _, a := range args {
+		switch v := a.(type) {
+		case string:
+			out = append(out, strings.Fields(v)...)
+		case []string:
+			out = append(out, v...)
+		}
+	}
+	return out
+}
+
+var _ = Describe("the operators' tool", func() {
+	// The golden file shows operators' everyday work; UPDATE_GOLDEN=1 rewrites it.
+	It("gives the answers of the recorded session", func() {
+		s := startSession()
+		s.write("b.yaml", strings.Replace(inventoryDoc, "slots: 2", "slots: 3", 1))
+		s.write("c.yaml", strings.Replace(inventoryDoc, "max_instances: 8", "max_instances: 9", 1))
+		s.write("bad.yaml", strings.Replace(inventoryDoc, "zone: z1", "zone: z9", 1))
+		ok, bad := documents("inventory.yaml"), documents("bad.yaml")
+		s.run("get")
+		s.run(with("validate", ok)...)
+		s.run(with("validate", bad)...)
+		s.run(with("plan", ok)...)
+		s.run(with("apply", ok)...)
+		s.run(with("apply -expect 0 -reason first", ok)...)
+		s.run(with("apply -expect 0 -reason first", ok)...)
+		s.run(with("plan", documents("b.yaml"))...)
+		s.run(with("apply -expect 1 -reason slots", documents("b.yaml"))...)
+		s.run(with("apply -expect 1 -reason fleet -editor ben", documents("c.yaml"))...)
+		s.run(with("apply -expect 1 -reason fleet -editor ben -merge", documents("c.yaml"))...)
+		s.run(with("apply -expect 9 -reason early", ok)...)
+		s.run(with("apply -expect 3 -reason bad", bad)...)
+		s.run(with("rollback -to 1 -expect 3 -reason slow")...)
+		s.run(with("rollback -to 8 -expect 4 -reason slow")...)
+		s.run("get")
+		s.run("get", "-revision", "7")
+		s.run("audit", "-limit", "3")
+		s.run("audit", "-o", "yaml", "-limit", "1")
+		s.env[cli.EnvToken] = readToken
+		s.run("rollback", "-to", "1", "-expect", "4", "-reason", "read token")
+		s.run("audit", "-limit", "1")
+		s.awaitRevision(4)
+		s.run("status")
+		s.run("drain")
+		s.env[cli.EnvToken] = "wrong"
+		s.run("audit", "-limit", "1")
+		s.env[cli.EnvToken] = changeToken
+		s.run("drain")
+		golden := filepath.Join("testdata", "session.golden")
+		if os.Getenv("UPDATE_GOLDEN") != "" {
+			Expect(os.WriteFile(golden, []byte(s.normalised()), 0o600)).To(Succeed())
+		}
+		want, err := os.ReadFile(golden)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.normalised()).To(Equal(string(want)))
+		Expect(s.log.String() + s.transcript.String()).NotTo(ContainSubstring("token-of-"))
+	})
+
+	It("writes documents that it reads again without a difference", func() {
+		s := startSession()
+		s.run(with("apply -expect 0 -reason first", documents("inventory.yaml"))...)
+		code, _ := s.run("get", "-inventory-out", "DIR/i.yaml", "-rules-out", "DIR/r.yaml")
+		Expect(code).To(Equal(cli.ExitOK))
+		_, out := s.run("plan", "-inventory", "DIR/i.yaml", "-rules", "DIR/r.yaml")
+		Expect(out).To(HavePrefix("no change"))
+	})
+
+	It("exits with 4 if nothing answers", func() {
+		s := &session{env: map[string]string{cli.EnvDaemon: "127.0.0.1:1", "USER": "anna"}}
+		for _, args := range [][]string{{"get"}, {"audit"}, {"status"}, {"drain"}, with("rollback -to 1 -expect 1 -reason x")} {
+			code, _ := s.run(args...)
+			Expect(code).To(Equal(cli.ExitUnknown), args[0])
+		}
+	})
+
+	It("shows an example for each sub-command, which its own flags accept", func() {
+		for _, c := range slices.Concat(query.All(), command.All()) {
+			s := &session{env: map[string]string{}}
+			code, _ := s.run(c.Name, "--help")
+			Expect(code).To(Equal(cli.ExitOK))
+			Expect(s.transcript.String()).To(ContainSubstring("example:\n  oleandersill " + c.Name))
+		}
+	})
+
+	It("keeps its exit code when the reader of its output goes away", func() {
+		env := &cli.Env{Stdout: closedPipe{}, Stderr: &bytes.Buffer{}, Getenv: func(string) string { return "" }}
+		Expect(cli.Run(context.Background(), env, []string{"version"}, query.All())).To(Equal(cli.ExitOK))
+	})
+
+	It("says unknown when it is interrupted during a change", func() {
+		s := startSession()
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		silent := httptest.NewServer(neverAnswers(ctx))
+		DeferCleanup(silent.Close)
+		s.env[cli.EnvDaemon] = strings.TrimPrefix(silent.URL, "http://")
+		var stderr bytes.Buffer
+		env := &cli.Env{Stdout: &bytes.Buffer{}, Stderr: &stderr, Getenv: func(name string) string { return s.env[name] }}
+		args := s.expand(with("apply -expect 0 -reason first", documents("inventory.yaml")))
+		Expect(cli.Run(ctx, env, args, command.All())).To(Equal(cli.ExitUnknown))
+		Expect(stderr.String()).To(ContainSubstring("Run the same command again"))
+	})
+})
+
+// closedPipe is a pipe without a reader.
+type closedPipe struct{}
+
+func (closedPipe) Write([]byte) (int, error) { return 0, errors.Join(syscall.EPIPE) }
--- a/internal/document/diff.go
+++ b/internal/document/diff.go
@@ -9,6 +9,9 @@
 	"oleandersill.example/oleandersill/internal/model"
 )
 
+// maxShownBytes is the length of a value above which a difference shows only its beginning.
+const maxShownBytes = 120
+
 // Difference is one field that two configurations do not share.
 type Difference struct {
 	// Field is a path in which list items go by their names, as services[search].shards[s0].key_to.
@@ -20,13 +23,22 @@
 
 // String formats the difference on one line, starting with + (added), - (removed) or ~ (changed).
 func (d Difference) String() string {
+	before, after := shorten(d.Before), shorten(d.After)
 	switch {
 	case d.Before == "":
-		return "+ " + d.Field + ": " + d.After
+		return "+ " + d.Field + ": " + after
 	case d.After == "":
-		return "- " + d.Field + ": " + d.Before
+		return "- " + d.Field + ": " + before
+	}
+	return "~ " + d.Field + ": " + before + " -> " + after
+}
+
+// shorten cuts the value of a whole service or shard to what fits a line.
+func shorten(value string) string {
+	if len(value) <= maxShownBytes {
+		return value
 	}
-	return "~ " + d.Field + ": " + d.Before + " -> " + d.After
+	return strings.ToValidUTF8(value[:maxShownBytes], "") + "..."
 }
 
 // Diff returns the differences between two configurations, in the order of the document. An item of a list that exists
