Keep an edit of a large service to the parts that it touches

The boundaries of a service's parts depended on the sizes of all shards before them: in a service of 20,000 shards one longer name changed 22 parts, and a part could exceed its bound. Parts that the store cannot hold are refused as invalid.

--- a/internal/command/configure/apply.go
+++ b/internal/command/configure/apply.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 	"unicode"
@@ -49,11 +51,15 @@
 func (c *Configurer) Apply(ctx context.Context, ch Change) Result {
 	problems := append(checkAuthor(ch.Editor, ch.Reason), document.Validate(ch.Inventory, ch.Rules)...)
 	if len(problems) > 0 {
-		return Result{Verdict: NotAccepted, Cause: CauseInvalid, Problems: problems, Detail: "the change is invalid"}
+		return invalid(problems)
+	}
+	parts := configdoc.Split(ch.Inventory, ch.Rules)
+	if problems := checkSizes(parts); len(problems) > 0 {
+		return invalid(problems)
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), applyTimeout)
 	defer cancel()
-	e := &edit{Configurer: c, change: ch, parts: configdoc.Split(ch.Inventory, ch.Rules)}
+	e := &edit{Configurer: c, change: ch, parts: parts}
 	for range maxRounds {
 		if result, settled := e.round(ctx); settled {
 			c.notify(result)
@@ -82,10 +88,23 @@
 	return ps
 }
 
+// checkSizes reports parts that the store cannot hold: rules with very many callers, or a shard with very many servers.
+func checkSizes(parts map[configdoc.PartName]configdoc.Part) validation.Problems {
+	var ps validation.Problems
+	for _, name := range slices.Sorted(maps.Keys(parts)) {
+		validation.InRange(&ps, "bytes of part "+string(name), len(parts[name].Value), 0, platform.MaxValueBytes)
+	}
+	return ps
+}
+
 func isLine(text string) bool {
 	return utf8.ValidString(text) && !strings.ContainsFunc(text, unicode.IsControl)
 }
 
+func invalid(problems validation.Problems) Result {
+	return Result{Verdict: NotAccepted, Cause: CauseInvalid, Problems: problems, Detail: "the change is invalid"}
+}
+
 // unavailable is the result of a change that wrote at most values that nothing names.
 func unavailable(err error) Result {
 	return Result{Verdict: NotAccepted, Cause: CauseUnavailable, Detail: "this attempt changed nothing: " + err.Error()}
@@ -103,7 +122,7 @@
 // round tries the change once on top of the current head. It returns false if the head moved and the change has to be
 // looked at again.
 func (e *edit) round(ctx context.Context) (Result, bool) {
-	head, err := e.freshHead(ctx)
+	head, err := e.headFrom(ctx, e.atLeast, e.change.Expect)
 	if err != nil {
 		return unavailable(err), true
 	}
@@ -129,23 +148,24 @@
 	return result, settled
 }
 
-// freshHead reads a head that is neither older than one seen before nor below the expected revision, if there is one.
-func (e *edit) freshHead(ctx context.Context) (configstore.Head, error) {
+// headFrom reads a head of at least the given version, or returns platform.ErrUnavailable. A head below the expected
+// revision is read again too, since it may be stale, but returned in the end: the expectation may be wrong.
+func (c *Configurer) headFrom(ctx context.Context, version platform.Version, expect model.Revision) (configstore.Head, error) {
 	var head configstore.Head
-	err := platform.ErrUnavailable
-	for range e.Pace.OrDefault().Each(ctx) {
-		head, err = e.reader().Head(ctx)
+	for range c.Pace.OrDefault().Each(ctx) {
+		var err error
+		head, err = c.reader().Head(ctx)
 		if err != nil {
 			return head, err
 		}
-		if head.Version >= e.atLeast && head.Revision() >= e.change.Expect {
+		if head.Version >= version && head.Revision() >= expect {
 			return head, nil
 		}
 	}
-	if err == nil && head.Version < e.atLeast {
-		err = errors.Wrap(platform.ErrUnavailable, "the store answers with an outdated head")
+	if head.Version < version || ctx.Err() != nil {
+		return head, errors.Wrap(platform.ErrUnavailable, "the store answers with an outdated head")
 	}
-	return head, err
+	return head, nil
 }
 
 // wanted returns the parts of the change as a root names them.
--- a/internal/command/configure/rollback.go
+++ b/internal/command/configure/rollback.go
@@ -11,7 +11,9 @@
 
 // Rollback puts the content of an earlier revision in force as a new revision, under the same rules as Apply.
 func (c *Configurer) Rollback(ctx context.Context, r Rollback) Result {
-	head, err := c.reader().Head(ctx)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), applyTimeout)
+	defer cancel()
+	head, err := c.headFrom(ctx, 0, r.Expect)
 	if err != nil {
 		return unavailable(err)
 	}
--- a/internal/configdoc/layout.go
+++ b/internal/configdoc/layout.go
@@ -6,8 +6,6 @@
 	"encoding/json"
 	"maps"
 	"slices"
-	"strconv"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -23,16 +21,14 @@
 	KeyCollector = "config/collector"
 )
 
-// MaxPartBytes is the size above which a service's shards are divided over several parts.
-const MaxPartBytes = 256 << 10
-
 // ErrCorrupt means that a stored value does not match its hash or cannot be decoded.
 var ErrCorrupt = errors.New("configdoc: corrupt value")
 
 // Hash is the SHA-256 of a value, in hexadecimal.
 type Hash string
 
-// PartName names a part within a configuration: "rules", "fleet", or "service/<name>/<n>".
+// PartName names a part within a configuration: "rules", "fleet", "service/<name>" for a service's first part, or
+// "service/<name>/<shard>" for a further one that begins with that shard.
 type PartName string
 
 // Names of the parts that every configuration has.
@@ -70,8 +66,9 @@
 }
 
 type servicePart struct {
-	Name  model.ServiceName `json:"name"`
-	Parts int               `json:"parts"`
+	Name model.ServiceName `json:"name"`
+	// Further holds the first shard of each part after the first one.
+	Further []model.ShardName `json:"further,omitempty"`
 }
 
 // HashOf returns the hash of a value.
@@ -101,95 +98,6 @@
 // SortedParts returns the part names in order.
 func (r *Root) SortedParts() []PartName { return slices.Sorted(maps.Keys(r.Parts)) }
 
-// Split divides a configuration into parts.
-func Split(inv model.Inventory, rules model.Rules) map[PartName]Part {
-	parts := map[PartName]Part{PartRules: newPart(rules)}
-	fleet := fleetPart{MaxInstances: inv.MaxInstances, SurgeInstances: inv.SurgeInstances, Zones: inv.Zones}
-	for _, svc := range inv.Services {
-		pieces := splitService(svc)
-		for i, p := range pieces {
-			parts[serviceKey(svc.Name, i)] = newPart(p)
-		}
-		fleet.Services = append(fleet.Services, servicePart{Name: svc.Name, Parts: len(pieces)})
-	}
-	parts[PartFleet] = newPart(fleet)
-	return parts
-}
-
-func serviceKey(name model.ServiceName, i int) PartName {
-	var b strings.Builder
-	b.WriteString(prefixService)
-	b.WriteString(string(name))
-	b.WriteByte('/')
-	b.WriteString(strconv.Itoa(i))
-	return PartName(b.String())
-}
-
-// splitService divides a service's shards so that each piece stays below MaxPartBytes. Piece boundaries depend only on
-// the shards before them, so an edit of one shard changes one piece as a rule.
-func splitService(svc model.ServiceSpec) []model.ServiceSpec {
-	piece := model.ServiceSpec{Name: svc.Name, ShardMapEpoch: svc.ShardMapEpoch}
-	var pieces []model.ServiceSpec
-	size := 0
-	for _, sh := range svc.Shards {
-		n := len(encode(sh))
-		if size+n > MaxPartBytes && len(piece.Shards) > 0 {
-			pieces = append(pieces, piece)
-			piece = model.ServiceSpec{Name: svc.Name, ShardMapEpoch: svc.ShardMapEpoch}
-			size = 0
-		}
-		piece.Shards = append(piece.Shards, sh)
-		size += n
-	}
-	return append(pieces, piece)
-}
-
-// Join rebuilds a configuration from its parts, checking every hash. get returns a part's value, or nil if it is missing.
-func Join(root *Root, get func(Hash) []byte) (model.Inventory, model.Rules, error) {
-	return JoinOn(nil, root, get)
-}
-
-// JoinOn is Join with the services that the root has in common with base taken from base, whose values must not be
-// changed any more. base may be nil.
-func JoinOn(base *Base, root *Root, get func(Hash) []byte) (model.Inventory, model.Rules, error) {
-	var inv model.Inventory
-	var rules model.Rules
-	var fleet fleetPart
-	if err := load(root, PartRules, get, &rules); err != nil {
-		return inv, rules, err
-	}
-	if err := load(root, PartFleet, get, &fleet); err != nil {
-		return inv, rules, err
-	}
-	inv = model.Inventory{MaxInstances: fleet.MaxInstances, SurgeInstances: fleet.SurgeInstances, Zones: fleet.Zones}
-	for _, s := range fleet.Services {
-		if svc, ok := base.service(root, s); ok {
-			inv.Services = append(inv.Services, svc)
-			continue
-		}
-		svc, err := joinService(root, s, get)
-		if err != nil {
-			return inv, rules, err
-		}
-		inv.Services = append(inv.Services, svc)
-	}
-	return inv, rules, nil
-}
-
-func joinService(root *Root, s servicePart, get func(Hash) []byte) (model.ServiceSpec, error) {
-	var svc model.ServiceSpec
-	for i := range s.Parts {
-		var piece model.ServiceSpec
-		if err := load(root, serviceKey(s.Name, i), get, &piece); err != nil {
-			return svc, err
-		}
-		shards := append(svc.Shards, piece.Shards...)
-		svc = piece
-		svc.Shards = shards
-	}
-	return svc, nil
-}
-
 func load(root *Root, name PartName, get func(Hash) []byte, into any) error {
 	hash, ok := root.Parts[name]
 	if !ok {
