--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -63,11 +63,12 @@
 
 // Run runs the sub-command that args name and returns the exit code.
 func Run(ctx context.Context, env *Env, args []string, commands []Command) int {
-	if len(args) == 0 || isHelp(args[0]) {
+	if len(args) == 0 {
 		usage(env.Stderr, commands)
-		if len(args) == 0 {
-			return ExitUsage
-		}
+		return ExitUsage
+	}
+	if isHelp(args[0]) {
+		usage(env.Stdout, commands)
 		return ExitOK
 	}
 	for _, c := range commands {
@@ -97,16 +98,17 @@
 
 func runCommand(ctx context.Context, env *Env, c Command, args []string) int {
 	fs := flag.NewFlagSet(c.Name, flag.ContinueOnError)
-	fs.SetOutput(env.Stderr)
-	fs.Usage = func() {
-		_, _ = fmt.Fprintf(env.Stderr, "%s: %s\n\nexample:\n  %s\n\nflags:\n", c.Name, c.Summary, c.Example)
+	fs.SetOutput(io.Discard)
+	run := c.Setup(fs, env)
+	err := fs.Parse(args)
+	if errors.Is(err, flag.ErrHelp) {
+		_, _ = fmt.Fprintf(env.Stdout, "%s: %s\n\nexample:\n  %s\n\nflags:\n", c.Name, c.Summary, c.Example)
+		fs.SetOutput(env.Stdout)
 		fs.PrintDefaults()
+		return ExitOK
 	}
-	run := c.Setup(fs, env)
-	if err := fs.Parse(args); err != nil {
-		if errors.Is(err, flag.ErrHelp) {
-			return ExitOK
-		}
+	if err != nil {
+		_, _ = fmt.Fprintf(env.Stderr, "oleandersill %s: %s; see --help\n", c.Name, err)
 		return ExitUsage
 	}
 	if fs.NArg() > 0 {
--- a/internal/query/configread/reader.go
+++ b/internal/query/configread/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -17,6 +18,9 @@
 // maxWalk bounds how far back from the head a revision is looked for, one read of the store each.
 const maxWalk = 1000
 
+// storeTimeout bounds the reads of a revision, so that the answer from what is in force does not come too late.
+const storeTimeout = 10 * time.Second
+
 // Source tells where a revision was read from.
 type Source string
 
@@ -47,7 +51,9 @@
 // Get returns a revision; 0 stands for the current one. Errors are ErrNone, configstore.ErrNoRevision,
 // configstore.ErrCollected and those of the store.
 func (r Reader) Get(ctx context.Context, revision model.Revision) (Config, error) {
-	c, err := r.fromStore(ctx, revision)
+	limited, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	c, err := r.fromStore(limited, revision)
 	if err == nil || errors.IsAny(err, ErrNone, configstore.ErrNoRevision, configstore.ErrCollected) {
 		return c, err
 	}
--- a/internal/validation/yaml.go
+++ b/internal/validation/yaml.go
@@ -166,6 +166,8 @@
 		return "a number"
 	case reflect.String:
 		return "text"
+	case reflect.Uint64:
+		return "a whole number, not below 0"
 	default:
 		return "a whole number"
 	}
