--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,8 +63,5 @@
 func Decode(file string, data []byte) (Settings, error) {
 	s := Defaults()
 	positions, problems := validation.Decode(file, data, &s)
-	if len(problems) > 0 {
-		return s, problems
-	}
-	return s, positions.Locate(s.Validate()).Err()
+	return s, validation.Combine(problems, positions.Locate(s.Validate())).Err()
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -9,6 +9,7 @@
 
 	"oleandersill.example/oleandersill/internal/settings"
 	"oleandersill.example/oleandersill/internal/testing/suite"
+	"oleandersill.example/oleandersill/internal/validation"
 )
 
 func TestSettings(t *testing.T) { suite.Run(t, "./internal/settings") }
@@ -47,6 +48,14 @@
 	Entry("log level", "zone: z1", "zone: z1\nlog_level: loud", `s.yaml:3: log_level: is "loud" (allowed: trace, debug, info, warn, error)`),
 )
 
+var _ = It("reports every problem at once", func() {
+	_, err := settings.Decode("s.yaml", []byte("zone: 'z 1'\nworker: 3\nworkers_per_rank: many\n"))
+	Expect(validation.From(err)).To(ContainElements(
+		HaveField("Field", "zone"), HaveField("Field", "worker"), HaveField("Field", "workers_per_rank"),
+		HaveField("Field", "instance"), HaveField("Field", "platform_address"),
+	))
+})
+
 var _ = It("accepts valid settings and fills in defaults", func() {
 	s, err := settings.Decode("s.yaml", []byte(valid))
 	Expect(err).NotTo(HaveOccurred())
--- a/internal/validation/problem.go
+++ b/internal/validation/problem.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -92,6 +93,22 @@
 	*ps = append(*ps, Problem{Field: field, Kind: kind, Allowed: allowed, Detail: fmt.Sprintf(format, args...)})
 }
 
+// Combine joins the problems of decoding a document and of the decoded values, in the order of lines. Values of fields
+// that could not be decoded are meaningless, so their problems are left out.
+func Combine(decoding, values Problems) Problems {
+	undecoded := map[string]bool{}
+	for _, p := range decoding {
+		if p.Kind == KindSyntax || p.Field == "" {
+			return decoding
+		}
+		undecoded[p.Field] = true
+	}
+	values = slices.DeleteFunc(values, func(p Problem) bool { return undecoded[p.Field] })
+	all := append(decoding, values...)
+	slices.SortStableFunc(all, func(a, b Problem) int { return a.Line - b.Line })
+	return all
+}
+
 // Number is a value with a range.
 type Number interface{ ~int | ~uint64 | ~float64 }
 
