Report a repeated merge as the revision that made it

The state machine now also rolls back. It found that a merge which is applied again after a rollback to it was reported as accepted in the rollback's revision; the oldest revision that made the change is named now.

--- a/internal/command/configure/machine_test.go
+++ b/internal/command/configure/machine_test.go
@@ -26,6 +26,7 @@
 	slots    int
 }
 
+// configurer returns a new one for each call, as after a restart: nothing may depend on what an earlier one knew.
 func (m *machine) configurer() *configure.Configurer {
 	pace := configstore.Pace{Attempts: 4, First: 50 * time.Microsecond, Most: 100 * time.Microsecond}
 	return &configure.Configurer{Store: m.store, Now: time.Now, Pace: pace}
@@ -85,12 +86,37 @@
 
 func (m *machine) Apply(t *rapid.T) { m.apply(t, m.draw(t)) }
 
+// Rollback goes back to any earlier revision.
+func (m *machine) Rollback(t *rapid.T) {
+	if len(m.history) == 0 {
+		t.Skip("nothing to go back to")
+	}
+	m.slots++
+	r := configure.Rollback{
+		To:     model.Revision(rapid.IntRange(1, len(m.history)).Draw(t, "to")),
+		Expect: model.Revision(len(m.history) - rapid.IntRange(0, 1).Draw(t, "behind")),
+		Editor: fmt.Sprintf("editor%d", m.slots),
+	}
+	m.store.plan = faults(t)
+	result := m.configurer().Rollback(context.Background(), r)
+	m.store.plan = nil
+	if result.Repeated {
+		return // Another editor had made the same change of the same revision.
+	}
+	m.changes = append(m.changes, configure.Change{Editor: r.Editor})
+	m.record(t, len(m.changes)-1, result)
+}
+
 // Repeat applies an earlier change again, as an operator does after an unknown verdict.
 func (m *machine) Repeat(t *rapid.T) {
 	if len(m.changes) == 0 {
 		t.Skip("nothing to repeat")
 	}
-	m.apply(t, rapid.IntRange(0, len(m.changes)-1).Draw(t, "which"))
+	i := rapid.IntRange(0, len(m.changes)-1).Draw(t, "which")
+	if m.changes[i].Inventory.Zones == nil {
+		t.Skip("a rollback")
+	}
+	m.apply(t, i)
 }
 
 // Race lets a second editor's whole change happen between two calls of the first one's.
--- a/internal/command/configure/rebase.go
+++ b/internal/command/configure/rebase.go
@@ -73,7 +73,8 @@
 	return result, nil
 }
 
-// findRepeated returns the root in the chain, newest first and without base, that already holds the change.
+// findRepeated returns the oldest root in the chain, which is newest first and without base, that made the change already.
+// Later ones may be rollbacks to it.
 func findRepeated(chain []*configdoc.Root, base, mine *configdoc.Root, merge bool) *configdoc.Root {
 	if len(chain) == 0 {
 		return nil
@@ -85,14 +86,12 @@
 	if !merge || len(wanted) == 0 {
 		return nil
 	}
-	for i, root := range chain {
-		prev := base
-		if i+1 < len(chain) {
-			prev = chain[i+1]
-		}
+	prev := base
+	for _, root := range slices.Backward(chain) {
 		if sameChange(prev, root, mine, wanted) {
 			return root
 		}
+		prev = root
 	}
 	return nil
 }
