--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -44,6 +44,7 @@
 	Entry("same token", "secret-of-dashboards", "secret-of-operators", "s.yaml:9: operator_read_token: is the same as operator_token"),
 	Entry("no token on an open port", "operator_address: 127.0.0.1:7202\npeer_address: 127.0.0.1:7203\nplatform_address: 127.0.0.1:7000\noperator_token: secret-of-operators",
 		"operator_address: 10.0.0.1:7202\nplatform_address: 127.0.0.1:7000", "s.yaml:1: operator_token: is empty (allowed: may be empty only on a loopback operator_address)"),
+	Entry("only a reading token", "operator_token: secret-of-operators\n", "", "s.yaml:1: operator_token: is empty (allowed: a token, if operator_read_token is given)"),
 	Entry("policy", "zone: z1", "zone: z1\npolicy: fast", `s.yaml:3: policy: is "fast" (allowed: default, baseline)`),
 	Entry("log level", "zone: z1", "zone: z1\nlog_level: loud", `s.yaml:3: log_level: is "loud" (allowed: trace, debug, info, warn, error)`),
 )
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -102,6 +102,9 @@
 		}
 		seen[t.value] = t.field
 	}
+	if s.OperatorToken == "" && s.OperatorReadToken != "" {
+		ps.Add(validation.KindMissing, "operator_token", "a token, if operator_read_token is given", "is empty")
+	}
 	requireToken(ps, "operator_token", s.OperatorToken, "operator_address", s.OperatorAddress)
 	requireToken(ps, "peer_token", s.PeerToken, "peer_address", s.PeerAddress)
 }
