--- a/internal/cli/session_test.go
+++ b/internal/cli/session_test.go
@@ -24,6 +24,7 @@
 	"oleandersill.example/oleandersill/internal/cli/command"
 	"oleandersill.example/oleandersill/internal/cli/query"
 	"oleandersill.example/oleandersill/internal/daemon"
+	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/settings"
 	"oleandersill.example/oleandersill/internal/standin/platformserver"
 	"oleandersill.example/oleandersill/internal/testing/suite"
@@ -83,11 +84,16 @@
 func startSession() *session {
 	platform := httptest.NewServer(platformserver.New())
 	DeferCleanup(platform.Close)
+	return startDaemon("i1", platform.URL)
+}
+
+// startDaemon starts a daemon of the platform at url.
+func startDaemon(instance model.InstanceID, url string) *session {
 	s := &session{dir: GinkgoT().TempDir(), log: gbytes.NewBuffer()}
 	cfg := settings.Defaults()
-	cfg.Instance, cfg.Zone, cfg.Region = "i1", "z1", "north"
+	cfg.Instance, cfg.Zone, cfg.Region = instance, "z1", "north"
 	cfg.CallerAddress, cfg.OperatorAddress = "127.0.0.1:0", "127.0.0.1:0"
-	cfg.PlatformAddress = strings.TrimPrefix(platform.URL, "http://")
+	cfg.PlatformAddress = strings.TrimPrefix(url, "http://")
 	cfg.DrainGraceMs = 0
 	cfg.OperatorToken, cfg.OperatorReadToken = changeToken, readToken
 	d, err := daemon.Start(cfg, zerolog.New(s.log))
