--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -4,11 +4,11 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"regexp"
 	"strconv"
 
 	"github.com/rs/zerolog"
 
+	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/validation"
 )
 
@@ -23,11 +23,8 @@
 const (
 	addressAllowed = "IP address and port, as 10.0.0.1:7000"
 	levelsAllowed  = "trace, debug, info, warn, error"
-	nameAllowed    = "1 to 128 letters, digits, '.', '_' and '-', starting with a letter or digit"
 )
 
-var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
-
 // Validate returns every problem of the settings. Problems never quote a token.
 func (s Settings) Validate() validation.Problems {
 	var ps validation.Problems
@@ -41,13 +38,16 @@
 	if level, err := zerolog.ParseLevel(s.LogLevel); err != nil || level < zerolog.TraceLevel || level > zerolog.ErrorLevel {
 		ps.Add(validation.KindRange, "log_level", levelsAllowed, "is %q", s.LogLevel)
 	}
+	if s.Policy != model.PolicyDefault && s.Policy != model.PolicyBaseline {
+		ps.Add(validation.KindRange, "policy", "default, baseline", "is %q", string(s.Policy))
+	}
 	s.checkTokens(&ps)
 	return ps
 }
 
 func checkName(ps *validation.Problems, field, value string) {
-	if !namePattern.MatchString(value) {
-		ps.Add(validation.KindMalformed, field, nameAllowed, "is %q", value)
+	if !validation.IsName(value) {
+		ps.Add(validation.KindMalformed, field, validation.NameAllowed, "is %q", value)
 	}
 }
 
@@ -102,6 +102,9 @@
 		}
 		seen[t.value] = t.field
 	}
+	if s.OperatorToken == "" && s.OperatorReadToken != "" {
+		ps.Add(validation.KindMissing, "operator_token", "a token, if operator_read_token is given", "is empty")
+	}
 	requireToken(ps, "operator_token", s.OperatorToken, "operator_address", s.OperatorAddress)
 	requireToken(ps, "peer_token", s.PeerToken, "peer_address", s.PeerAddress)
 }
