--- a/internal/measure/cluster/cluster.go
+++ b/internal/measure/cluster/cluster.go
@@ -25,8 +25,8 @@
 
 const (
 	loopback = "127.0.0.1:0"
-	// token is the credential of the operators' and peers' ports of a cluster.
-	token         = "loopback-only"
+	// Token is the credential of the operators' and peers' ports of a cluster, which only loopback reaches.
+	Token         = "loopback-only"
 	headerTimeout = 5 * time.Second
 	// readyTimeout bounds the wait for all daemons to have a configuration in force.
 	readyTimeout = 10 * time.Second
@@ -59,6 +59,22 @@
 
 // Start starts a cluster and returns once all daemons have the configuration in force.
 func Start(ctx context.Context, cfg Config, log zerolog.Logger) (*Cluster, error) {
+	c, err := Launch(ctx, cfg, log)
+	if err != nil {
+		return nil, err
+	}
+	if err = c.Apply(ctx, c.Inventory(), cfg.Rules); err == nil {
+		err = c.AwaitReady(ctx)
+	}
+	if err != nil {
+		c.Stop()
+		return nil, err
+	}
+	return c, nil
+}
+
+// Launch starts a cluster without a configuration in force. Inventory returns what is to be applied.
+func Launch(ctx context.Context, cfg Config, log zerolog.Logger) (*Cluster, error) {
 	c := &Cluster{
 		cfg:      cfg,
 		Network:  NewNetwork(),
@@ -93,11 +109,9 @@
 	if err != nil {
 		return err
 	}
-	c.Platform.SetInstances(instances(inv))
-	if err := c.Apply(ctx, inv, c.cfg.Rules); err != nil {
-		return err
-	}
-	return c.awaitRevision(ctx)
+	c.Platform.SetInstances(c.instances(inv))
+	c.setInventory(inv)
+	return nil
 }
 
 // labelled runs work with a profile label, which the goroutines started by it inherit.
@@ -182,11 +196,13 @@
 	for i := range c.cfg.Daemons {
 		zone := c.cfg.Inventory.Zones[i%len(c.cfg.Inventory.Zones)]
 		s := settings.Defaults()
-		s.Instance = model.InstanceID(fmt.Sprintf("entry-%d", i))
+		s.Instance = instanceID(i)
 		s.Zone, s.Region = zone.Name, zone.Region
 		s.CallerAddress, s.OperatorAddress, s.PeerAddress = loopback, loopback, loopback
 		s.PlatformAddress = platformAddress
-		s.OperatorToken, s.PeerToken = token, token
+		s.OperatorToken, s.PeerToken = Token, Token
+		// There is no load balancer that has to notice a drain.
+		s.DrainGraceMs = 0
 		s.Policy = c.cfg.Policy
 		place := Place{Zone: zone.Name, Region: zone.Region}
 		d, err := daemon.Start(s, c.log, daemon.WithDialer(c.Network.Dialer(place)))
@@ -195,14 +211,24 @@
 		}
 		c.Network.Register(d.CallerAddress(), place)
 		c.Network.Register(d.OperatorAddress(), place)
+		c.Network.Register(d.PeerAddress(), place)
 		c.daemons = append(c.daemons, d)
 		c.zones = append(c.zones, zone)
 	}
 	return nil
 }
 
-func instances(inv model.Inventory) []platform.Instance {
+func instanceID(i int) model.InstanceID { return model.InstanceID(fmt.Sprintf("entry-%d", i)) }
+
+// instances returns the platform's list: the daemons and the servers of an inventory.
+func (c *Cluster) instances(inv model.Inventory) []platform.Instance {
 	var list []platform.Instance
+	for i, d := range c.daemons {
+		list = append(list, platform.Instance{
+			Name: string(instanceID(i)), Role: platform.RoleEntry, Zone: c.zones[i].Name, Address: d.PeerAddress(),
+			State: platform.InstanceLive,
+		})
+	}
 	for _, svc := range inv.Services {
 		for _, sh := range svc.Shards {
 			for _, s := range sh.Servers {
@@ -219,6 +245,9 @@
 // CallerAddress returns the callers' address of a daemon, by its index.
 func (c *Cluster) CallerAddress(i int) string { return c.daemons[i].CallerAddress() }
 
+// OperatorAddress returns the operators' address of a daemon, by its index.
+func (c *Cluster) OperatorAddress(i int) string { return c.daemons[i].OperatorAddress() }
+
 // Record returns the execution record of a service.
 func (c *Cluster) Record(service model.ServiceName) *backendserver.Record { return c.records[service] }
 
@@ -244,7 +273,7 @@
 	c.servers[name] = s
 }
 
-// Inventory returns a copy of the inventory last applied, with the stand-ins' addresses.
+// Inventory returns a copy of the inventory last applied or, before that, of the one to apply, with the stand-ins' addresses.
 func (c *Cluster) Inventory() model.Inventory {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/measure/cluster/configure.go
+++ b/internal/measure/cluster/configure.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return errors.Wrap(err, "cluster: building request")
 	}
-	req.Header.Set("Authorization", "Bearer "+token)
+	req.Header.Set("Authorization", "Bearer "+Token)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return errors.Wrap(err, "cluster: applying configuration")
@@ -56,8 +56,8 @@
 	return c.Apply(ctx, inv, c.cfg.Rules)
 }
 
-// awaitRevision waits until every daemon is ready.
-func (c *Cluster) awaitRevision(ctx context.Context) error {
+// AwaitReady waits until every daemon is ready.
+func (c *Cluster) AwaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for _, d := range c.daemons {
--- a/internal/measure/cluster/membership.go
+++ b/internal/measure/cluster/membership.go
@@ -36,7 +36,7 @@
 			}
 			sh.Servers = append(sh.Servers, spec)
 		}
-		c.Platform.SetInstances(instances(*inv))
+		c.Platform.SetInstances(c.instances(*inv))
 		return nil
 	})
 }
