--- a/internal/measure/driver.go
+++ b/internal/measure/driver.go
@@ -108,6 +108,7 @@
 	r := &Row{
 		Scenario: s.Name, Deployment: d.deployment.name, Policy: policy, Seed: d.options.Seed, Rounds: len(rounds),
 		Rank: rank, CapacityQPS: d.capacity, CalibratedQPS: d.calibrated, Process: processNote,
+		DeadlineMs: d.options.Deadline.Milliseconds(),
 	}
 	r.fill(rounds)
 	return r
--- a/internal/measure/options.go
+++ b/internal/measure/options.go
@@ -36,7 +36,8 @@
 	// exponential one.
 	ServiceTime time.Duration
 	Spread      time.Duration
-	// Deadline is what callers ask for; 0 means the rules' default.
+	// Deadline is what callers ask for; 0 means the rules' default. It bounds every latency, so it must be well above the
+	// limits of the bounds.
 	Deadline time.Duration
 	Daemons  int
 	// Workers bounds the load generator.
@@ -63,7 +64,7 @@
 	fs.StringVar(&o.Format, "format", FormatTable, "table or json")
 	fs.DurationVar(&o.ServiceTime, "service-time", 16*time.Millisecond, "fixed part of a sub-request's time in a slot")
 	fs.DurationVar(&o.Spread, "spread", 4*time.Millisecond, "mean of the exponential part of a sub-request's time in a slot")
-	fs.DurationVar(&o.Deadline, "deadline", 0, "deadline of queries (default: the rules' default)")
+	fs.DurationVar(&o.Deadline, "deadline", time.Second, "deadline of queries; 0 leaves the rules' default")
 	fs.IntVar(&o.Daemons, "daemons", 8, "number of daemons")
 	fs.IntVar(&o.Workers, "workers", 2048, "number of workers of the load generator")
 	fs.BoolVar(&o.CPU, "cpu", false, "profile the process and state the daemons' processor time for a sub-request")
--- a/internal/measure/row.go
+++ b/internal/measure/row.go
@@ -62,6 +62,8 @@
 	CapacityQPS   float64 `json:"capacity_qps"`
 	CalibratedQPS float64 `json:"calibrated_qps"`
 	DurationS     float64 `json:"duration_s"`
+	// DeadlineMs is the deadline of the queries; 0 stands for the rules' default.
+	DeadlineMs int64 `json:"deadline_ms"`
 	// LateSends counts sends that the generator's workers began late, and MaxLateMs the longest delay.
 	LateSends int     `json:"late_sends"`
 	MaxLateMs float64 `json:"max_late_ms"`
