--- /dev/null
+++ b/internal/measure/caller.go
@@ -0,0 +1,141 @@
+package measure
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"oleandersill.example/oleandersill/internal/command/commandhttp"
+	"oleandersill.example/oleandersill/internal/httpapi"
+	"oleandersill.example/oleandersill/internal/measure/cluster"
+	"oleandersill.example/oleandersill/internal/measure/load"
+	"oleandersill.example/oleandersill/internal/measure/observe"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/query/queryhttp"
+)
+
+// caller sends queries as the callers' clients do and hands the answers to the collector.
+type caller struct {
+	cluster   *cluster.Cluster
+	collector *observe.Collector
+	client    *http.Client
+	service   model.ServiceName
+	commands  model.ServiceName
+	daemons   int
+	limit     int
+	deadline  time.Duration
+	// header is the deadline header; empty leaves the rules' default.
+	header string
+}
+
+func (d *driver) newCaller(c *cluster.Cluster, collector *observe.Collector) *caller {
+	out := &caller{
+		cluster:   c,
+		collector: collector,
+		service:   d.deployment.service.Name,
+		commands:  d.deployment.commands,
+		daemons:   d.options.Daemons,
+		limit:     min(queryhttp.MaxLimit, 2*itemsPerShard*len(d.deployment.service.Shards)),
+		deadline:  time.Duration(d.deployment.rules.Deadlines.DefaultMs) * time.Millisecond,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:         c.Network.Dialer(cluster.Place{Role: cluster.RoleClient}),
+			MaxIdleConnsPerHost: d.options.Workers,
+			DisableCompression:  true,
+		}},
+	}
+	if d.options.Deadline > 0 {
+		out.deadline = d.options.Deadline
+		out.header = strconv.FormatInt(out.deadline.Milliseconds(), 10)
+	}
+	return out
+}
+
+func (c *caller) send(ctx context.Context, a load.Arrival, intended time.Time) {
+	answer := observe.Answer{Arrival: a, Text: fmt.Sprintf("query-%d", a.Number)}
+	before := c.collector.Revision(a.Target)
+	answer.Sent = time.Now()
+	c.exchange(ctx, &answer)
+	answer.Latency = time.Since(intended)
+	c.collector.Take(&answer, before)
+}
+
+func (c *caller) exchange(ctx context.Context, answer *observe.Answer) {
+	ctx, cancel := context.WithTimeout(ctx, c.deadline+answerGrace)
+	defer cancel()
+	body, err := json.Marshal(queryhttp.SearchRequest{Text: answer.Text, Limit: c.limit})
+	if err != nil {
+		return
+	}
+	url := "http://" + c.cluster.CallerAddress(answer.Arrival.Target) + "/v1/services/" + string(c.service) + "/query"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	c.addHeaders(req, answer.Arrival)
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer.HeaderOutcome = resp.Header.Get(httpapi.HeaderOutcome)
+	answer.HeaderCoverage = resp.Header.Get(httpapi.HeaderCoverage)
+	answer.Whole = json.NewDecoder(resp.Body).Decode(&answer.Body) == nil
+}
+
+// sendCommand sends a non-idempotent request with a new key. An answer that leaves open whether it ran, or says that it
+// did not, is followed by one more try through another daemon, as a caller does.
+func (c *caller) sendCommand(ctx context.Context, a load.Arrival, intended time.Time) {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return
+	}
+	cmd := observe.Command{Key: id.String()}
+	first := c.execute(ctx, a, cmd.Key, a.Target, true)
+	cmd.Answers = append(cmd.Answers, first)
+	if first != model.OutcomeComplete {
+		again := c.execute(ctx, a, cmd.Key, (a.Target+1)%c.daemons, first == model.OutcomeNotRun)
+		cmd.Answers = append(cmd.Answers, again)
+	}
+	c.collector.TakeCommand(cmd, a.At, time.Since(intended), a.Rank)
+}
+
+// execute sends a non-idempotent request once. A request without a whole response is unknown.
+func (c *caller) execute(ctx context.Context, a load.Arrival, key string, daemon int, first bool) model.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, c.deadline+answerGrace)
+	defer cancel()
+	body, err := json.Marshal(commandhttp.ExecuteRequest{Body: key})
+	if err != nil {
+		return model.OutcomeUnknown
+	}
+	url := "http://" + c.cluster.CallerAddress(daemon) + "/v1/services/" + string(c.commands) + "/execute"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return model.OutcomeUnknown
+	}
+	c.addHeaders(req, a)
+	req.Header.Set(httpapi.HeaderKey, key)
+	req.Header.Set(commandhttp.HeaderFirstAttempt, strconv.FormatBool(first))
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return model.OutcomeUnknown
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var answer commandhttp.ExecuteResponse
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		return model.OutcomeUnknown
+	}
+	return model.Outcome(resp.Header.Get(httpapi.HeaderOutcome))
+}
+
+func (c *caller) addHeaders(req *http.Request, a load.Arrival) {
+	req.Header.Set(httpapi.HeaderCaller, string(a.Caller))
+	if c.header != "" {
+		req.Header.Set(httpapi.HeaderDeadline, c.header)
+	}
+}
--- a/internal/measure/deployment.go
+++ b/internal/measure/deployment.go
@@ -17,6 +17,8 @@
 	inventory model.Inventory
 	rules     model.Rules
 	service   *model.ServiceSpec
+	// commands is the last service without shards, which takes the non-idempotent requests; empty if there is none.
+	commands model.ServiceName
 }
 
 func loadDeployment(name string, service model.ServiceName) (*deployment, error) {
@@ -28,6 +30,11 @@
 	if err := d.load(filepath.Join(dir, "inventory.yaml"), filepath.Join(dir, "rules.yaml")); err != nil {
 		return nil, err
 	}
+	for _, svc := range d.inventory.Services {
+		if len(svc.Shards) == 1 {
+			d.commands = svc.Name
+		}
+	}
 	for i := range d.inventory.Services {
 		if service == "" || d.inventory.Services[i].Name == service {
 			d.service = &d.inventory.Services[i]
--- a/internal/measure/load/schedule.go
+++ b/internal/measure/load/schedule.go
@@ -12,20 +12,24 @@
 // Stream is the load of one rank.
 type Stream struct {
 	Rank model.Rank
-	// Rate is in queries per second.
+	// Rate is in requests per second.
 	Rate    float64
 	Callers []model.CallerName
+	// Command tells that the stream is of non-idempotent requests.
+	Command bool
 	// From and To bound the stream within the round.
 	From, To time.Duration
 }
 
-// Arrival is one query to send.
+// Arrival is one request to send.
 type Arrival struct {
 	Number int
 	// At is the intended send time, from the start of the round.
 	At     time.Duration
 	Rank   model.Rank
 	Caller model.CallerName
+	// Command tells that the request is non-idempotent.
+	Command bool
 	// Target is the index of the daemon that the platform's load balancer picks.
 	Target int
 }
@@ -57,10 +61,11 @@
 			return out
 		}
 		out = append(out, Arrival{
-			At:     at,
-			Rank:   s.Rank,
-			Caller: s.Callers[rnd.IntN(len(s.Callers))],
-			Target: rnd.IntN(targets),
+			At:      at,
+			Rank:    s.Rank,
+			Caller:  s.Callers[rnd.IntN(len(s.Callers))],
+			Command: s.Command,
+			Target:  rnd.IntN(targets),
 		})
 	}
 }
--- a/internal/measure/observe/collector.go
+++ b/internal/measure/observe/collector.go
@@ -11,8 +11,10 @@
 // Sample is what is kept of an answer.
 type Sample struct {
 	// At is the intended send time, from the start of the round.
-	At       time.Duration
-	Rank     model.Rank
+	At   time.Duration
+	Rank model.Rank
+	// Command tells that the request was non-idempotent.
+	Command  bool
 	Outcome  model.Outcome
 	Latency  time.Duration
 	Coverage float64
@@ -30,6 +32,7 @@
 
 	mu        lockorder.Mutex
 	samples   []Sample
+	commands  []Command
 	revisions map[int]model.Revision
 }
 
@@ -70,6 +73,22 @@
 	c.revisions[a.Arrival.Target] = max(c.revisions[a.Arrival.Target], a.Body.Revision)
 }
 
+// TakeCommand keeps the answers to a non-idempotent request. at and latency are those of the whole request.
+func (c *Collector) TakeCommand(cmd Command, at, latency time.Duration, rank model.Rank) {
+	last := cmd.Answers[len(cmd.Answers)-1]
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.commands = append(c.commands, cmd)
+	c.samples = append(c.samples, Sample{At: at, Latency: latency, Rank: rank, Command: true, Outcome: last})
+}
+
+// Commands returns the non-idempotent requests. Call it once all answers are in.
+func (c *Collector) Commands() []Command {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.commands
+}
+
 // Samples returns what was collected. Call it once all answers are in.
 func (c *Collector) Samples() []Sample {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/measure/observe/commands.go
@@ -0,0 +1,35 @@
+package observe
+
+import "oleandersill.example/oleandersill/internal/model"
+
+// Command is a non-idempotent request with the outcomes that its caller was told, in order. A repeated send has the same
+// key.
+type Command struct {
+	Key     string
+	Answers []model.Outcome
+}
+
+// CheckCommands compares what callers were told with the runs of each key on the servers.
+func CheckCommands(commands []Command, runsByKey map[string]int) Violations {
+	var v Violations
+	for _, c := range commands {
+		complete, notRun := 0, 0
+		for _, outcome := range c.Answers {
+			switch outcome {
+			case model.OutcomeComplete:
+				complete++
+			case model.OutcomeNotRun:
+				notRun++
+			case model.OutcomePartial, model.OutcomeFailed, model.OutcomeUnknown:
+			}
+		}
+		runs := runsByKey[c.Key]
+		if runs > 0 && notRun == len(c.Answers) {
+			v.FalseNotRun++
+		}
+		if runs == 0 && complete > 0 {
+			v.FalseComplete++
+		}
+	}
+	return v
+}
--- a/internal/measure/observe/observe_test.go
+++ b/internal/measure/observe/observe_test.go
@@ -155,6 +155,18 @@
 		Expect(v).To(Equal(Violations{WorkAfterLeave: 1, DoubleRun: 1}))
 	})
 
+	It("compares what callers of non-idempotent requests were told with the runs", func() {
+		const done, notRun, unknown = model.OutcomeComplete, model.OutcomeNotRun, model.OutcomeUnknown
+		v := CheckCommands([]Command{
+			{Key: "ran", Answers: []model.Outcome{done}},
+			{Key: "ran-late", Answers: []model.Outcome{notRun, done}},
+			{Key: "lost", Answers: []model.Outcome{unknown, unknown}},
+			{Key: "denied", Answers: []model.Outcome{notRun, notRun}},
+			{Key: "invented", Answers: []model.Outcome{done}},
+		}, map[string]int{"ran": 1, "ran-late": 1, "lost": 1, "denied": 1})
+		Expect(v).To(Equal(Violations{FalseNotRun: 1, FalseComplete: 1}))
+	})
+
 	It("charges processor time to the innermost known function, and unlabelled time by the daemons' share", func() {
 		stack := func(part string, us int64, functions ...string) *profile.Sample {
 			s := &profile.Sample{Value: []int64{1, us * 1000}, Label: map[string][]string{}}
--- a/internal/measure/observe/violations.go
+++ b/internal/measure/observe/violations.go
@@ -20,6 +20,8 @@
 	CrossedAnswer int `json:"crossed_answer"`
 	// FalseNotRun: a request said not to have been run that a server started.
 	FalseNotRun int `json:"false_not_run"`
+	// FalseComplete: a non-idempotent request said to have run that no server started.
+	FalseComplete int `json:"false_complete"`
 	// DoubleRun: a non-idempotent request that ran more than once.
 	DoubleRun int `json:"double_run"`
 	// WorkAfterLeave: an execution that a server started more than 3 s after it began to leave.
@@ -36,6 +38,7 @@
 	v.FalseCoverage += other.FalseCoverage
 	v.CrossedAnswer += other.CrossedAnswer
 	v.FalseNotRun += other.FalseNotRun
+	v.FalseComplete += other.FalseComplete
 	v.DoubleRun += other.DoubleRun
 	v.WorkAfterLeave += other.WorkAfterLeave
 	v.CutOff += other.CutOff
@@ -44,7 +47,7 @@
 
 // Total returns the sum of all counts.
 func (v *Violations) Total() int {
-	return v.MixedSnapshot + v.FalseCoverage + v.CrossedAnswer + v.FalseNotRun + v.DoubleRun + v.WorkAfterLeave +
+	return v.MixedSnapshot + v.FalseCoverage + v.CrossedAnswer + v.FalseNotRun + v.FalseComplete + v.DoubleRun + v.WorkAfterLeave +
 		v.CutOff + v.ConfigReverted
 }
 
--- a/internal/measure/round.go
+++ b/internal/measure/round.go
@@ -1,23 +1,16 @@
 package measure
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
 	"math/rand/v2"
-	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"oleandersill.example/oleandersill/internal/httpapi"
 	"oleandersill.example/oleandersill/internal/measure/cluster"
 	"oleandersill.example/oleandersill/internal/measure/load"
 	"oleandersill.example/oleandersill/internal/measure/observe"
 	"oleandersill.example/oleandersill/internal/model"
-	"oleandersill.example/oleandersill/internal/query/queryhttp"
 )
 
 const (
@@ -25,6 +18,8 @@
 	warmUp = 2 * time.Second
 	// itemsPerShard is small, so that every answer can carry all items of all shards and be checked.
 	itemsPerShard = 3
+	// commandRate is the rate of non-idempotent requests, per second. Each costs two writes of the store.
+	commandRate = 10
 	// answerGrace is how long past its deadline a caller waits for a response.
 	answerGrace = 2 * time.Second
 )
@@ -55,6 +50,10 @@
 	var lateness load.Lateness
 	work := func() {
 		lateness = load.Run(start, arrivals, d.options.Workers, func(a load.Arrival, intended time.Time) {
+			if a.Command {
+				caller.sendCommand(ctx, a, intended)
+				return
+			}
 			caller.send(ctx, a, intended)
 		})
 	}
@@ -99,6 +98,12 @@
 			})
 		}
 	}
+	if d.deployment.commands != "" {
+		out = append(out, load.Stream{
+			Rank: model.RankUrgent, Rate: commandRate, Callers: d.callers[model.RankUrgent], Command: true,
+			From: warmUp, To: warmUp + duration,
+		})
+	}
 	return out
 }
 
@@ -144,7 +149,12 @@
 	for _, rank := range rowRanks {
 		r.figures[rank] = observe.Compute(measured, executions, duration, rank.keeps)
 	}
-	r.recorded = observe.CheckRecord(queries, record.RunsByKey(), c.Leaves())
+	runs := map[string]int{}
+	if d.deployment.commands != "" {
+		runs = c.Record(d.deployment.commands).RunsByKey()
+	}
+	r.recorded = observe.CheckRecord(queries, runs, c.Leaves())
+	r.recorded.Add(observe.CheckCommands(collector.Commands(), runs))
 	return r
 }
 
@@ -155,70 +165,3 @@
 	}
 	return samples
 }
-
-// caller sends queries as the callers' clients do and hands the answers to the collector.
-type caller struct {
-	cluster   *cluster.Cluster
-	collector *observe.Collector
-	client    *http.Client
-	service   model.ServiceName
-	limit     int
-	deadline  time.Duration
-	// header is the deadline header; empty leaves the rules' default.
-	header string
-}
-
-func (d *driver) newCaller(c *cluster.Cluster, collector *observe.Collector) *caller {
-	out := &caller{
-		cluster:   c,
-		collector: collector,
-		service:   d.deployment.service.Name,
-		limit:     min(queryhttp.MaxLimit, 2*itemsPerShard*len(d.deployment.service.Shards)),
-		deadline:  time.Duration(d.deployment.rules.Deadlines.DefaultMs) * time.Millisecond,
-		client: &http.Client{Transport: &http.Transport{
-			DialContext:         c.Network.Dialer(cluster.Place{Role: cluster.RoleClient}),
-			MaxIdleConnsPerHost: d.options.Workers,
-			DisableCompression:  true,
-		}},
-	}
-	if d.options.Deadline > 0 {
-		out.deadline = d.options.Deadline
-		out.header = strconv.FormatInt(out.deadline.Milliseconds(), 10)
-	}
-	return out
-}
-
-func (c *caller) send(ctx context.Context, a load.Arrival, intended time.Time) {
-	answer := observe.Answer{Arrival: a, Text: fmt.Sprintf("query-%d", a.Number)}
-	before := c.collector.Revision(a.Target)
-	answer.Sent = time.Now()
-	c.exchange(ctx, &answer)
-	answer.Latency = time.Since(intended)
-	c.collector.Take(&answer, before)
-}
-
-func (c *caller) exchange(ctx context.Context, answer *observe.Answer) {
-	ctx, cancel := context.WithTimeout(ctx, c.deadline+answerGrace)
-	defer cancel()
-	body, err := json.Marshal(queryhttp.SearchRequest{Text: answer.Text, Limit: c.limit})
-	if err != nil {
-		return
-	}
-	url := "http://" + c.cluster.CallerAddress(answer.Arrival.Target) + "/v1/services/" + string(c.service) + "/query"
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return
-	}
-	req.Header.Set(httpapi.HeaderCaller, string(answer.Arrival.Caller))
-	if c.header != "" {
-		req.Header.Set(httpapi.HeaderDeadline, c.header)
-	}
-	resp, err := c.client.Do(req)
-	if err != nil {
-		return
-	}
-	defer func() { _ = resp.Body.Close() }()
-	answer.HeaderOutcome = resp.Header.Get(httpapi.HeaderOutcome)
-	answer.HeaderCoverage = resp.Header.Get(httpapi.HeaderCoverage)
-	answer.Whole = json.NewDecoder(resp.Body).Decode(&answer.Body) == nil
-}
--- a/internal/measure/row.go
+++ b/internal/measure/row.go
@@ -17,11 +17,16 @@
 	standard rowRank = "standard"
 	deferred rowRank = "deferred"
 	all      rowRank = "all"
+	// execute is the row of the non-idempotent requests, which the other rows leave out.
+	execute rowRank = "execute"
 )
 
-var rowRanks = []rowRank{urgent, standard, deferred, all}
+var rowRanks = []rowRank{urgent, standard, deferred, all, execute}
 
 func (r rowRank) keeps(s *observe.Sample) bool {
+	if s.Command {
+		return r == execute
+	}
 	return r == all || string(r) == s.Rank.String()
 }
 
@@ -55,7 +60,8 @@
 	// LastIncompleteS is the send time of the last incompletely answered query, in seconds from the start.
 	LastIncompleteS float64 `json:"last_incomplete_s"`
 
-	// Violations are summed over the rounds. Those that only the stand-ins' records show stand in the row of all ranks.
+	// Violations are summed over the rounds. Those that only the stand-ins' records show, and those of
+	// non-idempotent requests, stand in the row of all ranks.
 	Violations observe.Violations `json:"violations"`
 
 	// CapacityQPS is worked out from slots and service time; CalibratedQPS is what the stand-ins sustained directly.
