Measure leaving servers, store outages and rolling restarts

The load balancer that a rolling restart needs follows the daemons' readiness; a request without a whole response counts as cut off. Servers that leave go on answering, so that work they still get after 3 s is seen in the record.

--- a/internal/measure/cluster/cluster.go
+++ b/internal/measure/cluster/cluster.go
@@ -7,18 +7,17 @@
 	"net"
 	"net/http"
 	"runtime/pprof"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
-	"oleandersill.example/oleandersill/internal/daemon"
 	"oleandersill.example/oleandersill/internal/lockorder"
 	"oleandersill.example/oleandersill/internal/measure/labels"
 	"oleandersill.example/oleandersill/internal/measure/locks"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/platform"
-	"oleandersill.example/oleandersill/internal/settings"
 	"oleandersill.example/oleandersill/internal/standin/backendserver"
 	"oleandersill.example/oleandersill/internal/standin/platformserver"
 )
@@ -42,19 +41,22 @@
 
 	revision model.Revision
 	records  map[model.ServiceName]*backendserver.Record
-	daemons  []*daemon.Daemon
-	zones    []model.ZoneSpec
-	platform *http.Server
-	log      zerolog.Logger
+	// platformAddress is the address that daemons are given for the platform.
+	platformAddress string
+	platform        *http.Server
+	// stopBalancer ends the load balancer.
+	stopBalancer context.CancelFunc
+	log          zerolog.Logger
 
 	// editing holds a token while a fault edits the configuration, which includes I/O.
 	editing chan struct{}
 
-	// mu guards inventory, servers and leaves.
+	// mu guards the fields below.
 	mu        lockorder.Mutex
 	inventory model.Inventory
 	servers   map[model.ServerName]*backendserver.Server
 	leaves    map[model.ServerName]time.Time
+	daemons   []member
 }
 
 // Start starts a cluster and returns once all daemons have the configuration in force.
@@ -95,17 +97,16 @@
 
 func (c *Cluster) start(ctx context.Context) error {
 	var inv model.Inventory
-	var platformAddress string
 	var err error
 	labelled(ctx, labels.Standin, func() {
 		if inv, err = c.startServers(); err == nil {
-			platformAddress, err = c.startPlatform(ctx)
+			c.platformAddress, err = c.startPlatform(ctx)
 		}
 	})
 	if err != nil {
 		return err
 	}
-	labelled(ctx, labels.Daemon, func() { err = c.startDaemons(platformAddress) })
+	labelled(ctx, labels.Daemon, func() { err = c.startDaemons() })
 	if err != nil {
 		return err
 	}
@@ -192,40 +193,14 @@
 	return address, nil
 }
 
-func (c *Cluster) startDaemons(platformAddress string) error {
-	for i := range c.cfg.Daemons {
-		zone := c.cfg.Inventory.Zones[i%len(c.cfg.Inventory.Zones)]
-		s := settings.Defaults()
-		s.Instance = instanceID(i)
-		s.Zone, s.Region = zone.Name, zone.Region
-		s.CallerAddress, s.OperatorAddress, s.PeerAddress = loopback, loopback, loopback
-		s.PlatformAddress = platformAddress
-		s.OperatorToken, s.PeerToken = Token, Token
-		// There is no load balancer that has to notice a drain.
-		s.DrainGraceMs = 0
-		s.Policy = c.cfg.Policy
-		place := Place{Zone: zone.Name, Region: zone.Region}
-		d, err := daemon.Start(s, c.log, daemon.WithDialer(c.Network.Dialer(place)))
-		if err != nil {
-			return err
-		}
-		c.Network.Register(d.CallerAddress(), place)
-		c.Network.Register(d.OperatorAddress(), place)
-		c.Network.Register(d.PeerAddress(), place)
-		c.daemons = append(c.daemons, d)
-		c.zones = append(c.zones, zone)
-	}
-	return nil
-}
-
 func instanceID(i int) model.InstanceID { return model.InstanceID(fmt.Sprintf("entry-%d", i)) }
 
 // instances returns the platform's list: the daemons and the servers of an inventory.
 func (c *Cluster) instances(inv model.Inventory) []platform.Instance {
 	var list []platform.Instance
-	for i, d := range c.daemons {
+	for i, m := range c.members() {
 		list = append(list, platform.Instance{
-			Name: string(instanceID(i)), Role: platform.RoleEntry, Zone: c.zones[i].Name, Address: d.PeerAddress(),
+			Name: string(instanceID(i)), Role: platform.RoleEntry, Zone: c.zoneOf(i).Name, Address: m.daemon.PeerAddress(),
 			State: platform.InstanceLive,
 		})
 	}
@@ -234,7 +209,7 @@
 			for _, s := range sh.Servers {
 				list = append(list, platform.Instance{
 					Name: string(s.Name), Role: platform.RoleServer, Zone: s.Zone, Address: s.Address,
-					State: platform.InstanceLive,
+					State: c.stateOf(s.Name),
 				})
 			}
 		}
@@ -242,12 +217,6 @@
 	return list
 }
 
-// CallerAddress returns the callers' address of a daemon, by its index.
-func (c *Cluster) CallerAddress(i int) string { return c.daemons[i].CallerAddress() }
-
-// OperatorAddress returns the operators' address of a daemon, by its index.
-func (c *Cluster) OperatorAddress(i int) string { return c.daemons[i].OperatorAddress() }
-
 // Record returns the execution record of a service.
 func (c *Cluster) Record(service model.ServiceName) *backendserver.Record { return c.records[service] }
 
@@ -286,6 +255,26 @@
 	c.inventory = inv
 }
 
+// leave records that servers were told to leave, and shows it on the platform's list.
+func (c *Cluster) leave(names []model.ServerName) {
+	now := time.Now()
+	c.mu.Lock()
+	for _, name := range names {
+		c.leaves[name] = now
+	}
+	c.mu.Unlock()
+	c.Platform.SetInstances(c.instances(c.Inventory()))
+}
+
+func (c *Cluster) stateOf(name model.ServerName) platform.InstanceState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.leaves[name]; ok {
+		return platform.InstanceLeaving
+	}
+	return platform.InstanceLive
+}
+
 // Leaves returns when servers that were told to leave were told so.
 func (c *Cluster) Leaves() map[model.ServerName]time.Time {
 	c.mu.Lock()
@@ -295,16 +284,14 @@
 
 // Stop ends daemons and stand-ins.
 func (c *Cluster) Stop() {
-	stopped := make(chan struct{})
-	for _, d := range c.daemons {
-		go func() {
-			d.Stop()
-			stopped <- struct{}{}
-		}()
+	if c.stopBalancer != nil {
+		c.stopBalancer()
 	}
-	for range c.daemons {
-		<-stopped
+	var stopping sync.WaitGroup
+	for _, m := range c.members() {
+		stopping.Go(m.daemon.Stop)
 	}
+	stopping.Wait()
 	if c.platform != nil {
 		// Open watches are cut.
 		_ = c.platform.Close()
--- a/internal/measure/cluster/configure.go
+++ b/internal/measure/cluster/configure.go
@@ -23,7 +23,7 @@
 		return errors.Wrap(err, "cluster: encoding configuration")
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost,
-		"http://"+c.daemons[0].OperatorAddress()+"/v1/config/apply", bytes.NewReader(body))
+		"http://"+c.OperatorAddress(0)+"/v1/config/apply", bytes.NewReader(body))
 	if err != nil {
 		return errors.Wrap(err, "cluster: building request")
 	}
@@ -60,11 +60,18 @@
 func (c *Cluster) AwaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	for _, d := range c.daemons {
-		for !ready(ctx, d.CallerAddress()) {
-			if err := sleep(readyPoll, ctx.Done()); err != nil {
-				return errors.Wrap(err, "cluster: a daemon is not ready")
-			}
+	for _, m := range c.members() {
+		if err := awaitReady(ctx, m.daemon.CallerAddress()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func awaitReady(ctx context.Context, address string) error {
+	for !ready(ctx, address) {
+		if err := sleep(readyPoll, ctx.Done()); err != nil {
+			return errors.Wrap(err, "cluster: a daemon is not ready")
 		}
 	}
 	return nil
--- a/internal/measure/round.go
+++ b/internal/measure/round.go
@@ -36,7 +36,9 @@
 
 // runRound starts a cluster, warms it up, offers the scenario's load with its faults, and stops the cluster.
 func (d *driver) runRound(ctx context.Context, s *Scenario, policy model.Policy, seed uint64) (*round, error) {
-	c, err := cluster.Start(ctx, d.clusterConfig(policy, seed), d.log)
+	cfg := d.clusterConfig(policy, seed)
+	cfg.Balance = s.Balance
+	c, err := cluster.Start(ctx, cfg, d.log)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -10,6 +10,7 @@
 
 	"oleandersill.example/oleandersill/internal/measure/cluster"
 	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/standin/platformserver"
 )
 
 // Shape gives the offered load of each rank as a fraction of capacity.
@@ -59,8 +60,10 @@
 	Shape  Shape
 	Faults []TimedFault
 	// Least is the shortest measured time that holds the whole course of the faults.
-	Least  time.Duration
-	Bounds []Bound
+	Least time.Duration
+	// Balance puts a load balancer in front of the daemons that follows their readiness.
+	Balance bool
+	Bounds  []Bound
 }
 
 const (
@@ -68,6 +71,7 @@
 	rollTime     = 10 * time.Second
 	cutTime      = 10 * time.Second
 	recoveryTime = 7 * time.Second
+	restartTime  = 14 * time.Second
 )
 
 // steadyName is the scenario that others are compared with.
@@ -112,6 +116,21 @@
 			Name: "repartition", Shape: steadyShape,
 			Faults: []TimedFault{{At: faultAt, Fault: cluster.Repartition{Keep: 3 * time.Second}}},
 		},
+		{
+			Name: "leaving-servers", Shape: lossShape, Least: faultAt + recoveryTime,
+			Faults: []TimedFault{{At: faultAt, Fault: cluster.Leave{Share: 0.1}}},
+		},
+		{
+			Name: "store-outage", Shape: steadyShape, Least: faultAt + recoveryTime,
+			Faults: []TimedFault{{At: faultAt, Fault: cluster.Sequence{
+				cluster.StoreFaults{Faults: platformserver.Faults{LostReplies: 0.3}, For: 2 * time.Second},
+				cluster.StoreFaults{Faults: platformserver.Faults{Down: true}, For: 3 * time.Second},
+			}}},
+		},
+		{
+			Name: "rolling-restart", Shape: steadyShape, Least: restartTime, Balance: true,
+			Faults: []TimedFault{{At: faultAt, Fault: cluster.RollingRestart{}}},
+		},
 	}
 }
 
@@ -142,6 +161,7 @@
 	}
 	s.Faults = append(s.Faults, other.Faults...)
 	s.Least = max(s.Least, other.Least)
+	s.Balance = s.Balance || other.Balance
 }
 
 // pickTwo returns the names of two scenarios with faults or floods, by the seed.
