--- a/internal/measure/observe/observe_test.go
+++ b/internal/measure/observe/observe_test.go
@@ -101,6 +101,14 @@
 		Entry("no whole response", []model.ShardName{}, func(a *Answer) { a.Whole = false }, Violations{CutOff: 1}),
 	)
 
+	It("takes a problem for no answer, unless it carries items", func() {
+		a := &Answer{Text: text, Whole: true, HeaderOutcome: string(model.OutcomeNotRun)}
+		Expect(CheckAnswer(a, maps)).To(Equal(Violations{}))
+		a.Body.Items = items("a")
+		a.Body.Epoch, a.Body.Version = 1, 3
+		Expect(CheckAnswer(a, maps)).To(Equal(Violations{FalseCoverage: 1}))
+	})
+
 	It("finds a header that says more than the body", func() {
 		a := seal(truthful("a"))
 		a.HeaderOutcome = string(model.OutcomeComplete)
--- a/internal/measure/observe/violations.go
+++ b/internal/measure/observe/violations.go
@@ -79,6 +79,10 @@
 // coverageHolds tells whether body and header state the coverage that the items show.
 func coverageHolds(a *Answer, shards map[model.ShardName]float64, seen map[model.ShardName]bool) bool {
 	cov := a.Body.Coverage
+	if a.Body.Outcome == "" && a.HeaderOutcome == string(model.OutcomeNotRun) {
+		// A problem, which rejects a request before anything is run, states its outcome in the header only.
+		return len(a.Body.Items) == 0
+	}
 	if a.HeaderOutcome != string(a.Body.Outcome) {
 		return false
 	}
