Measure how long a configuration change takes to be in force at all daemons

Three scenarios: alone, with the store at 1 s a call, and with one zone apart from the platform only.

--- a/internal/measure/bounds.go
+++ b/internal/measure/bounds.go
@@ -169,6 +169,19 @@
 	return []Bound{p99Against("urgent p99 <= 1.2x steady", 1.2, ofSteady)}
 }
 
+func spreadBounds() []Bound {
+	return append(slowSpreadBounds(),
+		atMost("configuration change in force everywhere: p99 <= 2 s", all, 2000, func(r *Row) float64 { return r.SpreadP99Ms }))
+}
+
+// slowSpreadBounds are those that hold with a slow store or a zone apart from the platform, too.
+func slowSpreadBounds() []Bound {
+	return []Bound{
+		atMost("configuration change in force everywhere: never over 16 s", all, 16_000,
+			func(r *Row) float64 { return r.SpreadMaxMs }),
+	}
+}
+
 // noViolation bounds every scenario.
 func noViolation() Bound {
 	return atMost("no violation of a guarantee", all, 0, func(r *Row) float64 { return float64(r.Violations.Total()) })
--- a/internal/measure/cluster/cluster.go
+++ b/internal/measure/cluster/cluster.go
@@ -57,6 +57,7 @@
 	servers   map[model.ServerName]*backendserver.Server
 	leaves    map[model.ServerName]time.Time
 	daemons   []member
+	spread    []time.Duration
 }
 
 // Start starts a cluster and returns once all daemons have the configuration in force.
--- a/internal/measure/cluster/network.go
+++ b/internal/measure/cluster/network.go
@@ -47,10 +47,12 @@
 
 // Network adds latencies and partitions to loopback connections. Addresses that were not registered have no latency.
 type Network struct {
-	mu      lockorder.Mutex
-	places  map[string]Place
-	cut     map[model.AvailabilityZone]bool
-	changed chan struct{}
+	mu     lockorder.Mutex
+	places map[string]Place
+	cut    map[model.AvailabilityZone]bool
+	// cutPlatform holds the zones that are apart from the platform only.
+	cutPlatform map[model.AvailabilityZone]bool
+	changed     chan struct{}
 }
 
 // NewNetwork returns a network without partitions.
@@ -60,6 +62,8 @@
 		places:  map[string]Place{},
 		cut:     map[model.AvailabilityZone]bool{},
 		changed: make(chan struct{}),
+
+		cutPlatform: map[model.AvailabilityZone]bool{},
 	}
 }
 
@@ -71,15 +75,18 @@
 }
 
 // Cut parts a zone from the other zones and from the platform.
-func (n *Network) Cut(zone model.AvailabilityZone) { n.set(zone, true) }
+func (n *Network) Cut(zone model.AvailabilityZone) { n.set(n.cut, zone, true) }
 
 // Heal ends the partition of a zone.
-func (n *Network) Heal(zone model.AvailabilityZone) { n.set(zone, false) }
+func (n *Network) Heal(zone model.AvailabilityZone) { n.set(n.cut, zone, false) }
+
+// CutPlatform parts a zone from the platform only, or ends that.
+func (n *Network) CutPlatform(zone model.AvailabilityZone, cut bool) { n.set(n.cutPlatform, zone, cut) }
 
-func (n *Network) set(zone model.AvailabilityZone, cut bool) {
+func (n *Network) set(table map[model.AvailabilityZone]bool, zone model.AvailabilityZone, cut bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cut[zone] = cut
+	table[zone] = cut
 	close(n.changed)
 	n.changed = make(chan struct{})
 }
@@ -97,6 +104,7 @@
 	defer n.mu.Unlock()
 	cut := from.Role != RoleClient && to.Role != RoleClient &&
 		(to.Role == RolePlatform || from.Zone != to.Zone) && (n.cut[from.Zone] || n.cut[to.Zone])
+	cut = cut || (to.Role == RolePlatform && n.cutPlatform[from.Zone])
 	return cut, n.changed
 }
 
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -19,6 +20,16 @@
 		Entry("even", []float64{4, 1, 3, 2}, 2.5),
 	)
 
+	It("takes the spread of a change over all rounds and daemons", func() {
+		first, second := &round{}, &round{}
+		for i := range 150 {
+			first.spread = append(first.spread, time.Duration(i)*time.Millisecond)
+		}
+		second.spread = []time.Duration{9 * time.Second}
+		p99, longest := spreadOf([]*round{first, second})
+		Expect([]float64{p99, longest}).To(Equal([]float64{149, 9000}))
+	})
+
 	It("takes the capacity from the shard with the fewest slots", func() {
 		shard := func(slots ...int) model.ShardSpec {
 			var sh model.ShardSpec
--- a/internal/measure/print.go
+++ b/internal/measure/print.go
@@ -68,6 +68,12 @@
 				return err
 			}
 		}
+		if r.SpreadMaxMs > 0 {
+			if _, err := fmt.Fprintf(p.out, "  configuration changes (%s): in force at a daemon after p99 %.0f ms, at most %.0f ms\n",
+				r.Policy, r.SpreadP99Ms, r.SpreadMaxMs); err != nil {
+				return err
+			}
+		}
 		if r.CPU != nil {
 			if _, err := fmt.Fprintf(p.out, "  cpu (%s): daemons %.0f us a sub-request = decision %.0f + codec %.0f + network %.0f + "+
 				"other %.0f + runtime %.0f; whole process %.0f us; %d sub-requests; %s, split by a profile\n", r.Policy, r.CPU.Total,
--- a/internal/measure/round.go
+++ b/internal/measure/round.go
@@ -30,6 +30,8 @@
 	recorded observe.Violations
 	lateness load.Lateness
 	duration time.Duration
+	// spread is how long configuration changes took to be in force, one value for each change and daemon.
+	spread []time.Duration
 	// cpu is nil without a profile.
 	cpu *observe.CPU
 }
@@ -69,7 +71,7 @@
 		return nil, errors.Wrapf(err, "measure: %s", s.Name)
 	}
 	r := d.evaluate(c, caller.collector, lateness, duration)
-	r.cpu = cpu
+	r.cpu, r.spread = cpu, c.Spread()
 	return r, nil
 }
 
--- a/internal/measure/row.go
+++ b/internal/measure/row.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
+	"time"
 
 	"oleandersill.example/oleandersill/internal/measure/observe"
 	"oleandersill.example/oleandersill/internal/model"
@@ -75,6 +77,11 @@
 	MaxLateMs float64 `json:"max_late_ms"`
 	Process   string  `json:"process"`
 
+	// SpreadP99Ms and SpreadMaxMs are the times for a configuration change to be in force at a daemon, over all rounds. They
+	// stand in the row of all ranks of scenarios with such changes.
+	SpreadP99Ms float64 `json:"spread_p99_ms,omitempty"`
+	SpreadMaxMs float64 `json:"spread_max_ms,omitempty"`
+
 	// CPU stands in the row of all ranks when the rounds were profiled; it is that of the round with the median total.
 	CPU *observe.CPU `json:"cpu,omitempty"`
 
@@ -132,7 +139,22 @@
 	}
 	if r.Rank == all {
 		r.CPU = medianCPU(rounds)
+		r.SpreadP99Ms, r.SpreadMaxMs = spreadOf(rounds)
+	}
+}
+
+// spreadOf returns the p99 and the longest of the spread times, in milliseconds.
+func spreadOf(rounds []*round) (p99, longest float64) {
+	var times []time.Duration
+	for _, x := range rounds {
+		times = append(times, x.spread...)
+	}
+	if len(times) == 0 {
+		return 0, 0
 	}
+	slices.Sort(times)
+	rank := int(math.Ceil(0.99*float64(len(times)))) - 1
+	return float64(times[rank].Milliseconds()), float64(times[len(times)-1].Milliseconds())
 }
 
 func medianCPU(rounds []*round) *observe.CPU {
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -134,6 +134,31 @@
 	}
 }
 
+// spreadScenarios are the scenarios of configuration changes.
+func spreadScenarios() []Scenario {
+	const slowStore, slowTime = time.Second, 30 * time.Second
+	return []Scenario{
+		{
+			Name: "config-spread", Shape: steadyShape, Bounds: spreadBounds(), Least: recoveryTime,
+			Faults: []TimedFault{{Fault: cluster.ConfigChanges{Count: 10, Pause: 200 * time.Millisecond}}},
+		},
+		{
+			Name: "config-spread-slow-store", Shape: lossShape, Bounds: slowSpreadBounds(), Least: slowTime,
+			Faults: []TimedFault{
+				{Fault: cluster.StoreFaults{Faults: platformserver.Faults{Delay: slowStore}, For: slowTime}},
+				{At: faultAt, Fault: cluster.ConfigChanges{Count: 2}},
+			},
+		},
+		{
+			Name: "config-spread-platform-cut", Shape: steadyShape, Bounds: slowSpreadBounds(), Least: cutTime,
+			Faults: []TimedFault{
+				{Fault: cluster.PlatformCut{Zone: 1, For: cutTime}},
+				{At: faultAt, Fault: cluster.ConfigChanges{Count: 5, Pause: 200 * time.Millisecond}},
+			},
+		},
+	}
+}
+
 // FindScenario returns the named scenario; NAME+NAME gives both at once, and two-at-once two that the seed picks.
 func FindScenario(name string, seed uint64) (Scenario, error) {
 	if name == twoAtOnce {
@@ -142,7 +167,7 @@
 	parts := strings.Split(name, "+")
 	out := Scenario{Name: name}
 	for _, part := range parts {
-		all := scenarios()
+		all := append(scenarios(), spreadScenarios()...)
 		i := slices.IndexFunc(all, func(s Scenario) bool { return s.Name == part })
 		if i < 0 {
 			return out, errors.Wrapf(ErrUsage, "no scenario %q", part)
@@ -185,7 +210,7 @@
 func expand(names []string, seed uint64) ([]Scenario, error) {
 	var out []Scenario
 	if slices.Contains(names, "all") {
-		out, names = scenarios(), []string{twoAtOnce}
+		out, names = append(scenarios(), spreadScenarios()...), []string{twoAtOnce}
 	}
 	for _, name := range names {
 		s, err := FindScenario(name, seed)
