--- a/examples/quickstart/callers.go
+++ b/examples/quickstart/callers.go
@@ -21,20 +21,20 @@
 	body    B
 }
 
-func (t *tour) search(ctx context.Context, caller string) (answer[queryhttp.SearchResponse], error) {
+func (t *demo) search(ctx context.Context, caller string) (answer[queryhttp.SearchResponse], error) {
 	const limit = 100
 	return call[queryhttp.SearchResponse](ctx, t, search, "query", caller,
 		queryhttp.SearchRequest{Text: "hello", Limit: limit}, nil)
 }
 
-func (t *tour) execute(ctx context.Context, key string) (answer[commandhttp.ExecuteResponse], error) {
+func (t *demo) execute(ctx context.Context, key string) (answer[commandhttp.ExecuteResponse], error) {
 	return call[commandhttp.ExecuteResponse](ctx, t, bookmarks, "execute", "app",
 		commandhttp.ExecuteRequest{Body: "save phrase 17"}, map[string]string{httpapi.HeaderKey: key})
 }
 
 // call sends one request to the next daemon in turn.
 func call[B any](
-	ctx context.Context, t *tour, service model.ServiceName, verb, caller string, body any, header map[string]string,
+	ctx context.Context, t *demo, service model.ServiceName, verb, caller string, body any, header map[string]string,
 ) (answer[B], error) {
 	var out answer[B]
 	encoded, err := json.Marshal(body)
--- a/examples/quickstart/tour.go
+++ b/examples/quickstart/demo.go
@@ -21,34 +21,34 @@
 	settle = 1500 * time.Millisecond
 )
 
-// tour runs the steps, prints a row for each, and compares the outcomes with those promised.
-type tour struct {
+// demo runs the steps, prints a row for each, and compares the outcomes with those promised.
+type demo struct {
 	cluster *cluster.Cluster
 	table   *tabwriter.Writer
 	// next is the daemon that gets the next request, as a load balancer would pick in turn.
 	next int
 }
 
-func newTour(c *cluster.Cluster, out io.Writer) *tour {
-	t := &tour{cluster: c, table: tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)}
+func newDemo(c *cluster.Cluster, out io.Writer) *demo {
+	t := &demo{cluster: c, table: tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)}
 	t.row("STEP", "CALLER", "OUTCOME", "COVERAGE", "ITEMS", "TIME", "NOTE")
 	return t
 }
 
-func (t *tour) row(cells ...string) {
-	// A closed output shows in finish.
+func (t *demo) row(cells ...string) {
+	// A failure to write shows in finish.
 	_, _ = fmt.Fprintln(t.table, strings.Join(cells, "\t"))
 }
 
 // finish prints the table and returns the first error.
-func (t *tour) finish(err error) error {
+func (t *demo) finish(err error) error {
 	if flushErr := t.table.Flush(); err == nil {
 		err = flushErr
 	}
 	return err
 }
 
-func (t *tour) run(ctx context.Context) error {
+func (t *demo) run(ctx context.Context) error {
 	for _, step := range []func(context.Context) error{t.ranks, t.nonIdempotent, t.stoppedServers} {
 		if err := step(ctx); err != nil {
 			return err
@@ -58,7 +58,7 @@
 }
 
 // ranks sends a query of each rank.
-func (t *tour) ranks(ctx context.Context) error {
+func (t *demo) ranks(ctx context.Context) error {
 	for _, caller := range []string{"app (urgent)", "website (standard)", "crawler (deferred)"} {
 		if err := t.query(ctx, "query", caller, model.OutcomeComplete); err != nil {
 			return err
@@ -68,7 +68,7 @@
 }
 
 // nonIdempotent saves a bookmark and repeats the request with the same key, as a caller does that lost the answer.
-func (t *tour) nonIdempotent(ctx context.Context) error {
+func (t *demo) nonIdempotent(ctx context.Context) error {
 	key, err := uuid.NewV7()
 	if err != nil {
 		return err
@@ -89,7 +89,7 @@
 }
 
 // stoppedServers stops one replica of a shard, then the other, and starts both again.
-func (t *tour) stoppedServers(ctx context.Context) error {
+func (t *demo) stoppedServers(ctx context.Context) error {
 	shard := t.cluster.Service(search).Shards[0]
 	first, second := shard.Servers[0].Name, shard.Servers[1].Name
 	steps := []struct {
@@ -115,14 +115,14 @@
 	return nil
 }
 
-func (t *tour) stop(name model.ServerName) func() error {
+func (t *demo) stop(name model.ServerName) func() error {
 	return func() error {
 		t.cluster.Server(name).Crash()
 		return nil
 	}
 }
 
-func (t *tour) restart(names ...model.ServerName) func() error {
+func (t *demo) restart(names ...model.ServerName) func() error {
 	return func() error {
 		for _, name := range names {
 			if err := t.cluster.Server(name).Restart(); err != nil {
@@ -134,7 +134,7 @@
 }
 
 // query sends a query and prints its row.
-func (t *tour) query(ctx context.Context, step, caller string, want model.Outcome) error {
+func (t *demo) query(ctx context.Context, step, caller string, want model.Outcome) error {
 	a, err := t.search(ctx, caller)
 	if err != nil {
 		return err
--- a/examples/quickstart/main.go
+++ b/examples/quickstart/main.go
@@ -18,7 +18,7 @@
 
 const (
 	daemons = 8
-	// timeout bounds the whole tour.
+	// timeout bounds the whole demonstration.
 	timeout = 20 * time.Second
 	// serviceTime and spread are the stand-ins' fixed and mean exponential time for a request.
 	serviceTime   = 5 * time.Millisecond
@@ -55,7 +55,7 @@
 	if err := c.AwaitReady(ctx); err != nil {
 		return err
 	}
-	t := newTour(c, os.Stdout)
+	t := newDemo(c, os.Stdout)
 	err = t.run(ctx)
 	return t.finish(err)
 }
--- a/internal/measure/bounds.go
+++ b/internal/measure/bounds.go
@@ -12,7 +12,7 @@
 	// Rank is the rank whose row shows the bound; rankAll for the row of all ranks.
 	Rank rowRank
 	// figure returns the figure that the bound is about, the limit, and false if a row needed is not among those measured.
-	figure func(b *board) (figure, limit float64, ok bool)
+	figure func(b *comparison) (figure, limit float64, ok bool)
 	// atLeast tells that the figure must reach the limit; otherwise it must not exceed it.
 	atLeast bool
 }
@@ -33,14 +33,14 @@
 	notEvaluated = "not_evaluated"
 )
 
-// board holds the rows that a bound may look at: those of the scenario, and those of the steady state.
-type board struct {
+// comparison holds the rows that a bound may look at: those of the scenario, and those of the steady state.
+type comparison struct {
 	own, baseline, steady map[rowRank]*Row
 	capacity              float64
 	rules                 model.Rules
 }
 
-func (b *Bound) result(on *board) BoundResult {
+func (b *Bound) result(on *comparison) BoundResult {
 	figure, limit, ok := b.figure(on)
 	r := BoundResult{Bound: b.Text, Figure: figure, Limit: limit, Holds: notEvaluated}
 	if !ok {
@@ -54,8 +54,8 @@
 }
 
 // p99Against bounds a p99 by a factor of that of other rows.
-func p99Against(text string, factor float64, other func(*board) map[rowRank]*Row) Bound {
-	return Bound{Text: text, Rank: urgent, figure: func(b *board) (float64, float64, bool) {
+func p99Against(text string, factor float64, other func(*comparison) map[rowRank]*Row) Bound {
+	return Bound{Text: text, Rank: urgent, figure: func(b *comparison) (float64, float64, bool) {
 		row := other(b)[urgent]
 		if row == nil {
 			return b.own[urgent].P99, 0, false
@@ -64,11 +64,11 @@
 	}}
 }
 
-func ofBaseline(b *board) map[rowRank]*Row { return b.baseline }
-func ofSteady(b *board) map[rowRank]*Row   { return b.steady }
+func ofBaseline(b *comparison) map[rowRank]*Row { return b.baseline }
+func ofSteady(b *comparison) map[rowRank]*Row   { return b.steady }
 
 func atMost(text string, rank rowRank, limit float64, of func(*Row) float64) Bound {
-	return Bound{Text: text, Rank: rank, figure: func(b *board) (float64, float64, bool) {
+	return Bound{Text: text, Rank: rank, figure: func(b *comparison) (float64, float64, bool) {
 		return of(b.own[rank]), limit, true
 	}}
 }
@@ -87,20 +87,20 @@
 func goodputOfCapacity() Bound {
 	return Bound{
 		Text: "goodput >= 0.9 of capacity", Rank: all, atLeast: true,
-		figure: func(b *board) (float64, float64, bool) { return b.own[all].Goodput, 0.9 * b.capacity, true },
+		figure: func(b *comparison) (float64, float64, bool) { return b.own[all].Goodput, 0.9 * b.capacity, true },
 	}
 }
 
 // keepsShare bounds a rank's rate of complete answers by a part of its minimum share, or of its offered load if that is
 // less.
 func keepsShare(text string, rank rowRank, part float64) Bound {
-	return Bound{Text: text, Rank: rank, atLeast: true, figure: func(b *board) (float64, float64, bool) {
+	return Bound{Text: text, Rank: rank, atLeast: true, figure: func(b *comparison) (float64, float64, bool) {
 		row := b.own[rank]
 		return completeRatio(row) * row.OfferedRate, part * min(b.minShare(rank)*b.capacity, row.OfferedRate), true
 	}}
 }
 
-func (b *board) minShare(rank rowRank) float64 {
+func (b *comparison) minShare(rank rowRank) float64 {
 	for _, r := range b.rules.Ranks {
 		if r.Rank == string(rank) {
 			return r.MinShare
--- a/internal/measure/cluster/faults.go
+++ b/internal/measure/cluster/faults.go
@@ -41,8 +41,8 @@
 func (f ReplicaLoss) Inject(_ context.Context, c *Cluster, service model.ServiceName, rnd *rand.Rand) error {
 	shards := c.Service(service).Shards
 	for _, i := range rnd.Perm(len(shards))[:portion(len(shards), f.Share)] {
-		victim := shards[i].Servers[rnd.IntN(len(shards[i].Servers))]
-		c.Server(victim.Name).Crash()
+		server := shards[i].Servers[rnd.IntN(len(shards[i].Servers))]
+		c.Server(server.Name).Crash()
 	}
 	return nil
 }
@@ -90,7 +90,7 @@
 // Inject implements Fault.
 func (FalseReports) Inject(_ context.Context, c *Cluster, service model.ServiceName, rnd *rand.Rand) error {
 	const overload = 1000
-	lies := []backendserver.Faults{
+	reports := []backendserver.Faults{
 		{Health: &backend.Health{Serving: false}},
 		{Load: &backend.Load{Running: overload, Waiting: overload}},
 		{Load: &backend.Load{}, Health: &backend.Health{Serving: true}},
@@ -99,9 +99,9 @@
 	servers := c.serviceServers(service)
 	rnd.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
 	for i, s := range servers {
-		lie := lies[i%len(lies)]
+		report := reports[i%len(reports)]
 		s.UpdateFaults(func(now *backendserver.Faults) {
-			now.Health, now.Load, now.FrozenReports = lie.Health, lie.Load, lie.FrozenReports
+			now.Health, now.Load, now.FrozenReports = report.Health, report.Load, report.FrozenReports
 		})
 	}
 	return nil
--- a/internal/measure/driver.go
+++ b/internal/measure/driver.go
@@ -120,7 +120,7 @@
 	if own == nil {
 		return
 	}
-	b := &board{
+	b := &comparison{
 		own: own, baseline: rows[model.PolicyBaseline], steady: steady, capacity: d.capacity, rules: d.deployment.rules,
 	}
 	for _, bound := range append(s.Bounds, noViolation()) {
@@ -130,6 +130,6 @@
 }
 
 func (d *driver) progress(format string, args ...any) {
-	// Progress is a courtesy; a closed error output does not end the run.
+	// A failure to write progress does not end the run.
 	_, _ = fmt.Fprintf(d.errOut, time.Now().Format(time.TimeOnly)+" "+format+"\n", args...)
 }
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -45,16 +45,16 @@
 	It("compares a bound with another row only if that row was measured", func() {
 		bound := p99Against("x", 1.3, ofSteady)
 		own := map[rowRank]*Row{urgent: {P99: 130}}
-		Expect(bound.result(&board{own: own}).Holds).To(Equal(notEvaluated))
+		Expect(bound.result(&comparison{own: own}).Holds).To(Equal(notEvaluated))
 		steady := map[rowRank]*Row{urgent: {P99: 100}}
-		Expect(bound.result(&board{own: own, steady: steady}).Holds).To(Equal(holdsYes))
+		Expect(bound.result(&comparison{own: own, steady: steady}).Holds).To(Equal(holdsYes))
 		own[urgent].P99 = 131
-		Expect(bound.result(&board{own: own, steady: steady}).Holds).To(Equal(holdsNo))
+		Expect(bound.result(&comparison{own: own, steady: steady}).Holds).To(Equal(holdsNo))
 	})
 
 	It("bounds a rank by its offered load when that is less than its share", func() {
 		bound := keepsShare("x", standard, 0.95)
-		b := &board{capacity: 200, rules: model.Rules{Ranks: []model.RankRule{{Rank: "standard", MinShare: 0.5}}}}
+		b := &comparison{capacity: 200, rules: model.Rules{Ranks: []model.RankRule{{Rank: "standard", MinShare: 0.5}}}}
 		b.own = map[rowRank]*Row{standard: {OfferedRate: 40, Offered: 400, Complete: 381}}
 		r := bound.result(b)
 		Expect(r.Limit).To(BeNumerically("~", 38, 1e-9))
