--- a/internal/measure/driver.go
+++ b/internal/measure/driver.go
@@ -108,6 +108,7 @@
 	r := &Row{
 		Scenario: s.Name, Deployment: d.deployment.name, Policy: policy, Seed: d.options.Seed, Rounds: len(rounds),
 		Rank: rank, CapacityQPS: d.capacity, CalibratedQPS: d.calibrated, Process: processNote,
+		DeadlineMs: d.options.Deadline.Milliseconds(),
 	}
 	r.fill(rounds)
 	return r
@@ -119,7 +120,7 @@
 	if own == nil {
 		return
 	}
-	b := &board{
+	b := &comparison{
 		own: own, baseline: rows[model.PolicyBaseline], steady: steady, capacity: d.capacity, rules: d.deployment.rules,
 	}
 	for _, bound := range append(s.Bounds, noViolation()) {
@@ -129,6 +130,6 @@
 }
 
 func (d *driver) progress(format string, args ...any) {
-	// Progress is a courtesy; a closed error output does not end the run.
+	// A failure to write progress does not end the run.
 	_, _ = fmt.Fprintf(d.errOut, time.Now().Format(time.TimeOnly)+" "+format+"\n", args...)
 }
--- a/internal/measure/observe/observe_test.go
+++ b/internal/measure/observe/observe_test.go
@@ -101,6 +101,14 @@
 		Entry("no whole response", []model.ShardName{}, func(a *Answer) { a.Whole = false }, Violations{CutOff: 1}),
 	)
 
+	It("takes a problem for no answer, unless it carries items", func() {
+		a := &Answer{Text: text, Whole: true, HeaderOutcome: string(model.OutcomeNotRun)}
+		Expect(CheckAnswer(a, maps)).To(Equal(Violations{}))
+		a.Body.Items = items("a")
+		a.Body.Epoch, a.Body.Version = 1, 3
+		Expect(CheckAnswer(a, maps)).To(Equal(Violations{FalseCoverage: 1}))
+	})
+
 	It("finds a header that says more than the body", func() {
 		a := seal(truthful("a"))
 		a.HeaderOutcome = string(model.OutcomeComplete)
@@ -155,6 +163,18 @@
 		Expect(v).To(Equal(Violations{WorkAfterLeave: 1, DoubleRun: 1}))
 	})
 
+	It("compares what callers of non-idempotent requests were told with the runs", func() {
+		const done, notRun, unknown = model.OutcomeComplete, model.OutcomeNotRun, model.OutcomeUnknown
+		v := CheckCommands([]Command{
+			{Key: "ran", Answers: []model.Outcome{done}},
+			{Key: "ran-late", Answers: []model.Outcome{notRun, done}},
+			{Key: "lost", Answers: []model.Outcome{unknown, unknown}},
+			{Key: "denied", Answers: []model.Outcome{notRun, notRun}},
+			{Key: "invented", Answers: []model.Outcome{done}},
+		}, map[string]int{"ran": 1, "ran-late": 1, "lost": 1, "denied": 1})
+		Expect(v).To(Equal(Violations{FalseNotRun: 1, FalseComplete: 1}))
+	})
+
 	It("charges processor time to the innermost known function, and unlabelled time by the daemons' share", func() {
 		stack := func(part string, us int64, functions ...string) *profile.Sample {
 			s := &profile.Sample{Value: []int64{1, us * 1000}, Label: map[string][]string{}}
--- a/internal/measure/row.go
+++ b/internal/measure/row.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
+	"time"
 
 	"oleandersill.example/oleandersill/internal/measure/observe"
 	"oleandersill.example/oleandersill/internal/model"
@@ -17,11 +19,16 @@
 	standard rowRank = "standard"
 	deferred rowRank = "deferred"
 	all      rowRank = "all"
+	// execute is the row of the non-idempotent requests, which the other rows leave out.
+	execute rowRank = "execute"
 )
 
-var rowRanks = []rowRank{urgent, standard, deferred, all}
+var rowRanks = []rowRank{urgent, standard, deferred, all, execute}
 
 func (r rowRank) keeps(s *observe.Sample) bool {
+	if s.Command {
+		return r == execute
+	}
 	return r == all || string(r) == s.Rank.String()
 }
 
@@ -55,18 +62,26 @@
 	// LastIncompleteS is the send time of the last incompletely answered query, in seconds from the start.
 	LastIncompleteS float64 `json:"last_incomplete_s"`
 
-	// Violations are summed over the rounds. Those that only the stand-ins' records show stand in the row of all ranks.
+	// Violations are summed over the rounds. Those that only the stand-ins' records show, and those of
+	// non-idempotent requests, stand in the row of all ranks.
 	Violations observe.Violations `json:"violations"`
 
 	// CapacityQPS is worked out from slots and service time; CalibratedQPS is what the stand-ins sustained directly.
 	CapacityQPS   float64 `json:"capacity_qps"`
 	CalibratedQPS float64 `json:"calibrated_qps"`
 	DurationS     float64 `json:"duration_s"`
+	// DeadlineMs is the deadline of the queries; 0 stands for the rules' default.
+	DeadlineMs int64 `json:"deadline_ms"`
 	// LateSends counts sends that the generator's workers began late, and MaxLateMs the longest delay.
 	LateSends int     `json:"late_sends"`
 	MaxLateMs float64 `json:"max_late_ms"`
 	Process   string  `json:"process"`
 
+	// SpreadP99Ms and SpreadMaxMs are the times for a configuration change to be in force at a daemon, over all rounds. They
+	// stand in the row of all ranks of scenarios with such changes.
+	SpreadP99Ms float64 `json:"spread_p99_ms,omitempty"`
+	SpreadMaxMs float64 `json:"spread_max_ms,omitempty"`
+
 	// CPU stands in the row of all ranks when the rounds were profiled; it is that of the round with the median total.
 	CPU *observe.CPU `json:"cpu,omitempty"`
 
@@ -124,7 +139,22 @@
 	}
 	if r.Rank == all {
 		r.CPU = medianCPU(rounds)
+		r.SpreadP99Ms, r.SpreadMaxMs = spreadOf(rounds)
+	}
+}
+
+// spreadOf returns the p99 and the longest of the spread times, in milliseconds.
+func spreadOf(rounds []*round) (p99, longest float64) {
+	var times []time.Duration
+	for _, x := range rounds {
+		times = append(times, x.spread...)
+	}
+	if len(times) == 0 {
+		return 0, 0
 	}
+	slices.Sort(times)
+	rank := int(math.Ceil(0.99*float64(len(times)))) - 1
+	return float64(times[rank].Milliseconds()), float64(times[len(times)-1].Milliseconds())
 }
 
 func medianCPU(rounds []*round) *observe.CPU {
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -10,6 +10,7 @@
 
 	"oleandersill.example/oleandersill/internal/measure/cluster"
 	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/standin/platformserver"
 )
 
 // Shape gives the offered load of each rank as a fraction of capacity.
@@ -59,8 +60,10 @@
 	Shape  Shape
 	Faults []TimedFault
 	// Least is the shortest measured time that holds the whole course of the faults.
-	Least  time.Duration
-	Bounds []Bound
+	Least time.Duration
+	// Balance puts a load balancer in front of the daemons that follows their readiness.
+	Balance bool
+	Bounds  []Bound
 }
 
 const (
@@ -68,6 +71,7 @@
 	rollTime     = 10 * time.Second
 	cutTime      = 10 * time.Second
 	recoveryTime = 7 * time.Second
+	restartTime  = 14 * time.Second
 )
 
 // steadyName is the scenario that others are compared with.
@@ -112,6 +116,46 @@
 			Name: "repartition", Shape: steadyShape,
 			Faults: []TimedFault{{At: faultAt, Fault: cluster.Repartition{Keep: 3 * time.Second}}},
 		},
+		{
+			Name: "leaving-servers", Shape: lossShape, Least: faultAt + recoveryTime,
+			Faults: []TimedFault{{At: faultAt, Fault: cluster.Leave{Share: 0.1}}},
+		},
+		{
+			Name: "store-outage", Shape: steadyShape, Least: faultAt + recoveryTime,
+			Faults: []TimedFault{{At: faultAt, Fault: cluster.Sequence{
+				cluster.StoreFaults{Faults: platformserver.Faults{LostReplies: 0.3}, For: 2 * time.Second},
+				cluster.StoreFaults{Faults: platformserver.Faults{Down: true}, For: 3 * time.Second},
+			}}},
+		},
+		{
+			Name: "rolling-restart", Shape: steadyShape, Least: restartTime, Balance: true,
+			Faults: []TimedFault{{At: faultAt, Fault: cluster.RollingRestart{}}},
+		},
+	}
+}
+
+// spreadScenarios are the scenarios of configuration changes.
+func spreadScenarios() []Scenario {
+	const slowStore, slowTime = time.Second, 30 * time.Second
+	return []Scenario{
+		{
+			Name: "config-spread", Shape: steadyShape, Bounds: spreadBounds(), Least: recoveryTime,
+			Faults: []TimedFault{{Fault: cluster.ConfigChanges{Count: 10, Pause: 200 * time.Millisecond}}},
+		},
+		{
+			Name: "config-spread-slow-store", Shape: lossShape, Bounds: slowSpreadBounds(), Least: slowTime,
+			Faults: []TimedFault{
+				{Fault: cluster.StoreFaults{Faults: platformserver.Faults{Delay: slowStore}, For: slowTime}},
+				{At: faultAt, Fault: cluster.ConfigChanges{Count: 2}},
+			},
+		},
+		{
+			Name: "config-spread-platform-cut", Shape: steadyShape, Bounds: slowSpreadBounds(), Least: cutTime,
+			Faults: []TimedFault{
+				{Fault: cluster.PlatformCut{Zone: 1, For: cutTime}},
+				{At: faultAt, Fault: cluster.ConfigChanges{Count: 5, Pause: 200 * time.Millisecond}},
+			},
+		},
 	}
 }
 
@@ -123,7 +167,7 @@
 	parts := strings.Split(name, "+")
 	out := Scenario{Name: name}
 	for _, part := range parts {
-		all := scenarios()
+		all := append(scenarios(), spreadScenarios()...)
 		i := slices.IndexFunc(all, func(s Scenario) bool { return s.Name == part })
 		if i < 0 {
 			return out, errors.Wrapf(ErrUsage, "no scenario %q", part)
@@ -142,6 +186,7 @@
 	}
 	s.Faults = append(s.Faults, other.Faults...)
 	s.Least = max(s.Least, other.Least)
+	s.Balance = s.Balance || other.Balance
 }
 
 // pickTwo returns the names of two scenarios with faults or floods, by the seed.
@@ -165,7 +210,7 @@
 func expand(names []string, seed uint64) ([]Scenario, error) {
 	var out []Scenario
 	if slices.Contains(names, "all") {
-		out, names = scenarios(), []string{twoAtOnce}
+		out, names = append(scenarios(), spreadScenarios()...), []string{twoAtOnce}
 	}
 	for _, name := range names {
 		s, err := FindScenario(name, seed)
