--- a/internal/command/fleet/agent_test.go
+++ b/internal/command/fleet/agent_test.go
@@ -24,7 +24,7 @@
 	spec := &model.Server{ServerSpec: model.ServerSpec{Name: "srv"}}
 	BeforeEach(func() {
 		a = New(Deps{
-			Members: tables.NewMembers(model.Member{Instance: "self"}), Departures: tables.NewDepartures(),
+			Members: tables.NewMembers(model.Member{Instance: "self"}), Departures: tables.NewDepartures(), Owners: tables.NewOwners(),
 			Config: tables.NewConfig(), Servers: tables.NewServers(), Log: zerolog.Nop(),
 		})
 		a.Servers.Put(tables.NewServer(spec, nil, 5, time.Time{}))
--- a/internal/decision/share/ledger.go
+++ b/internal/decision/share/ledger.go
@@ -40,14 +40,14 @@
 }
 
 // Neediest returns the waiting rank that is furthest below its minimum share, or false if none is below.
-func (l *Ledger) Neediest(waiting func(model.Rank) bool, min *Minimums, now time.Time) (model.Rank, bool) {
+func (l *Ledger) Neediest(waiting func(model.Rank) bool, minimums *Minimums, now time.Time) (model.Rank, bool) {
 	best, bestRatio, found := model.RankUrgent, 1.0, false
 	for r := range model.RankCount {
 		rank := model.Rank(r)
-		if min[r] <= 0 || !waiting(rank) {
+		if minimums[r] <= 0 || !waiting(rank) {
 			continue
 		}
-		if ratio := l.Of(rank, now) / min[r]; ratio < bestRatio {
+		if ratio := l.Of(rank, now) / minimums[r]; ratio < bestRatio {
 			best, bestRatio, found = rank, ratio, true
 		}
 	}
