Test forwarding through owners; mend stuck probes and starved retries

Cause: reading found that a probe withdrawn before it was sent left its server ejected for good, and that a retry ratio of 0.1 allows no retry at all to a service with little traffic. Withdrawn probes now end, and every window allows 5 retries.

--- a/internal/decision/budget/budget_test.go
+++ b/internal/decision/budget/budget_test.go
@@ -22,7 +22,7 @@
 	It("never allows more extras than the ratio of the sub-requests of the window that ends with them", func() {
 		const span, ratio = 10 * time.Second, 0.05
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			w := budget.NewWindow(ratio, span, start)
+			w := budget.NewWindow(ratio, 0, span, start)
 			now := start
 			var base, extra []time.Time
 			for range rapid.IntRange(1, 400).Draw(t, "steps") {
@@ -45,6 +45,15 @@
 	})
 })
 
+var _ = Describe("a floor", func() {
+	It("allows a few extras without traffic that would pay for them", func() {
+		// Guards against a service with little traffic whose proven refusals are never tried elsewhere.
+		w := budget.NewWindow(0.1, 2, time.Second, start)
+		Expect([]bool{w.Spend(1, start), w.Spend(1, start), w.Spend(1, start)}).To(Equal([]bool{true, true, false}))
+		Expect(w.Spend(1, start.Add(2*time.Second))).To(BeTrue())
+	})
+})
+
 func since(times []time.Time, from time.Time) int {
 	n := 0
 	for _, t := range times {
--- a/internal/decision/budget/window.go
+++ b/internal/decision/budget/window.go
@@ -14,6 +14,7 @@
 // safe for concurrent use.
 type Window struct {
 	ratio  float64
+	floor  int
 	width  time.Duration
 	origin time.Time
 	// slot is the number of the newest bucket since origin.
@@ -24,9 +25,9 @@
 	extraN int
 }
 
-// NewWindow returns a budget of ratio extras per sub-request over any span.
-func NewWindow(ratio float64, span time.Duration, now time.Time) Window {
-	return Window{ratio: ratio, width: max(1, span/buckets), origin: now}
+// NewWindow returns a budget of ratio extras per sub-request over any span, but of at least floor extras.
+func NewWindow(ratio float64, floor int, span time.Duration, now time.Time) Window {
+	return Window{ratio: ratio, floor: floor, width: max(1, span/buckets), origin: now}
 }
 
 // OnRequest counts one sub-request.
@@ -40,7 +41,7 @@
 // budget that the attempt may use, so that some is left for more important ones.
 func (w *Window) Spend(part float64, now time.Time) bool {
 	w.advance(now)
-	if float64(w.extraN+1) > part*w.ratio*float64(w.baseN) {
+	if allowed := max(float64(w.floor), part*w.ratio*float64(w.baseN)); float64(w.extraN+1) > allowed {
 		return false
 	}
 	w.extra[w.slot%extraBuckets]++
--- /dev/null
+++ b/internal/dispatch/forward_test.go
@@ -0,0 +1,170 @@
+package dispatch_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/command/report"
+	"oleandersill.example/oleandersill/internal/dispatch"
+	"oleandersill.example/oleandersill/internal/forwarding"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/tables"
+	"oleandersill.example/oleandersill/internal/testing/fakebackend"
+	"oleandersill.example/oleandersill/internal/testing/suite"
+)
+
+func TestDispatch(t *testing.T) { suite.Run(t, "./internal/dispatch") }
+
+const serverName model.ServerName = "server"
+
+// node is one daemon's dispatcher. Batches go straight to the other node unless cut is set.
+type node struct {
+	*dispatch.Dispatcher
+	forwarding *dispatch.Forwarding
+	connector  *fakebackend.Connector
+	owners     *tables.Owners
+	self       model.Member
+	peer       *node
+	cut        bool
+	draining   bool
+}
+
+func (n *node) Forward(_ context.Context, _ string, b forwarding.Batch) (forwarding.Receipt, error) {
+	if n.cut {
+		return forwarding.Receipt{}, errors.New("cut off")
+	}
+	return n.peer.forwarding.Receive(b), nil
+}
+
+func newNode(id model.InstanceID, script fakebackend.Script) *node {
+	n := &node{self: model.Member{Instance: id, Incarnation: 1, Zone: "z", Address: string(id)}, owners: tables.NewOwners()}
+	n.connector = fakebackend.New(map[model.ServerName]fakebackend.Script{serverName: script})
+	config := tables.NewConfig()
+	recorder := &report.Recorder{Config: config, Servers: tables.NewServers(), Connector: n.connector}
+	n.Dispatcher = dispatch.New(dispatch.Config{Zone: "z", Workers: 8}, config, recorder.Servers, recorder)
+	recorder.Admissions, recorder.Budgets = n.Admissions, n.Budgets
+	t := model.NewTopology(1, model.Inventory{
+		MaxInstances: 2, Zones: []model.ZoneSpec{{Name: "z", Region: "r"}},
+		Services: []model.ServiceSpec{{Name: "search", ShardMapEpoch: 1, Shards: []model.ShardSpec{{
+			Name: "s", KeyTo: model.KeySpace,
+			Servers: []model.ServerSpec{{Name: serverName, Zone: "z", Slots: 1, Connections: 2, Address: "-"}},
+		}}}},
+	}, model.Rules{Ranks: []model.RankRule{{Rank: "deferred", MinShare: 0.2}}})
+	recorder.Adopt(t, time.Now())
+	config.Install(t)
+	n.forwarding = n.EnableForwarding(dispatch.ForwardingConfig{
+		Sender: n, Self: n.self, Owners: n.owners, Workers: 4, Draining: func() bool { return n.draining },
+	})
+	return n
+}
+
+// newPair returns two nodes that agree that the second one owns the server.
+func newPair(script fakebackend.Script) (asker, owner *node) {
+	asker, owner = newNode("asker", script), newNode("owner", script)
+	asker.peer, owner.peer = owner, asker
+	for _, n := range []*node{asker, owner} {
+		n.owners.SetMembers(map[model.AvailabilityZone][]model.Member{"z": {owner.self}}, time.Now())
+	}
+	DeferCleanup(func() {
+		asker.Close()
+		owner.Close()
+	})
+	return asker, owner
+}
+
+func (n *node) start(attempt uint32, rank model.Rank, done func(backend.QueryResult)) *dispatch.QueryAttempt {
+	q := &dispatch.QueryAttempt{
+		Server: n.Servers.Get(serverName),
+		Rank:   rank,
+		Request: backend.QueryRequest{
+			ID: backend.AttemptID{Request: "r", Incarnation: 1, Attempt: attempt}, Shard: "s", Limit: 1,
+			Deadline: time.Now().Add(10 * time.Second),
+		},
+		Done: func(_ *dispatch.QueryAttempt, r backend.QueryResult) { done(r) },
+	}
+	n.StartQuery(context.Background(), q, time.Now())
+	return q
+}
+
+var _ = Describe("forwarding", func() {
+	It("sends a sub-request through the owner of its server and returns the owner's result", func() {
+		asker, owner := newPair(fakebackend.Script{Version: 7})
+		results := make(chan backend.QueryResult, 1)
+		asker.start(1, model.RankUrgent, func(r backend.QueryResult) { results <- r })
+		var r backend.QueryResult
+		Eventually(results).WithTimeout(5 * time.Second).Should(Receive(&r))
+		Expect(r.Status).To(Equal(backend.StatusOK))
+		Expect(r.Reply.Version).To(Equal(model.IndexVersion(7)))
+		Expect(owner.connector.Queries(serverName)).To(Equal(1))
+		Expect(asker.connector.Queries(serverName)).To(BeZero())
+	})
+
+	It("ends attempts whose owner is lost, and then sends from here", func() {
+		// Guards against queries that wait for their deadline because a daemon died.
+		asker, owner := newPair(fakebackend.Script{})
+		asker.cut = true
+		results := make(chan backend.QueryResult, 2)
+		asker.start(1, model.RankUrgent, func(r backend.QueryResult) { results <- r })
+		var r backend.QueryResult
+		Eventually(results).WithTimeout(5 * time.Second).Should(Receive(&r))
+		Expect(r.Status).To(Equal(backend.StatusOwnerLost))
+		asker.start(2, model.RankUrgent, func(r backend.QueryResult) { results <- r })
+		Eventually(results).WithTimeout(5 * time.Second).Should(Receive(&r))
+		Expect(r.Status).To(Equal(backend.StatusOK))
+		Expect(owner.connector.Queries(serverName)).To(BeZero())
+	})
+
+	It("gives a daemon that is stopping no further sub-requests, and serves those that it took", func() {
+		asker, owner := newPair(fakebackend.Script{})
+		owner.draining = true
+		results := make(chan backend.QueryResult, 2)
+		asker.start(1, model.RankUrgent, func(r backend.QueryResult) { results <- r })
+		var r backend.QueryResult
+		Eventually(results).WithTimeout(5 * time.Second).Should(Receive(&r))
+		Expect(r.Status).To(Equal(backend.StatusOK))
+		Eventually(func() int {
+			asker.start(2, model.RankUrgent, func(r backend.QueryResult) { results <- r })
+			<-results
+			return asker.connector.Queries(serverName)
+		}).WithTimeout(5 * time.Second).Should(BeNumerically(">", 0))
+	})
+
+	It("drops a result that nobody waits for", func() {
+		asker, _ := newPair(fakebackend.Script{})
+		asker.forwarding.Receive(forwarding.Batch{Results: []forwarding.Result{{ID: backend.AttemptID{Request: "late"}}}})
+	})
+
+	It("cancels at the owner what was cancelled here", func() {
+		asker, owner := newPair(fakebackend.Script{Delay: time.Minute})
+		q := asker.start(1, model.RankUrgent, func(backend.QueryResult) {})
+		Eventually(func() int { return owner.connector.Queries(serverName) }).WithTimeout(5 * time.Second).Should(Equal(1))
+		Expect(q.Cancel()).To(BeTrue())
+		Eventually(owner.Servers.Get(serverName).Idle).WithTimeout(5 * time.Second).Should(BeTrue())
+	})
+
+	It("serves ranks by urgency at the owner, but for minimum shares", func() {
+		// Guards against deferred work that holds up urgent work at a server, and against its starvation.
+		asker, owner := newPair(fakebackend.Script{Delay: 5 * time.Millisecond})
+		order := make(chan model.Rank, 200)
+		for i := range uint32(40) {
+			asker.start(i+1, model.RankDeferred, func(backend.QueryResult) { order <- model.RankDeferred })
+			asker.start(i+1001, model.RankUrgent, func(backend.QueryResult) { order <- model.RankUrgent })
+		}
+		urgent, deferred := 0, 0
+		for urgent < 40 {
+			if <-order == model.RankUrgent {
+				urgent++
+			} else {
+				deferred++
+			}
+		}
+		Expect(deferred).To(And(BeNumerically(">=", 4), BeNumerically("<=", 20)))
+		Expect(owner.connector.Queries(serverName)).To(BeNumerically(">=", 40))
+	})
+})
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -16,6 +16,8 @@
 	Server  *tables.Server
 	Rank    model.Rank
 	Request backend.QueryRequest
+	// Probe marks an attempt at an ejected server, of which one is under way at a time.
+	Probe bool
 	// Done receives the result on a worker, unless the attempt was cancelled before it was sent.
 	Done func(*QueryAttempt, backend.QueryResult)
 
@@ -80,6 +82,10 @@
 		}
 		q.stop()
 	})
+	if withdrawn && q.Probe {
+		// No result will tell that the probe ended.
+		q.Server.EndProbe()
+	}
 	return withdrawn
 }
 
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -130,7 +130,7 @@
 		c.records[j].StartProbe()
 		sh.optional = !anyUsable(c.candidates)
 	}
-	c.send(i, c.records[j], now)
+	c.send(i, c.records[j], c.candidates[j].Probe, now)
 	return true
 }
 
@@ -138,7 +138,7 @@
 	return slices.ContainsFunc(cs, func(c routing.Candidate) bool { return c.Usable })
 }
 
-func (c *call) send(i int, server *tables.Server, now time.Time) {
+func (c *call) send(i int, server *tables.Server, probe bool, now time.Time) {
 	sh := &c.shards[i]
 	c.attempts++
 	sh.attempts++
@@ -146,6 +146,7 @@
 	q := &dispatch.QueryAttempt{
 		Server: server,
 		Rank:   c.req.Rank,
+		Probe:  probe,
 		Request: backend.QueryRequest{
 			ID:          backend.AttemptID{Request: c.id, Incarnation: c.searcher.Incarnation, Attempt: c.attempts},
 			Service:     c.req.Service.Name,
--- a/internal/query/scatter/hedge.go
+++ b/internal/query/scatter/hedge.go
@@ -81,7 +81,7 @@
 		return
 	}
 	c.searcher.Dispatcher.Metrics().Hedge(c.req.Service.Name)
-	c.send(i, target, now)
+	c.send(i, target, false, now)
 	sh.hedgeAt = time.Time{}
 }
 
--- a/internal/tables/budgets.go
+++ b/internal/tables/budgets.go
@@ -27,8 +27,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h, r := rules.Hedge, rules.Retry
-	b.hedge = budget.NewWindow(h.MaxRatio, time.Duration(h.WindowMs)*time.Millisecond, now)
-	b.retry = budget.NewWindow(r.MaxRatio, time.Duration(r.WindowMs)*time.Millisecond, now)
+	b.hedge = budget.NewWindow(h.MaxRatio, 0, time.Duration(h.WindowMs)*time.Millisecond, now)
+	b.retry = budget.NewWindow(r.MaxRatio, retryFloor, time.Duration(r.WindowMs)*time.Millisecond, now)
 }
 
 // OnRequest counts one sub-request in both windows.
@@ -39,6 +39,9 @@
 	b.retry.OnRequest(now)
 }
 
+// retryFloor is the number of retries that every window allows, so that a service with little traffic may retry at all.
+const retryFloor = 5
+
 // hedgeParts are the parts of the hedge budget that work of each rank may use, so that urgent work always finds some.
 var hedgeParts = [model.RankCount]float64{1, 0.7, 0.4}
 
--- a/internal/tables/server.go
+++ b/internal/tables/server.go
@@ -103,6 +103,13 @@
 	s.health.StartProbe()
 }
 
+// EndProbe records that the trial attempt ended without evidence, so that another one may follow.
+func (s *Server) EndProbe() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health.EndProbe()
+}
+
 // Acquire takes headroom for the attempt and returns true, or queues the attempt until Release frees some.
 func (s *Server) Acquire(a *Attempt) bool {
 	s.mu.Lock()
--- a/internal/tables/serverowner.go
+++ b/internal/tables/serverowner.go
@@ -40,3 +40,10 @@
 	defer s.mu.Unlock()
 	s.minimums = m
 }
+
+// Idle tells whether no attempt is in flight or waiting.
+func (s *Server) Idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inFlight == 0 && s.queued == 0
+}
