--- a/internal/command/report/recorder.go
+++ b/internal/command/report/recorder.go
@@ -114,7 +114,7 @@
 	minimums := minimumShares(t)
 	capacity := make(map[model.ServiceName]*serviceCapacity, len(t.Inventory.Services))
 	t.EachServer(func(spec *model.Server) {
-		rec := r.adoptServer(spec, limit.ConnectionBudget(spec.Connections, daemons), joinTime(first, now))
+		rec := r.adoptServer(spec, daemons, joinTime(first, now))
 		rec.SetMinimums(minimums)
 		c := capacity[spec.Service]
 		if c == nil {
@@ -145,7 +145,8 @@
 	return now
 }
 
-func (r *Recorder) adoptServer(spec *model.Server, connections int, joined time.Time) *tables.Server {
+func (r *Recorder) adoptServer(spec *model.Server, daemons int, joined time.Time) *tables.Server {
+	connections := limit.ConnectionBudget(spec.Connections, daemons)
 	rec := r.Servers.Get(spec.Name)
 	if rec != nil && sameEndpoint(rec.Spec(), spec) {
 		rec.SetSpec(spec)
@@ -153,7 +154,8 @@
 	}
 	rec = tables.NewServer(spec, r.Connector.Connect(spec, connections), connections, joined)
 	r.Servers.Put(rec)
-	if r.OnJoin != nil && !spec.Leaving {
+	// With more daemons than connections only the owner opens any, on demand.
+	if r.OnJoin != nil && !spec.Leaving && spec.Connections >= daemons {
 		r.OnJoin(rec)
 	}
 	return rec
