Keep enough connections for sub-requests to every owner

16 kept connections suffice for digests and notices, but sub-requests go to every owner, so that at more than 16 daemons each batch would have dialled anew. The data client keeps up to 1,024, a server accepts 2,048.

--- a/internal/daemon/control/part.go
+++ b/internal/daemon/control/part.go
@@ -94,8 +94,8 @@
 	}
 	p.Members = tables.NewMembers(self)
 	p.Status = &status.Reader{Config: cfg.Config, Members: p.Members, Departures: p.Departures, Draining: cfg.Draining}
-	p.client = peer.NewClient(tables.OrderPeers, cfg.PeerToken, &p.Traffic, cfg.Dial)
-	p.Data = peer.NewClient(tables.OrderPeers, cfg.PeerToken, &p.data, cfg.Dial)
+	p.client = newClient(cfg, &p.Traffic, peer.ControlConns)
+	p.Data = newClient(cfg, &p.data, peer.DataConns)
 	seed := xxhash.Sum64String(string(cfg.Instance)) ^ uint64(self.Incarnation) //nolint:gosec // any 64 bits will do
 	p.Agent = fleet.New(fleet.Deps{
 		Members:    p.Members,
@@ -120,6 +120,12 @@
 	return p, nil
 }
 
+func newClient(cfg Config, traffic *peer.Traffic, conns int) *peer.Client {
+	return peer.NewClient(peer.ClientConfig{
+		Order: tables.OrderPeers, Token: cfg.PeerToken, Traffic: traffic, Dial: cfg.Dial, MaxConns: conns,
+	})
+}
+
 // SetReceiver sets what takes forwarded sub-requests. Call it before Start.
 func (p *Part) SetReceiver(r queryrpc.Receiver) { p.queries.SetReceiver(r) }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -19,10 +19,12 @@
 var ErrRefused = errors.New("peer: connection refused by the peer")
 
 const (
-	// maxClientConns is the number of connections kept; the least recently used one is closed above it.
-	maxClientConns = 16
-	dialTimeout    = time.Second
-	callTimeout    = 2 * time.Second
+	// ControlConns is the number of connections kept for calls to few peers, and DataConns the same for sub-requests,
+	// which go to every owner. The least recently used one is closed above it.
+	ControlConns = 16
+	DataConns    = 1024
+	dialTimeout  = time.Second
+	callTimeout  = 2 * time.Second
 )
 
 // Client calls peers by address over connections that it keeps for further calls.
@@ -30,6 +32,8 @@
 	token   string
 	traffic *Traffic
 	dialer  DialFunc
+	// maxConns is the number of connections kept.
+	maxConns int
 
 	mu    lockorder.Mutex
 	conns map[string]*clientConn
@@ -44,10 +48,24 @@
 	used  time.Time
 }
 
-// NewClient returns a client that presents the given token over connections that dial opens; its lock has the given
-// order.
-func NewClient(order lockorder.Order, token string, traffic *Traffic, dial DialFunc) *Client {
-	return &Client{token: token, traffic: traffic, dialer: dial, mu: lockorder.New(order), conns: map[string]*clientConn{}}
+// ClientConfig makes a Client.
+type ClientConfig struct {
+	// Order is the order of the client's lock.
+	Order lockorder.Order
+	Token string
+	// Traffic counts the client's bytes.
+	Traffic *Traffic
+	Dial    DialFunc
+	// MaxConns is the number of connections kept: ControlConns or DataConns.
+	MaxConns int
+}
+
+// NewClient returns a client without connections.
+func NewClient(cfg ClientConfig) *Client {
+	return &Client{
+		token: cfg.Token, traffic: cfg.Traffic, dialer: cfg.Dial, maxConns: cfg.MaxConns,
+		mu: lockorder.New(cfg.Order), conns: map[string]*clientConn{},
+	}
 }
 
 // Digest exchanges digests with the peer.
@@ -165,7 +183,7 @@
 			out = append(out, conn.rpc)
 		}
 	}
-	for len(c.conns) >= maxClientConns {
+	for len(c.conns) >= c.maxConns {
 		oldest := ""
 		for address, conn := range c.conns {
 			if conn.calls == 0 && (oldest == "" || conn.used.Before(c.conns[oldest].used)) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -59,7 +59,10 @@
 		}
 	}
 	client := func(token string) *peer.Client {
-		c := peer.NewClient(tables.OrderPeers, token, &traffic, (&net.Dialer{}).DialContext)
+		c := peer.NewClient(peer.ClientConfig{
+			Order: tables.OrderPeers, Token: token, Traffic: &traffic, Dial: (&net.Dialer{}).DialContext,
+			MaxConns: peer.ControlConns,
+		})
 		DeferCleanup(c.Close)
 		return c
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -17,7 +17,7 @@
 	connectPath     = "/peer"
 	connectStatus   = "200 Connected to oleandersill peer"
 	bearer          = "Bearer "
-	maxServerConns  = 256
+	maxServerConns  = 2048
 	headerAuthorize = "Authorization"
 )
 
