Keep suspected daemons as owners until they count as dead

In a zone of 280 daemons an exchange refreshes 64 entries a second, so that news of a live member often takes longer than the 5 s of suspicion; owners by such views would differ all the time. A lost owner is avoided for 3 s, not 1 s, so that it costs a failed batch less often until it counts as dead after 15 s.

--- a/internal/command/fleet/exchange.go
+++ b/internal/command/fleet/exchange.go
@@ -61,12 +61,14 @@
 	}
 }
 
-// ownerCandidates returns the daemons that are alive, this one included, by zone and sorted by instance.
+// ownerCandidates returns the daemons that are not held to be dead, this one included, by zone and sorted by instance.
+// Suspected ones stay: in a zone of hundreds, news of a live member may take longer than the time of suspicion, and views
+// that differ cost connections. An owner that is gone is noticed by the first batch that it does not take.
 func (a *Agent) ownerCandidates(now time.Time) map[model.AvailabilityZone][]model.Member {
 	self := a.Members.Self()
 	zones := map[model.AvailabilityZone][]model.Member{self.Zone: {self}}
 	for _, k := range a.Members.Snapshot(nil) {
-		if k.Liveness(now) == spread.Alive && k.Address != "" {
+		if k.Liveness(now) != spread.Dead && k.Address != "" {
 			zones[k.Zone] = append(zones[k.Zone], k.Member)
 		}
 	}
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -17,7 +17,7 @@
 	sendTimeout = 500 * time.Millisecond
 	// avoidFailed is how long a daemon that did not take a batch owns no servers for this daemon, and avoidDraining the
 	// same for one that is stopping.
-	avoidFailed   = time.Second
+	avoidFailed   = 3 * time.Second
 	avoidDraining = 10 * time.Second
 	// forwardGrace is the time after its deadline for which the owner waits for an attempt.
 	forwardGrace = 50 * time.Millisecond
