--- a/internal/backend/backendhttp/client.go
+++ b/internal/backend/backendhttp/client.go
@@ -5,12 +5,13 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
+
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/lockorder"
 	"oleandersill.example/oleandersill/internal/model"
 )
 
@@ -29,7 +30,8 @@
 	// Dial opens connections; nil stands for a plain TCP dialer. Set it before the first Connect.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-	mu         sync.Mutex
+	// mu has the lowest order: no other lock is held when it is acquired.
+	mu         lockorder.Mutex
 	transports map[int]*http.Transport
 }
 
--- a/internal/testing/fakebackend/fake.go
+++ b/internal/testing/fakebackend/fake.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"sync"
+
 	"time"
 
 	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/lockorder"
 	"oleandersill.example/oleandersill/internal/model"
 )
 
@@ -28,7 +29,7 @@
 
 // Connector makes fake servers. Create it with New.
 type Connector struct {
-	mu      sync.Mutex
+	mu      lockorder.Mutex
 	scripts map[model.ServerName]Script
 	queries map[model.ServerName]int
 	cancels int
