--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -19,12 +19,13 @@
 var ErrRefused = errors.New("peer: connection refused by the peer")
 
 const (
-	// ControlConns is the number of connections kept for calls to few peers, and DataConns the same for sub-requests,
-	// which go to every owner. The least recently used one is closed above it.
+	// ControlConns is the number of connections kept for digests and notices, which go to few peers.
 	ControlConns = 16
-	DataConns    = 1024
-	dialTimeout  = time.Second
-	callTimeout  = 2 * time.Second
+	// DataConns is the number of connections kept for sub-requests, which go to every owner.
+	DataConns = 1024
+
+	dialTimeout = time.Second
+	callTimeout = 2 * time.Second
 )
 
 // Client calls peers by address over connections that it keeps for further calls.
