--- a/internal/decision/routing/choose.go
+++ b/internal/decision/routing/choose.go
@@ -51,19 +51,27 @@
 	Slots int
 	// Latency is the observed mean, network included; 0 if none was observed.
 	Latency time.Duration
+	// FailureRate is the observed probability that an attempt fails, in [0, 1].
+	FailureRate float64
 	// Admission is the fraction of its normal load that a cold server takes, in (0, 1].
 	Admission float64
 }
 
+// failureWeight weighs the probability of failure against the time that an attempt takes.
+const failureWeight = 4
+
 // Cost returns the expected time of an attempt at the candidate: its latency, lengthened by the attempts that this
-// daemon has pending there for each of the server's slots.
+// daemon has pending there for each of the server's slots and by the probability that it fails. The last term follows
+// the allocation cost of W. Tang et al., "Fault-Aware, Utility-Based Job Scheduling on Blue Gene/P Systems" (2009),
+// which adds the weighted probability of failure of a partition.
 func (c *Candidate) Cost() time.Duration {
 	latency := c.Latency
 	if latency == 0 {
 		latency = unobservedLatency(c.Place)
 	}
 	queue := 1 + float64(c.Pending)/float64(max(1, c.Slots))
-	return time.Duration(float64(latency) * queue / max(c.Admission, minAdmission))
+	failure := 1 + failureWeight*c.FailureRate
+	return time.Duration(float64(latency) * queue * failure / max(c.Admission, minAdmission))
 }
 
 const minAdmission = 0.05
@@ -105,10 +113,19 @@
 	if observed <= floor {
 		return observed
 	}
-	f := math.Exp2(-float64(age) / float64(staleHalfLife))
-	return max(floor, time.Duration(float64(observed)*f))
+	return max(floor, time.Duration(float64(observed)*staleness(age)))
 }
 
+// FadeFailures returns an observed failure rate as it counts after age without a new sample.
+func FadeFailures(rate float64, age time.Duration) float64 {
+	if rate == 0 {
+		return 0
+	}
+	return rate * staleness(age)
+}
+
+func staleness(age time.Duration) float64 { return math.Exp2(-float64(age) / float64(staleHalfLife)) }
+
 // Exclude makes the servers that were tried neither usable nor due a probe.
 func Exclude(cs []Candidate, tried []model.ServerName) {
 	for i := range cs {
--- a/internal/decision/routing/routing_test.go
+++ b/internal/decision/routing/routing_test.go
@@ -27,6 +27,8 @@
 	busy.Pending = 40
 	cold := usable(5 * time.Millisecond)
 	cold.Admission = 0.05
+	failing := usable(5 * time.Millisecond)
+	failing.FailureRate = 0.2
 	probe := routing.Candidate{Probe: true}
 	ejected := routing.Candidate{}
 	near, far := usable(0), usable(0)
@@ -43,6 +45,7 @@
 		Entry("a straggler is avoided", []routing.Candidate{slow, fast}, 1),
 		Entry("a slow server beats one with a long queue", []routing.Candidate{slow, busy}, 0),
 		Entry("a cold server gets little", []routing.Candidate{cold, fast}, 1),
+		Entry("a server that fails now and then is avoided", []routing.Candidate{failing, usable(6 * time.Millisecond)}, 1),
 		Entry("an ejected server gets nothing", []routing.Candidate{fast, ejected}, 0),
 		Entry("a probe that is due goes first", []routing.Candidate{fast, probe}, 1),
 		Entry("the near one before anything was observed", []routing.Candidate{far, near}, 1),
--- a/internal/tables/server.go
+++ b/internal/tables/server.go
@@ -17,6 +17,8 @@
 	// noticed within two replies, and one fast reply does not clear it.
 	slowerWeight = 0.5
 	fasterWeight = 0.1
+	// failureWeight is the weight of one attempt in a server's failure rate.
+	failureWeight = 0.05
 )
 
 // Server is the record of one backend server. Invariants: inFlight never exceeds the connection budget, and an attempt
@@ -39,6 +41,9 @@
 	health    routing.Health
 	latency   time.Duration
 	observed  time.Time
+	// failures is the mean rate of failed attempts, and attempted the time of the last one that counted.
+	failures  float64
+	attempted time.Time
 	quantile  budget.Quantile
 	joined    time.Time
 	leaving   time.Time
@@ -90,6 +95,7 @@
 	c.Limit = s.limit.Limit()
 	c.Slots = s.spec.Slots
 	c.Latency = routing.FadeLatency(s.latency, s.limit.Baseline(), now.Sub(s.observed))
+	c.FailureRate = routing.FadeFailures(s.failures, now.Sub(s.attempted))
 	c.Admission = routing.Admission(s.joined, now)
 	open := s.leaving.IsZero() && !s.spec.Leaving && s.budget > 0
 	c.Usable = open && !s.health.Ejected()
@@ -243,6 +249,7 @@
 	switch o.Status {
 	case backend.StatusOK:
 		s.health.OnSuccess(now)
+		s.observeFailure(0, now)
 		s.observeReply(o)
 		slowdown = s.limit.Slowdown(o.Total)
 		s.quantile.Observe(o.Latency, o.Quantile)
@@ -261,6 +268,7 @@
 		s.health.EndProbe()
 	case backend.StatusUnreachable, backend.StatusLost, backend.StatusMismatched, backend.StatusFailed:
 		s.health.OnFailure(now, o.MayEject)
+		s.observeFailure(1, now)
 	case backend.StatusCancelled:
 		// A cancelled attempt took at least this long, which is evidence of a slow server.
 		if o.Latency > s.latency {
@@ -273,6 +281,11 @@
 	return slowdown
 }
 
+func (s *Server) observeFailure(failed float64, now time.Time) {
+	s.failures += (failed - s.failures) * failureWeight
+	s.attempted = now
+}
+
 func (s *Server) observeReply(o Observation) {
 	if o.Forwarded {
 		s.limit.Note(o.Latency)
