Let urgent work in while deferred queries hold places; aim shares above the minimum

Cause: deferred queries wait long at owners, so that they filled a daemon's admission limit and urgent queries were refused after 40 ms; and ranks brought up to exactly their minimum end below it. More urgent work no longer counts less urgent queries against the limit, and shares are aimed at 1.25 times the minimum.

--- a/internal/decision/admission/queue.go
+++ b/internal/decision/admission/queue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"oleandersill.example/oleandersill/internal/decision/budget"
@@ -25,7 +26,8 @@
 // Config is the policy of one queue.
 type Config struct {
 	Ranks [model.RankCount]model.RankPolicy
-	// Limit is the number of requests admitted at a time, at least 1.
+	// Limit is the number of requests of a rank and of more urgent ones that are admitted at a time, at least 1. Ranks below
+	// their minimum share may exceed it by that share.
 	Limit int
 }
 
@@ -159,10 +161,11 @@
 	return false
 }
 
-// mayStart tells whether a request of the rank may start now. Urgent work is bounded by the limit alone, other work by
-// the pace as well.
+// mayStart tells whether a request of the rank may start now. Less urgent requests that run do not count against the
+// limit: they may be waiting for servers behind this one. Urgent work is bounded by the limit alone, other work by the
+// pace as well.
 func (q *Queue) mayStart(r model.Rank, now time.Time) bool {
-	if q.Running() >= q.cfg.Limit {
+	if q.runningUpTo(r) >= q.cfg.Limit {
 		return false
 	}
 	if r == model.RankUrgent {
@@ -172,6 +175,22 @@
 	return ok && !at.After(now)
 }
 
+// runningUpTo returns the number of admitted requests of the rank and of more urgent ones.
+func (q *Queue) runningUpTo(r model.Rank) int {
+	n := 0
+	for i := range int(r) + 1 {
+		n += q.running[i]
+	}
+	return n
+}
+
+// owed tells whether a request of a rank below its minimum share may start now: while the limit leaves room, or while
+// the rank runs less than twice its share of the limit, since its requests take longer than urgent ones.
+func (q *Queue) owed(r model.Rank) bool {
+	least := max(1, int(math.Ceil(2*q.minimums[r]*float64(q.cfg.Limit))))
+	return q.Running() < q.cfg.Limit || q.running[r] < least
+}
+
 func (q *Queue) runningBelowUrgent() int { return q.Running() - q.running[model.RankUrgent] }
 
 func (q *Queue) checkRoom(w *Waiter, now time.Time) Decision {
@@ -193,7 +212,7 @@
 // Next admits waiting requests while there is room, and ends those that waited too long or can no longer meet their
 // deadline. It appends to the given slices and returns them.
 func (q *Queue) Next(now time.Time, admitted, refused []*Waiter) (newAdmitted, newRefused []*Waiter) {
-	for q.Running() < q.cfg.Limit {
+	for {
 		w := q.pick(now)
 		if w == nil {
 			break
@@ -229,7 +248,7 @@
 // need not be.
 func (q *Queue) WakeAt() time.Time {
 	waiting := q.totalWaiting() - q.waiting[model.RankUrgent].size
-	if waiting == 0 || q.Running() >= q.cfg.Limit {
+	if waiting == 0 {
 		return time.Time{}
 	}
 	at, ok := q.pace.next(q.runningBelowUrgent(), q.hold)
@@ -279,7 +298,7 @@
 // admissions is furthest below its minimum goes first, whatever the pace; if there is none, the most urgent rank with
 // waiting work that may start.
 func (q *Queue) pick(now time.Time) *Waiter {
-	waiting := func(r model.Rank) bool { return q.waiting[r].size > 0 }
+	waiting := func(r model.Rank) bool { return q.waiting[r].size > 0 && q.owed(r) }
 	if r, ok := q.served.Neediest(waiting, &q.minimums, now); ok {
 		return q.waiting[r].pop()
 	}
--- a/internal/decision/share/ledger.go
+++ b/internal/decision/share/ledger.go
@@ -10,6 +10,10 @@
 // memory is the time constant over which past service is forgotten.
 const memory = 2 * time.Second
 
+// headroom multiplies the minimum that ranks are brought up to: a rank below it is served only when it has work waiting,
+// so that aiming at the minimum itself ends below it.
+const headroom = 1.25
+
 // Minimums are the ranks' minimum shares, each in [0, 1].
 type Minimums [model.RankCount]float64
 
@@ -47,7 +51,7 @@
 		if minimums[r] <= 0 || !waiting(rank) {
 			continue
 		}
-		if ratio := l.Of(rank, now) / minimums[r]; ratio < bestRatio {
+		if ratio := l.Of(rank, now) / (headroom * minimums[r]); ratio < bestRatio {
 			best, bestRatio, found = rank, ratio, true
 		}
 	}
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -90,9 +90,14 @@
 func (f *Forwarding) end(q *QueryAttempt, r forwarding.Result) {
 	q.Server.AddForwarded(-1)
 	total := time.Since(q.Started)
+	latency := total
+	if q.Rank == model.RankDeferred {
+		// Deferred work waits at the owner behind other work, which says nothing about what other ranks would meet.
+		latency = max(0, total-r.Waited)
+	}
 	q.Slowdown = f.d.observer.ObserveAttempt(q.Server, Attempt{
 		Status:    r.Result.Status,
-		Latency:   max(0, total-r.Waited),
+		Latency:   latency,
 		Total:     total,
 		Load:      r.Result.Reply.Load,
 		Forwarded: true,
