--- a/internal/backend/backendhttp/client_test.go
+++ b/internal/backend/backendhttp/client_test.go
@@ -1,7 +1,13 @@
 package backendhttp_test
 
 import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -33,3 +39,46 @@
 		}
 	})
 })
+
+// Guards against a reply of another attempt that is merged, against its connection being used further, and against a
+// refusal that is taken for a proof that nothing ran.
+var _ = DescribeTable("a reply to attempt r/1/1",
+	func(ctx SpecContext, header, body uint32, code int, want backend.Status, kept bool) {
+		attempt := func(n uint32) backend.AttemptID {
+			return backend.AttemptID{Request: "r", Incarnation: 1, Attempt: n}
+		}
+		var requests, closed atomic.Int32
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			requests.Add(1)
+			w.Header().Set(backendhttp.HeaderAttempt, backendhttp.AttemptHeader(attempt(header)))
+			w.Header().Set("Location", "/v1/execute")
+			w.WriteHeader(code)
+			_ = json.NewEncoder(w).Encode(backendhttp.ExecuteReplyBody{ID: attempt(body), Result: "receipt"})
+		}))
+		server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+			if state == http.StateClosed {
+				closed.Add(1)
+			}
+		}
+		server.Start()
+		DeferCleanup(server.Close)
+		connector := &backendhttp.Connector{}
+		DeferCleanup(connector.Close)
+		spec := model.ServerSpec{Name: "a", Address: server.Listener.Addr().String()}
+		client := connector.Connect(&model.Server{ServerSpec: spec}, 1)
+		result := client.Execute(ctx, backend.ExecuteRequest{ID: attempt(1), Deadline: time.Now().Add(time.Hour)})
+		Expect(result.Status).To(Equal(want))
+		Expect(requests.Load()).To(Equal(int32(1)), "requests")
+		if kept {
+			Consistently(closed.Load, "50ms").Should(BeZero())
+			return
+		}
+		Eventually(closed.Load, "5s").Should(Equal(int32(1)))
+	},
+	Entry("is its own", uint32(1), uint32(1), http.StatusOK, backend.StatusOK, true),
+	Entry("has the header of another attempt", uint32(2), uint32(1), http.StatusOK, backend.StatusMismatched, false),
+	Entry("has the header of another attempt and no body", uint32(2), uint32(1), http.StatusNoContent, backend.StatusMismatched, false),
+	Entry("has the body of another attempt", uint32(1), uint32(2), http.StatusOK, backend.StatusMismatched, false),
+	Entry("refuses without saying that it did not run", uint32(1), uint32(1), http.StatusServiceUnavailable, backend.StatusFailed, true),
+	Entry("redirects", uint32(1), uint32(1), http.StatusTemporaryRedirect, backend.StatusFailed, true),
+)
--- a/internal/command/fleet/agent_test.go
+++ b/internal/command/fleet/agent_test.go
@@ -95,4 +95,15 @@
 		Entry("nothing", 1, 0, peer.PartsReply{}),
 		Entry("something else", 1, 0, peer.PartsReply{Parts: []peer.PackedPart{pack("other")}}),
 	)
+
+	// Guards against a peer whose value is taken for the one that a root names.
+	It("refuses a value that does not match its hash", func() {
+		wrong := pack("other")
+		wrong.Hash = hashes[0]
+		f := &fakePeers{replies: []peer.PartsReply{{Parts: []peer.PackedPart{wrong}}}}
+		a := New(Deps{Peers: f, Members: tables.NewMembers(model.Member{}), Log: zerolog.Nop()})
+		values, err := a.pull(context.Background(), "peer", hashes[:1])
+		Expect(err).To(HaveOccurred())
+		Expect(values).To(BeEmpty())
+	})
 })
--- a/internal/daemon/control/fleet_test.go
+++ b/internal/daemon/control/fleet_test.go
@@ -25,6 +25,9 @@
 // inForceWithin is the stated target for a change to be in force everywhere.
 const inForceWithin = 16 * time.Second
 
+// leavingWithin is the stated bound from the first sign of leaving to the end of new work.
+const leavingWithin = 3 * time.Second
+
 const token = "peers"
 
 var (
@@ -235,7 +238,7 @@
 	It("stops new work to a leaving server everywhere", func() {
 		p.setState("srv-1", platform.InstanceLeaving)
 		for _, n := range nodes {
-			Eventually(n.open, inForceWithin).Should(BeFalse(), string(n.name))
+			Eventually(n.open, leavingWithin).Should(BeFalse(), string(n.name))
 		}
 	})
 
@@ -261,7 +264,7 @@
 	It("spreads a drain answer that one daemon saw", func() {
 		nodes[3].part.Agent.ServerDraining("srv-1")
 		for _, n := range nodes {
-			Eventually(n.open, inForceWithin).Should(BeFalse(), string(n.name))
+			Eventually(n.open, leavingWithin).Should(BeFalse(), string(n.name))
 		}
 	})
 
--- a/internal/query/scatter/scatter_test.go
+++ b/internal/query/scatter/scatter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -161,6 +162,31 @@
 		Eventually(b.connector.Cancels).WithTimeout(5 * time.Second).Should(BeNumerically(">", 0))
 	})
 
+	// Guards against a retry that asks by a shard map put in force after the query began.
+	It("keeps the shard map that it began with", func() {
+		b := newBench(both("s1", fakebackend.Script{Status: backend.StatusLost, Times: 1, Delay: 100 * time.Millisecond}))
+		moved := b.topology.Inventory
+		moved.Services = slices.Clone(moved.Services)
+		moved.Services[0].ShardMapEpoch = 2
+		time.AfterFunc(20*time.Millisecond, func() {
+			b.searcher.Dispatcher.Config.Install(model.NewTopology(2, moved, b.topology.Rules))
+		})
+		a := b.search(context.Background(), 5*time.Second, 100)
+		Expect(b.searcher.Dispatcher.Config.Revision()).To(Equal(model.Revision(2)))
+		Expect(a.Outcome).To(Equal(model.OutcomeComplete))
+		Expect(a.Epoch).To(Equal(model.ShardMapEpoch(1)))
+	})
+
+	// Guards against work sent to a server that is about to stop.
+	It("sends no query to a leaving server", func() {
+		b := newBench(nil)
+		b.searcher.Dispatcher.Servers.Get("s1-a").MarkLeaving(time.Now())
+		for range 20 {
+			Expect(b.search(context.Background(), 5*time.Second, 100).Outcome).To(Equal(model.OutcomeComplete))
+		}
+		Expect(b.connector.Queries("s1-a")).To(BeZero())
+	})
+
 	It("sends nothing for a request that it reports as not run", func() {
 		b := newBench(nil)
 		b.searcher.Dispatcher.Admissions.Drain()
--- a/internal/tables/fleet_test.go
+++ b/internal/tables/fleet_test.go
@@ -82,6 +82,16 @@
 	})
 })
 
+// Guards against a reader of the table that sees a configuration go back.
+var _ = It("Config takes only a higher revision", func() {
+	c := tables.NewConfig()
+	topology := func(r model.Revision) *model.Topology { return model.NewTopology(r, model.Inventory{}, model.Rules{}) }
+	Expect(c.Install(topology(2))).To(BeTrue())
+	Expect(c.Install(topology(1))).To(BeFalse())
+	Expect(c.Install(topology(2))).To(BeFalse())
+	Expect(c.Revision()).To(Equal(model.Revision(2)))
+})
+
 var _ = Describe("Departures", func() {
 	It("ends a mark after its hold, and a further sign puts that off", func() {
 		t := tables.NewDepartures()
