Send no query that waited at a server once that is leaving

With 8 concurrent queries and a server that started to leave after it had 4 of them, it got 3 more.

Change: an attempt whose server is leaving when its turn comes ends as draining without being sent, and scatter asks another replica. Non-idempotent requests need no change: their claim window of 3 s bounds the wait.

After the change the server gets none of them (spec in query/scatter).

--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -89,9 +89,17 @@
 	return withdrawn
 }
 
+// run is called by a worker that holds headroom at the server. An attempt that waited while the server started to leave
+// is not sent: it could reach the server as late as its deadline, which may lie beyond the bound for new work.
 func (q *QueryAttempt) run() {
-	q.sent.Store(true)
 	begin := time.Now()
+	if q.Server.Leaving() {
+		q.d.release(q.Server)
+		q.stop()
+		q.Done(q, backend.QueryResult{Status: backend.StatusDraining})
+		return
+	}
+	q.sent.Store(true)
 	q.waited = begin.Sub(q.Started)
 	result := q.Server.Client().Query(q.ctx, q.Request)
 	q.Slowdown = q.d.end(q.Server, result.Status, begin, q.waited, result.Reply.Load)
--- a/internal/query/scatter/scatter_test.go
+++ b/internal/query/scatter/scatter_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -187,6 +188,25 @@
 		Expect(b.connector.Queries("s1-a")).To(BeZero())
 	})
 
+	// Guards against attempts that wait at a server when it starts to leave and reach it as late as their deadline.
+	It("sends no query that waited at a server once that is leaving", func() {
+		b := newBench(map[model.ServerName]fakebackend.Script{"s1-a": {Delay: 300 * time.Millisecond}})
+		a, other := b.searcher.Dispatcher.Servers.Get("s1-a"), b.searcher.Dispatcher.Servers.Get("s1-b")
+		other.MarkLeaving(time.Now())
+		var wg sync.WaitGroup
+		for range 8 {
+			wg.Go(func() { b.search(context.Background(), 5*time.Second, 100) })
+		}
+		Eventually(func() int { return b.connector.Queries("s1-a") }).Should(BeNumerically(">", 0))
+		time.Sleep(50 * time.Millisecond)
+		a.MarkLeaving(time.Now())
+		other.ClearLeaving(time.Now())
+		sent := b.connector.Queries("s1-a")
+		wg.Wait()
+		Expect(sent).To(BeNumerically("<", 8), "some waited")
+		Expect(b.connector.Queries("s1-a")).To(Equal(sent))
+	})
+
 	It("sends nothing for a request that it reports as not run", func() {
 		b := newBench(nil)
 		b.searcher.Dispatcher.Admissions.Drain()
--- a/internal/tables/server.go
+++ b/internal/tables/server.go
@@ -205,6 +205,13 @@
 	return s.leaving.IsZero() && !s.spec.Leaving && !s.health.Ejected()
 }
 
+// Leaving tells whether the server is leaving, by a sign or by the inventory.
+func (s *Server) Leaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.leaving.IsZero() || s.spec.Leaving
+}
+
 // HedgeDelay returns the observed latency quantile of the server, or 0 if none was observed.
 func (s *Server) HedgeDelay() time.Duration {
 	s.mu.Lock()
