Tell not_run for a rejected non-idempotent request only if it is the first attempt

Cause: requests rejected before their key was looked up (no configuration yet, unknown service, bad deadline, malformed body, key from the future) carried X-Outcome: not_run whatever the caller stated. A retry, sent after an attempt that ran and was answered unknown, was told not_run by a daemon that never asked the store, so that a caller could send the payout under a new key.

Change: like a refusal by admission, such a rejection is not_run for a stated first attempt and unknown otherwise. A missing or malformed key stays not_run, since no request with it can have run.

--- a/internal/command/commandhttp/execute.go
+++ b/internal/command/commandhttp/execute.go
@@ -52,17 +52,17 @@
 	topology := h.Config.Current()
 	call, problem := httpapi.ReadCall(r, topology)
 	if problem != nil {
-		httpapi.WriteProblem(w, problem)
+		reject(w, r, problem)
 		return
 	}
 	first, problem := readFirstAttempt(r.Header.Get(HeaderFirstAttempt))
 	if problem != nil {
-		httpapi.WriteProblem(w, problem)
+		reject(w, r, problem)
 		return
 	}
 	var body ExecuteRequest
 	if problem := httpapi.DecodeBody(w, r, &body); problem != nil {
-		httpapi.WriteProblem(w, problem)
+		reject(w, r, problem)
 		return
 	}
 	answer := h.Executor.Execute(r.Context(), execute.Request{
@@ -77,12 +77,28 @@
 		FirstAttempt: first,
 	})
 	if answer.Rejection != execute.RejectNone {
-		httpapi.WriteProblem(w, httpapi.BadRequest(string(answer.Rejection), rejectionDetail(answer.Rejection)))
+		problem := httpapi.BadRequest(string(answer.Rejection), rejectionDetail(answer.Rejection))
+		if answer.Rejection == execute.RejectKeyFromFuture {
+			// A daemon whose clock is ahead may have run it.
+			reject(w, r, problem)
+			return
+		}
+		httpapi.WriteProblem(w, problem)
 		return
 	}
 	writeExecuted(w, topology.Revision, answer)
 }
 
+// reject answers a request whose key was not looked up. An earlier attempt with the key may have run, so only the
+// caller's statement that there was none proves that nothing ran.
+func reject(w http.ResponseWriter, r *http.Request, problem *httpapi.Problem) {
+	outcome := model.OutcomeUnknown
+	if first, malformed := readFirstAttempt(r.Header.Get(HeaderFirstAttempt)); malformed == nil && first {
+		outcome = model.OutcomeNotRun
+	}
+	httpapi.WriteProblemAs(w, problem, outcome)
+}
+
 func readFirstAttempt(value string) (bool, *httpapi.Problem) {
 	switch value {
 	case "", "false":
--- a/internal/command/commandhttp/execute_test.go
+++ b/internal/command/commandhttp/execute_test.go
@@ -47,6 +47,22 @@
 	return w
 }
 
+// Guards against a retry that is told not_run by a daemon that never looked at its key, after an earlier attempt ran.
+var _ = DescribeTable("a request rejected before its key is looked at was not run only if it is the first attempt",
+	func(caller, first, body string, rejection execute.Rejection, outcome model.Outcome) {
+		e := &told{answer: execute.Answer{Rejection: rejection}}
+		w := post(e, body, map[string]string{"X-Caller": caller, "Idempotency-Key": "k", "X-First-Attempt": first})
+		Expect(w.Header().Get("X-Outcome")).To(Equal(string(outcome)))
+	},
+	Entry("no caller, first", "", "true", `{}`, execute.RejectNone, model.OutcomeNotRun),
+	Entry("no caller, retry", "", "false", `{}`, execute.RejectNone, model.OutcomeUnknown),
+	Entry("malformed statement", "desk", "maybe", `{}`, execute.RejectNone, model.OutcomeUnknown),
+	Entry("malformed body, retry", "desk", "", `{`, execute.RejectNone, model.OutcomeUnknown),
+	Entry("key from the future, first", "desk", "true", `{}`, execute.RejectKeyFromFuture, model.OutcomeNotRun),
+	Entry("key from the future, retry", "desk", "false", `{}`, execute.RejectKeyFromFuture, model.OutcomeUnknown),
+	Entry("malformed key, which never ran", "desk", "false", `{}`, execute.RejectMalformedKey, model.OutcomeNotRun),
+)
+
 var _ = Describe("POST /v1/services/{service}/execute", func() {
 	DescribeTable("tells the outcome in status, headers and body",
 		func(a execute.Answer, status int, retryAfter, body string) {
--- a/internal/httpapi/problem.go
+++ b/internal/httpapi/problem.go
@@ -34,8 +34,11 @@
 }
 
 // WriteProblem writes a problem as the response, with outcome not_run.
-func WriteProblem(w http.ResponseWriter, p *Problem) {
-	w.Header().Set(HeaderOutcome, string(model.OutcomeNotRun))
+func WriteProblem(w http.ResponseWriter, p *Problem) { WriteProblemAs(w, p, model.OutcomeNotRun) }
+
+// WriteProblemAs writes a problem as the response, with the given outcome.
+func WriteProblemAs(w http.ResponseWriter, p *Problem, outcome model.Outcome) {
+	w.Header().Set(HeaderOutcome, string(outcome))
 	WriteJSON(w, p.Status, p)
 }
 
