Sharpen three specs that passed with their mechanism taken out

The drain specs passed when ports were closed with requests in flight and when queued work was refused before the grace time: the request could end before the ports closed, and the steps were looked at once, before they ran. The spec of a part with a wrong hash passed without any check of hashes, because its value was also invalid as a configuration; it is now a valid part of another revision.

--- a/internal/command/drain/drainer_test.go
+++ b/internal/command/drain/drainer_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -66,9 +67,11 @@
 		Expect(d.Draining()).To(BeFalse())
 		Expect(d.Begin("test")).To(BeTrue())
 		Expect(d.Draining()).To(BeTrue())
-		did.mu.Lock()
-		Expect(did.list).To(BeEmpty())
-		did.mu.Unlock()
+		Consistently(func() []string {
+			did.mu.Lock()
+			defer did.mu.Unlock()
+			return slices.Clone(did.list)
+		}, "500ms").Should(BeEmpty())
 		Eventually(d.Done(), "10s").Should(BeClosed())
 		Expect(did.list).To(Equal([]string{"refuse", "shutdown callers", "shutdown operators"}))
 	})
@@ -102,8 +105,10 @@
 		}))
 		defer srv.Close()
 		d := drain.New(drain.Config{
-			Timeout: time.Minute, Log: zerolog.Nop(), RefuseQueued: func() { close(release) },
-			Listeners: func() []drain.Listener { return []drain.Listener{srv.Config} },
+			Timeout: time.Minute, Log: zerolog.Nop(),
+			// The request ends only after the ports were told to close.
+			RefuseQueued: func() { time.AfterFunc(100*time.Millisecond, func() { close(release) }) },
+			Listeners:    func() []drain.Listener { return []drain.Listener{srv.Config} },
 		})
 		body := make(chan string, 1)
 		go func() {
--- a/internal/daemon/control/fleet_test.go
+++ b/internal/daemon/control/fleet_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"oleandersill.example/oleandersill/internal/configdoc"
 	"oleandersill.example/oleandersill/internal/daemon/control"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/platform"
@@ -211,7 +212,9 @@
 		Entry("an invalid configuration", func() { p.publish(2, inventory(0)) }),
 		Entry("a part that does not match its hash", func() {
 			root := p.publish(2, inventory(9))
-			p.put("config/parts/"+string(root.Parts["fleet"]), []byte("{}"))
+			// A valid part of another revision, which only its hash tells apart.
+			other := configdoc.Split(inventory(77), model.Rules{})["fleet"]
+			p.put("config/parts/"+string(root.Parts["fleet"]), other.Value)
 		}),
 	)
 
