--- a/internal/configdoc/layout_test.go
+++ b/internal/configdoc/layout_test.go
@@ -51,6 +51,19 @@
 		Expect(joined).To(Equal(inv))
 	})
 
+	// Guards against a valid value of another revision that is taken for a part of this one.
+	It("do not join if one does not match its hash", func() {
+		root, values := rootOf(largeInventory(1))
+		_, other := rootOf(model.Inventory{MaxInstances: 77, Services: largeInventory(1).Services})
+		for hash, value := range other {
+			if values[hash] == nil {
+				values[root.Parts["fleet"]] = value
+			}
+		}
+		_, _, err := configdoc.Join(root, func(h configdoc.Hash) []byte { return values[h] })
+		Expect(err).To(MatchError(configdoc.ErrCorrupt))
+	})
+
 	// If boundaries moved with the sizes of earlier shards, one edit would rewrite all later parts of a service.
 	DescribeTable("change little with one edit at the start of a large service",
 		func(edit func(*model.ServiceSpec)) {
