--- a/internal/daemon/control/fleet_test.go
+++ b/internal/daemon/control/fleet_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"oleandersill.example/oleandersill/internal/configdoc"
 	"oleandersill.example/oleandersill/internal/daemon/control"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/platform"
@@ -25,6 +26,9 @@
 // inForceWithin is the stated target for a change to be in force everywhere.
 const inForceWithin = 16 * time.Second
 
+// leavingWithin is the stated bound from the first sign of leaving to the end of new work.
+const leavingWithin = 3 * time.Second
+
 const token = "peers"
 
 var (
@@ -208,7 +212,9 @@
 		Entry("an invalid configuration", func() { p.publish(2, inventory(0)) }),
 		Entry("a part that does not match its hash", func() {
 			root := p.publish(2, inventory(9))
-			p.put("config/parts/"+string(root.Parts["fleet"]), []byte("{}"))
+			// A valid part of another revision, which only its hash tells apart.
+			other := configdoc.Split(inventory(77), model.Rules{})["fleet"]
+			p.put("config/parts/"+string(root.Parts["fleet"]), other.Value)
 		}),
 	)
 
@@ -235,7 +241,7 @@
 	It("stops new work to a leaving server everywhere", func() {
 		p.setState("srv-1", platform.InstanceLeaving)
 		for _, n := range nodes {
-			Eventually(n.open, inForceWithin).Should(BeFalse(), string(n.name))
+			Eventually(n.open, leavingWithin).Should(BeFalse(), string(n.name))
 		}
 	})
 
@@ -261,7 +267,7 @@
 	It("spreads a drain answer that one daemon saw", func() {
 		nodes[3].part.Agent.ServerDraining("srv-1")
 		for _, n := range nodes {
-			Eventually(n.open, inForceWithin).Should(BeFalse(), string(n.name))
+			Eventually(n.open, leavingWithin).Should(BeFalse(), string(n.name))
 		}
 	})
 
--- a/internal/query/scatter/scatter_test.go
+++ b/internal/query/scatter/scatter_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -161,6 +163,50 @@
 		Eventually(b.connector.Cancels).WithTimeout(5 * time.Second).Should(BeNumerically(">", 0))
 	})
 
+	// Guards against a retry that asks by a shard map put in force after the query began.
+	It("keeps the shard map that it began with", func() {
+		b := newBench(both("s1", fakebackend.Script{Status: backend.StatusLost, Times: 1, Delay: 100 * time.Millisecond}))
+		moved := b.topology.Inventory
+		moved.Services = slices.Clone(moved.Services)
+		moved.Services[0].ShardMapEpoch = 2
+		time.AfterFunc(20*time.Millisecond, func() {
+			b.searcher.Dispatcher.Config.Install(model.NewTopology(2, moved, b.topology.Rules))
+		})
+		a := b.search(context.Background(), 5*time.Second, 100)
+		Expect(b.searcher.Dispatcher.Config.Revision()).To(Equal(model.Revision(2)))
+		Expect(a.Outcome).To(Equal(model.OutcomeComplete))
+		Expect(a.Epoch).To(Equal(model.ShardMapEpoch(1)))
+	})
+
+	// Guards against work sent to a server that is about to stop.
+	It("sends no query to a leaving server", func() {
+		b := newBench(nil)
+		b.searcher.Dispatcher.Servers.Get("s1-a").MarkLeaving(time.Now())
+		for range 20 {
+			Expect(b.search(context.Background(), 5*time.Second, 100).Outcome).To(Equal(model.OutcomeComplete))
+		}
+		Expect(b.connector.Queries("s1-a")).To(BeZero())
+	})
+
+	// Guards against attempts that wait at a server when it starts to leave and reach it as late as their deadline.
+	It("sends no query that waited at a server once that is leaving", func() {
+		b := newBench(map[model.ServerName]fakebackend.Script{"s1-a": {Delay: 300 * time.Millisecond}})
+		a, other := b.searcher.Dispatcher.Servers.Get("s1-a"), b.searcher.Dispatcher.Servers.Get("s1-b")
+		other.MarkLeaving(time.Now())
+		var wg sync.WaitGroup
+		for range 8 {
+			wg.Go(func() { b.search(context.Background(), 5*time.Second, 100) })
+		}
+		Eventually(func() int { return b.connector.Queries("s1-a") }).Should(BeNumerically(">", 0))
+		time.Sleep(50 * time.Millisecond)
+		a.MarkLeaving(time.Now())
+		other.ClearLeaving(time.Now())
+		sent := b.connector.Queries("s1-a")
+		wg.Wait()
+		Expect(sent).To(BeNumerically("<", 8), "some waited")
+		Expect(b.connector.Queries("s1-a")).To(Equal(sent))
+	})
+
 	It("sends nothing for a request that it reports as not run", func() {
 		b := newBench(nil)
 		b.searcher.Dispatcher.Admissions.Drain()
