--- a/internal/cli/query/status.go
+++ b/internal/cli/query/status.go
@@ -39,7 +39,7 @@
 	cli.Row(w, "ready", s.Ready)
 	cli.Row(w, "draining", s.Draining)
 	cli.Row(w, "relay", s.Relay)
-	cli.Row(w, "last contact to the store", s.StoreContact.UTC().Format(time.RFC3339))
+	cli.Row(w, "last contact to the store", contactTime(s.StoreContact))
 	cli.Row(w, "members alive, suspected, dead", s.Members.Alive, s.Members.Suspected, s.Members.Dead)
 	if s.Rejected != nil {
 		cli.Row(w, "rejected revision", s.Rejected.Revision, s.Rejected.Reason)
@@ -48,3 +48,10 @@
 		cli.Row(w, "leaving server", server)
 	}
 }
+
+func contactTime(t time.Time) string {
+	if t.IsZero() {
+		return "never"
+	}
+	return t.UTC().Format(time.RFC3339)
+}
--- a/internal/command/report/recorder.go
+++ b/internal/command/report/recorder.go
@@ -54,6 +54,7 @@
 		Total:     a.Total,
 		Forwarded: a.Forwarded,
 		Load:      a.Load,
+		Held:      a.Held,
 		Quantile:  t.Rules.Hedge.Quantile,
 		MayEject:  r.mayEject(t, s),
 	}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -81,7 +81,10 @@
 func (o *attemptObserver) ObserveAttempt(s *tables.Server, a dispatch.Attempt) float64 {
 	slowdown := o.next.ObserveAttempt(s, a)
 	spec := s.Spec()
-	o.metrics.Attempt(spec.Service, a.Status.String())
+	if !a.Forwarded || a.Status == backend.StatusOwnerLost {
+		// The owner that sent the attempt counts it.
+		o.metrics.Attempt(spec.Service, a.Status.String())
+	}
 	if a.Status == backend.StatusMismatched {
 		o.metrics.DroppedReply(spec.Service)
 	}
--- a/internal/decision/routing/choose.go
+++ b/internal/decision/routing/choose.go
@@ -138,6 +138,7 @@
 // Choose returns the index of the candidate that should get the next attempt, or false if none is usable. A candidate
 // due a probe is taken first, so that an ejected server is tried once and its attempt can be hedged or retried elsewhere.
 func Choose(cs []Candidate, rnd *rand.Rand) (int, bool) {
+	assumeLatency(cs)
 	first, second, usable := -1, -1, 0
 	for i := range cs {
 		if cs[i].Probe {
@@ -170,6 +171,20 @@
 	return cheaper(cs, first, second, rnd), true
 }
 
+// assumeLatency gives replicas without observations the longest latency that was observed for another one. A new server
+// may be cold, and a low guess would send it the work of all daemons at once.
+func assumeLatency(cs []Candidate) {
+	longest := time.Duration(0)
+	for i := range cs {
+		longest = max(longest, cs[i].Latency)
+	}
+	for i := range cs {
+		if cs[i].Latency == 0 {
+			cs[i].Latency = longest
+		}
+	}
+}
+
 func cheaper(cs []Candidate, a, b int, rnd *rand.Rand) int {
 	ca, cb := cs[a].Cost(), cs[b].Cost()
 	switch {
--- a/internal/decision/snapshot/snapshot_test.go
+++ b/internal/decision/snapshot/snapshot_test.go
@@ -65,6 +65,21 @@
 	})
 })
 
+var _ = DescribeTable("Tally",
+	func(held []versions, common int) {
+		var t snapshot.Tally
+		for _, h := range held {
+			t.Add(h)
+		}
+		Expect(t.Common()).To(Equal(model.IndexVersion(common)))
+	},
+	Entry("the newest version that all hold", []versions{{1, 2}, {2, 1}, {1}}, 1),
+	Entry("all have moved on", []versions{{1, 2}, {2, 1}, {2}}, 2),
+	Entry("servers that said nothing do not count", []versions{{3}, nil}, 3),
+	Entry("none in common", []versions{{1}, {2}}, 0),
+	Entry("nothing known", nil, 0),
+)
+
 func count(shards []snapshot.Shard, v model.IndexVersion) int {
 	n := 0
 	for _, s := range shards {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -28,6 +28,8 @@
 	Latency time.Duration
 	Total   time.Duration
 	Load    backend.Load
+	// Held lists the index versions that the server said it holds; nil if it said nothing.
+	Held []model.IndexVersion
 	// Forwarded tells that the server's owner sent the attempt.
 	Forwarded bool
 }
@@ -60,6 +62,7 @@
 	observer Observer
 	// forwarding is nil if all attempts are sent from here.
 	forwarding *Forwarding
+	rollouts   *tables.Rollouts
 	draws      atomic.Uint64
 }
 
@@ -73,6 +76,7 @@
 		Admissions: tables.NewAdmissions(),
 		Timer:      pool.NewTimer(tables.OrderTimer),
 		ready:      tables.NewReady(),
+		rollouts:   tables.NewRollouts(),
 		observer:   observer,
 	}
 	for r := range model.RankCount {
@@ -149,11 +153,10 @@
 func (d *Dispatcher) Metrics() *telemetry.Metrics { return d.cfg.Metrics }
 
 // end reports the end of an attempt that was sent at begin after waiting, gives its headroom back and returns its slowdown.
-func (d *Dispatcher) end(
-	s *tables.Server, status backend.Status, begin time.Time, waited time.Duration, load backend.Load,
-) float64 {
-	took := time.Since(begin)
-	slowdown := d.observer.ObserveAttempt(s, Attempt{Status: status, Latency: took, Total: waited + took, Load: load})
+func (d *Dispatcher) end(s *tables.Server, begin time.Time, waited time.Duration, a Attempt) float64 {
+	a.Latency = time.Since(begin)
+	a.Total = waited + a.Latency
+	slowdown := d.observer.ObserveAttempt(s, a)
 	d.release(s)
 	return slowdown
 }
--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -74,7 +74,7 @@
 	}
 	begin := time.Now()
 	if a.Trial && !a.healthy() {
-		a.d.end(a.Server, backend.StatusUnreachable, begin, 0, backend.Load{})
+		a.d.end(a.Server, begin, 0, Attempt{Status: backend.StatusUnreachable})
 		a.done <- ExecuteEnd{Tried: true, Result: backend.ExecuteResult{Status: backend.StatusUnreachable}}
 		return
 	}
@@ -86,7 +86,7 @@
 	}
 	begin = time.Now()
 	result := a.Server.Client().Execute(a.ctx, a.Request)
-	slowdown := a.d.end(a.Server, result.Status, begin, 0, backend.Load{})
+	slowdown := a.d.end(a.Server, begin, 0, Attempt{Status: result.Status})
 	a.done <- ExecuteEnd{Tried: true, Result: result, Slowdown: slowdown}
 }
 
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -100,6 +100,7 @@
 		Latency:   latency,
 		Total:     total,
 		Load:      r.Result.Reply.Load,
+		Held:      heldVersions(r.Result),
 		Forwarded: true,
 	})
 	q.stop()
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -102,7 +102,9 @@
 	q.sent.Store(true)
 	q.waited = begin.Sub(q.Started)
 	result := q.Server.Client().Query(q.ctx, q.Request)
-	q.Slowdown = q.d.end(q.Server, result.Status, begin, q.waited, result.Reply.Load)
+	q.Slowdown = q.d.end(q.Server, begin, q.waited, Attempt{
+		Status: result.Status, Load: result.Reply.Load, Held: heldVersions(result),
+	})
 	q.stop()
 	q.Done(q, result)
 }
--- /dev/null
+++ b/internal/dispatch/versions.go
@@ -0,0 +1,41 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/decision/snapshot"
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+// NoteMixedVersions records that shards of the service answered with different index versions.
+func (d *Dispatcher) NoteMixedVersions(service model.ServiceName, now time.Time) {
+	d.rollouts.Note(service, now)
+}
+
+// PreferredVersion returns the index version that a query should ask for from the start, or 0 for each server's current
+// one. While versions change it is the newest one that all servers of the service were last seen to hold.
+func (d *Dispatcher) PreferredVersion(svc *model.Service, now time.Time) model.IndexVersion {
+	if !d.rollouts.Active(svc.Name, now) {
+		return 0
+	}
+	var t snapshot.Tally
+	for _, sh := range svc.Shards {
+		for _, r := range d.Servers.Shard(nil, sh) {
+			t.Add(r.Held())
+		}
+	}
+	return t.Common()
+}
+
+// heldVersions returns the versions that a result says its server holds.
+func heldVersions(r backend.QueryResult) []model.IndexVersion {
+	if r.Status != backend.StatusOK {
+		return r.Retained
+	}
+	if slices.Contains(r.Reply.Retained, r.Reply.Version) {
+		return r.Reply.Retained
+	}
+	return append(slices.Clone(r.Reply.Retained), r.Reply.Version)
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -79,9 +79,10 @@
 
 // authorized compares digests, so that the time taken depends on neither the content nor the length of the token.
 func (s *Server) authorized(header string) bool {
-	token, ok := strings.CutPrefix(header, bearer)
+	// An empty token leaves the scheme alone, since net/http removes the space at the end of a header.
+	scheme, token, _ := strings.Cut(header, " ")
 	sum := sha256.Sum256([]byte(token))
-	return subtle.ConstantTimeCompare(sum[:], s.token[:]) == 1 && ok
+	return subtle.ConstantTimeCompare(sum[:], s.token[:]) == 1 && scheme == strings.TrimSpace(bearer)
 }
 
 func (s *Server) serveConn(conn net.Conn, hijacked *bufio.Reader) {
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -29,7 +29,9 @@
 
 // Write implements net.Conn.
 func (c countedConn) Write(p []byte) (int, error) {
+	// Counted first: the other end may answer before Write returns.
+	c.traffic.Sent.Add(int64(len(p)))
 	n, err := c.Conn.Write(p)
-	c.traffic.Sent.Add(int64(n))
+	c.traffic.Sent.Add(int64(n - len(p)))
 	return n, err
 }
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -107,7 +107,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ctx, c.release = ctx, release
+	want := c.searcher.Dispatcher.PreferredVersion(c.req.Service, now)
 	for i := range c.shards {
+		c.shards[i].want = want
 		c.searcher.Dispatcher.Budgets.OnRequest(now)
 		c.sendTo(i, now)
 	}
@@ -181,7 +183,8 @@
 		c.onReply(sh, q, r.Reply)
 	case backend.StatusVersionNotHeld:
 		sh.held = append(sh.held, r.Retained...)
-		c.retry(i, now)
+		c.searcher.Dispatcher.NoteMixedVersions(c.req.Service.Name, now)
+		c.resend(i, now)
 	case backend.StatusCancelled, backend.StatusDeadlinePassed:
 	case backend.StatusUnreachable, backend.StatusDraining, backend.StatusOwnerLost:
 		// The server spent nothing on the attempt, or its owner is lost, so that another one needs no budget.
@@ -282,6 +285,7 @@
 // reask asks the plan's shards again for its version and tells whether any attempt was started.
 func (c *call) reask(plan snapshot.Plan, now time.Time) bool {
 	c.rounds++
+	c.searcher.Dispatcher.NoteMixedVersions(c.req.Service.Name, now)
 	started := false
 	for _, i := range plan.Reask {
 		sh := &c.shards[i]
--- a/internal/query/scatter/scatter_test.go
+++ b/internal/query/scatter/scatter_test.go
@@ -215,6 +215,17 @@
 		Expect(b.connector.Total()).To(BeZero())
 	})
 
+	It("asks for the common version from the start once shards were seen to differ", func() {
+		// Guards against a rollout in which every query asks half of its shards twice.
+		b := newBench(both("s3", fakebackend.Script{Version: 2, Retained: []model.IndexVersion{1}}))
+		svc := b.topology.Service(service)
+		Expect(b.searcher.Dispatcher.PreferredVersion(svc, time.Now())).To(BeZero())
+		for range 10 {
+			Expect(b.search(context.Background(), 5*time.Second, 100).Outcome).To(Equal(model.OutcomeComplete))
+		}
+		Expect(b.searcher.Dispatcher.PreferredVersion(svc, time.Now())).To(Equal(model.IndexVersion(1)))
+	})
+
 	It("honours the limit over all shards, best first", func() {
 		b := newBench(both("s1", fakebackend.Script{Items: 10}))
 		a := b.search(context.Background(), time.Second, 5)
--- a/internal/tables/budgets.go
+++ b/internal/tables/budgets.go
@@ -13,6 +13,13 @@
 	mu    lockorder.Mutex
 	hedge budget.Window
 	retry budget.Window
+	// rules are those that the windows were made for.
+	rules windowRules
+}
+
+type windowRules struct {
+	hedge model.HedgeRule
+	retry model.RetryRule
 }
 
 // NewBudgets returns windows for the given rules.
@@ -22,11 +29,15 @@
 	return b
 }
 
-// Reset replaces the windows after a change of rules.
+// Reset replaces the windows if the rules changed; what they counted survives other changes of the configuration.
 func (b *Budgets) Reset(rules model.Rules, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h, r := rules.Hedge, rules.Retry
+	if b.rules == (windowRules{hedge: h, retry: r}) {
+		return
+	}
+	b.rules = windowRules{hedge: h, retry: r}
 	b.hedge = budget.NewWindow(h.MaxRatio, 0, time.Duration(h.WindowMs)*time.Millisecond, now)
 	b.retry = budget.NewWindow(r.MaxRatio, retryFloor, time.Duration(r.WindowMs)*time.Millisecond, now)
 }
--- a/internal/tables/order.go
+++ b/internal/tables/order.go
@@ -17,5 +17,6 @@
 	OrderReady
 	OrderForwards
 	OrderBudgets
+	OrderRollouts
 	OrderTimer
 )
--- a/internal/tables/server.go
+++ b/internal/tables/server.go
@@ -42,7 +42,9 @@
 	latency   time.Duration
 	observed  time.Time
 	// failures is the mean rate of failed attempts, and attempted the time of the last one that counted.
-	failures  float64
+	failures float64
+	// held lists the index versions that the server last said it holds.
+	held      []model.IndexVersion
 	attempted time.Time
 	quantile  budget.Quantile
 	joined    time.Time
@@ -228,6 +230,8 @@
 	// Forwarded tells that the server's owner sent the attempt, so that its end says nothing about this daemon's limit.
 	Forwarded bool
 	Load      backend.Load
+	// Held lists the index versions that the server said it holds; nil if it said nothing.
+	Held []model.IndexVersion
 	// Quantile is the hedge rule's quantile, in (0, 1).
 	Quantile float64
 	// MayEject tells whether the shard's ejection cap leaves room for one more.
@@ -246,6 +250,9 @@
 func (s *Server) Observe(o Observation, now time.Time) Finding {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if o.Held != nil {
+		s.held = o.Held
+	}
 	before := s.limit.Limit()
 	f := Finding{Slowdown: s.observe(o, now)}
 	f.LimitDelta = s.limit.Limit() - before
--- a/internal/tables/serverowner.go
+++ b/internal/tables/serverowner.go
@@ -41,6 +41,13 @@
 	s.minimums = m
 }
 
+// Held returns the index versions that the server last said it holds. The caller must not change the slice.
+func (s *Server) Held() []model.IndexVersion {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held
+}
+
 // Idle tells whether no attempt is in flight or waiting.
 func (s *Server) Idle() bool {
 	s.mu.Lock()
