Move attempts that wait behind a straggler to another replica

Cause: when a server turns ten times slower, the attempts that wait for it at its owner were hedged only as far as the budget went. A first attempt of urgent or standard work that waits for longer than a hedge would is now withdrawn unsent and goes to another replica, which costs no server anything and no budget.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -42,11 +42,13 @@
 	// StatusOwnerLost: the daemon that was to send the attempt was lost or did not know the server; it may have run. It
 	// occurs for idempotent requests only.
 	StatusOwnerLost
+	// StatusBusy: the attempt waited for the server for too long and was withdrawn before it was sent.
+	StatusBusy
 )
 
 var statusNames = [...]string{
 	"ok", "unreachable", "shed", "draining", "deadline_passed", "version_not_held", "lost", "mismatched", "failed",
-	"cancelled", "owner_lost",
+	"cancelled", "owner_lost", "busy",
 }
 
 // String returns the status's name as used in logs and metrics.
@@ -55,7 +57,7 @@
 // ProvablyNotRun tells whether the status proves that the server did not run the request.
 func (s Status) ProvablyNotRun() bool {
 	switch s {
-	case StatusUnreachable, StatusShed, StatusDraining, StatusDeadlinePassed, StatusVersionNotHeld:
+	case StatusUnreachable, StatusShed, StatusDraining, StatusDeadlinePassed, StatusVersionNotHeld, StatusBusy:
 		return true
 	case StatusOK, StatusLost, StatusMismatched, StatusFailed, StatusCancelled, StatusOwnerLost:
 		return false
--- a/internal/decision/share/ledger.go
+++ b/internal/decision/share/ledger.go
@@ -12,7 +12,7 @@
 
 // headroom multiplies the minimum that ranks are brought up to: a rank below it is served only when it has work waiting,
 // so that aiming at the minimum itself ends below it.
-const headroom = 1.25
+const headroom = 1.4
 
 // Minimums are the ranks' minimum shares, each in [0, 1].
 type Minimums [model.RankCount]float64
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -83,6 +83,8 @@
 		Rank:    q.Rank,
 		Request: q.Request,
 		Left:    q.Request.Deadline.Sub(q.Started),
+
+		BounceAfter: q.BounceAfter,
 	}, tables.Pending{Peer: owner, End: func(r forwarding.Result) { f.end(q, r) }})
 }
 
@@ -181,7 +183,7 @@
 	request := sent.Request
 	request.Deadline = now.Add(sent.Left)
 	ctx, release := context.WithDeadline(context.Background(), request.Deadline.Add(forwardGrace))
-	q := &QueryAttempt{Server: s, Rank: sent.Rank, Request: request}
+	q := &QueryAttempt{Server: s, Rank: sent.Rank, Request: request, BounceAfter: sent.BounceAfter}
 	q.Done = func(q *QueryAttempt, r backend.QueryResult) {
 		release()
 		f.forwards.Return(from, forwarding.Result{ID: q.Request.ID, Result: r, Waited: q.waited})
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -148,6 +148,25 @@
 		Eventually(owner.Servers.Get(serverName).Idle).WithTimeout(5 * time.Second).Should(BeTrue())
 	})
 
+	It("hands back an attempt that waits for its server for too long, unsent", func() {
+		// Guards against attempts that wait behind a straggler although another replica is idle.
+		asker, owner := newPair(fakebackend.Script{Delay: 2 * time.Second})
+		asker.start(1, model.RankUrgent, func(backend.QueryResult) {})
+		Eventually(func() int { return owner.connector.Queries(serverName) }).WithTimeout(5 * time.Second).Should(Equal(1))
+		results := make(chan backend.QueryResult, 1)
+		waiting := &dispatch.QueryAttempt{
+			Server:      asker.Servers.Get(serverName),
+			Request:     backend.QueryRequest{ID: backend.AttemptID{Request: "w"}, Deadline: time.Now().Add(10 * time.Second)},
+			BounceAfter: 20 * time.Millisecond,
+			Done:        func(_ *dispatch.QueryAttempt, r backend.QueryResult) { results <- r },
+		}
+		asker.StartQuery(context.Background(), waiting, time.Now())
+		var r backend.QueryResult
+		Eventually(results).WithTimeout(5 * time.Second).Should(Receive(&r))
+		Expect(r.Status).To(Equal(backend.StatusBusy))
+		Expect(owner.connector.Queries(serverName)).To(Equal(1))
+	})
+
 	It("serves ranks by urgency at the owner, but for minimum shares", func() {
 		// Guards against deferred work that holds up urgent work at a server, and against its starvation.
 		asker, owner := newPair(fakebackend.Script{Delay: 5 * time.Millisecond})
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -8,6 +8,7 @@
 
 	"oleandersill.example/oleandersill/internal/backend"
 	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/pool"
 	"oleandersill.example/oleandersill/internal/tables"
 )
 
@@ -18,6 +19,9 @@
 	Request backend.QueryRequest
 	// Probe marks an attempt at an ejected server, of which one is under way at a time.
 	Probe bool
+	// BounceAfter is how long the attempt may wait for its server before it ends with StatusBusy, so that it can go to
+	// another replica at no cost to this one; 0 means until the deadline.
+	BounceAfter time.Duration
 	// Done receives the result on a worker, unless the attempt was cancelled before it was sent.
 	Done func(*QueryAttempt, backend.QueryResult)
 
@@ -33,6 +37,7 @@
 	// forwarded tells that the server's owner sends the attempt, and waited how long it waited before it was sent here.
 	forwarded bool
 	waited    time.Duration
+	bounce    *pool.Entry
 }
 
 // StartQuery sends the attempt through the owner of its server, or when the server and a worker are free. ctx must carry
@@ -50,9 +55,24 @@
 // startHere sends the attempt from this daemon.
 func (d *Dispatcher) startHere(ctx context.Context, q *QueryAttempt, now time.Time) {
 	q.prepare(ctx, d, now)
+	if q.BounceAfter > 0 {
+		q.bounce = d.Timer.Schedule(now.Add(q.BounceAfter), q.onBounce)
+	}
 	d.submit(&q.attempt)
 }
 
+// onBounce ends the attempt if it still waits for its server.
+func (q *QueryAttempt) onBounce() {
+	if !q.Server.Withdraw(&q.attempt) {
+		return
+	}
+	q.stop()
+	if q.Probe {
+		q.Server.EndProbe()
+	}
+	q.Done(q, backend.QueryResult{Status: backend.StatusBusy})
+}
+
 func (q *QueryAttempt) prepare(ctx context.Context, d *Dispatcher, now time.Time) {
 	q.d = d
 	q.Started = now
@@ -100,6 +120,9 @@
 		return
 	}
 	q.sent.Store(true)
+	if q.bounce != nil {
+		q.d.Timer.Cancel(q.bounce)
+	}
 	q.waited = begin.Sub(q.Started)
 	result := q.Server.Client().Query(q.ctx, q.Request)
 	q.Slowdown = q.d.end(q.Server, begin, q.waited, Attempt{
--- a/internal/forwarding/messages.go
+++ b/internal/forwarding/messages.go
@@ -24,6 +24,8 @@
 	Request backend.QueryRequest
 	// Left is the time until the deadline.
 	Left time.Duration
+	// BounceAfter is how long the attempt may wait before it is sent; 0 means until the deadline.
+	BounceAfter time.Duration
 }
 
 // Result is the end of a forwarded sub-request.
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -161,9 +161,13 @@
 		},
 		Done: func(q *dispatch.QueryAttempt, r backend.QueryResult) { c.onEnd(i, q, r) },
 	}
+	sh.hedgeAt = c.hedgeTime(now)
+	if sh.attempts == 1 && c.req.Rank != model.RankDeferred && !sh.hedgeAt.IsZero() && len(c.records) > 1 {
+		// A first attempt that waits for longer than a hedge would moves to another replica; later ones stay.
+		q.BounceAfter = sh.hedgeAt.Sub(now)
+	}
 	sh.pending = append(sh.pending, q)
 	c.searcher.Dispatcher.StartQuery(c.ctx, q, now)
-	sh.hedgeAt = c.hedgeTime(now)
 }
 
 // onEnd takes the result of one attempt.
@@ -186,7 +190,7 @@
 		c.searcher.Dispatcher.NoteMixedVersions(c.req.Service.Name, now)
 		c.resend(i, now)
 	case backend.StatusCancelled, backend.StatusDeadlinePassed:
-	case backend.StatusUnreachable, backend.StatusDraining, backend.StatusOwnerLost:
+	case backend.StatusUnreachable, backend.StatusDraining, backend.StatusOwnerLost, backend.StatusBusy:
 		// The server spent nothing on the attempt, or its owner is lost, so that another one needs no budget.
 		c.resend(i, now)
 	case backend.StatusShed, backend.StatusLost, backend.StatusMismatched, backend.StatusFailed:
--- a/internal/tables/server.go
+++ b/internal/tables/server.go
@@ -289,7 +289,8 @@
 			s.observeLatency(o.Latency, now)
 		}
 		s.health.EndProbe()
-	case backend.StatusDeadlinePassed, backend.StatusVersionNotHeld, backend.StatusOwnerLost:
+	case backend.StatusDeadlinePassed, backend.StatusVersionNotHeld, backend.StatusOwnerLost,
+		backend.StatusBusy:
 		s.health.EndProbe()
 	}
 	return slowdown
