--- a/internal/cli/command/execute.go
+++ b/internal/cli/command/execute.go
@@ -15,7 +15,6 @@
 	"oleandersill.example/oleandersill/internal/cli"
 	"oleandersill.example/oleandersill/internal/command/commandhttp"
 	"oleandersill.example/oleandersill/internal/httpapi"
-	"oleandersill.example/oleandersill/internal/model"
 )
 
 func executeCommand() cli.Command {
@@ -93,12 +92,5 @@
 	if err != nil {
 		return err
 	}
-	switch answer.Outcome {
-	case model.OutcomeComplete:
-		return nil
-	case model.OutcomeNotRun, model.OutcomeUnknown:
-		return &cli.Failure{Code: cli.ExitUnknown}
-	case model.OutcomeFailed, model.OutcomePartial:
-	}
-	return &cli.Failure{Code: cli.ExitFailed}
+	return cli.OutcomeFailure(answer.Outcome)
 }
--- a/internal/cli/query/search.go
+++ b/internal/cli/query/search.go
@@ -11,7 +11,6 @@
 
 	"oleandersill.example/oleandersill/internal/cli"
 	"oleandersill.example/oleandersill/internal/httpapi"
-	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/query/queryhttp"
 )
 
@@ -62,14 +61,7 @@
 	if err := format.Print(env, answer, func(w io.Writer) { answerTable(w, answer) }); err != nil {
 		return err
 	}
-	switch answer.Outcome {
-	case model.OutcomeComplete:
-		return nil
-	case model.OutcomeNotRun, model.OutcomeUnknown:
-		return &cli.Failure{Code: cli.ExitUnknown}
-	case model.OutcomePartial, model.OutcomeFailed:
-	}
-	return &cli.Failure{Code: cli.ExitFailed}
+	return cli.OutcomeFailure(answer.Outcome)
 }
 
 func answerTable(w io.Writer, a queryhttp.SearchResponse) {
--- a/internal/command/execute/recorder.go
+++ b/internal/command/execute/recorder.go
@@ -107,7 +107,7 @@
 			// A conflict means that an earlier try took effect, since nobody else replaces a claim that is held.
 			return
 		}
-		if errors.Is(err, platform.ErrTooLarge) || !pause(ctx, wait) {
+		if errors.Is(err, platform.ErrTooLarge) || !pool.Pause(ctx, wait) {
 			r.log.Warn().Err(err).Str("service", string(job.key.Service)).Str("key", job.key.Key).
 				Str("state", string(job.next.State)).Msg("claim_record_failed")
 			return
@@ -130,15 +130,3 @@
 	_, err := r.claims.Write(ctx, job.key, job.next, job.version)
 	return err
 }
-
-// pause waits before another try, and returns false if the time is up.
-func pause(ctx context.Context, wait time.Duration) bool {
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/command/fleet/agent.go
+++ b/internal/command/fleet/agent.go
@@ -171,15 +171,3 @@
 		a.Log.Debug().Err(err).Str("peer", string(m.Instance)).Msg("peer_notice_failed")
 	}
 }
-
-// pause waits for d, and returns false if ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/command/fleet/exchange.go
+++ b/internal/command/fleet/exchange.go
@@ -9,6 +9,7 @@
 
 	"oleandersill.example/oleandersill/internal/decision/spread"
 	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/pool"
 )
 
 const (
@@ -42,7 +43,7 @@
 		if a.Config.Revision() == 0 {
 			interval = coldInterval
 		}
-		if !pause(ctx, spread.Jittered(interval, rnd)-min(interval/4, time.Since(now))) {
+		if !pool.Pause(ctx, spread.Jittered(interval, rnd)-min(interval/4, time.Since(now))) {
 			return
 		}
 	}
--- a/internal/command/fleet/members.go
+++ b/internal/command/fleet/members.go
@@ -8,6 +8,7 @@
 	"oleandersill.example/oleandersill/internal/decision/spread"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/platform"
+	"oleandersill.example/oleandersill/internal/pool"
 )
 
 const (
@@ -37,7 +38,7 @@
 		} else {
 			failures = 0
 		}
-		if !pause(ctx, delay) {
+		if !pool.Pause(ctx, delay) {
 			return
 		}
 		err = a.listMembers(ctx, a.Members.Self().Zone)
--- a/internal/command/fleet/watch.go
+++ b/internal/command/fleet/watch.go
@@ -11,6 +11,7 @@
 	"oleandersill.example/oleandersill/internal/decision/spread"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/platform"
+	"oleandersill.example/oleandersill/internal/pool"
 )
 
 // ErrStale means that the store answered a watch with a version that was seen before.
@@ -43,18 +44,18 @@
 		begin := time.Now()
 		wait, watching := a.watchFor(begin, cold, rnd)
 		if !watching {
-			pause(ctx, spread.Jittered(electionInterval, rnd))
+			pool.Pause(ctx, spread.Jittered(electionInterval, rnd))
 			continue
 		}
 		version, err := a.watchOnce(ctx, seen, wait)
 		seen = version
 		if err != nil {
 			failures++
-			pause(ctx, spread.Backoff(failures, rnd)+minWatchInterval)
+			pool.Pause(ctx, spread.Backoff(failures, rnd)+minWatchInterval)
 			continue
 		}
 		failures = 0
-		pause(ctx, minWatchInterval-time.Since(begin))
+		pool.Pause(ctx, minWatchInterval-time.Since(begin))
 	}
 }
 
--- a/internal/configstore/pace.go
+++ b/internal/configstore/pace.go
@@ -4,6 +4,8 @@
 	"context"
 	"iter"
 	"time"
+
+	"oleandersill.example/oleandersill/internal/pool"
 )
 
 // Pace bounds how often a call of the store is repeated, and the pauses in between, which double from First up to Most.
@@ -33,7 +35,7 @@
 		delay := p.First
 		for i := range p.Attempts {
 			if i > 0 {
-				if !sleep(ctx, delay) {
+				if !pool.Pause(ctx, delay) {
 					return
 				}
 				delay = min(2*delay, p.Most)
@@ -44,14 +46,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -29,6 +29,17 @@
 	})
 }
 
+// partWithCallers ends connections with their next response once a shutdown has begun. A connection that is kept could be
+// closed as idle just when its caller sends the next request.
+func (d *Daemon) partWithCallers(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.drainer.Draining() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 func (d *Daemon) handleDrain(operators *http.ServeMux) {
 	operators.Handle("POST /v1/drain", &commandhttp.Drain{Drainer: d.drainer})
 }
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -32,7 +32,7 @@
 		Config:      d.config,
 		Servers:     recorder.Servers,
 		Validate:    validate,
-		Adopt:       recorder.Adopt,
+		Adopt:       d.adopter(recorder),
 		Draining:    d.drainer.Draining,
 		Log:         d.log,
 	})
@@ -53,6 +53,18 @@
 	return nil
 }
 
+// adopter returns what brings the tables in step with a revision. It warns of deadlines that a graceful shutdown does not
+// wait for, since requests that use them would be cut off.
+func (d *Daemon) adopter(recorder *report.Recorder) func(*model.Topology, time.Time) {
+	return func(t *model.Topology, now time.Time) {
+		recorder.Adopt(t, now)
+		if longest := t.Rules.Deadlines.MaxMs; longest > d.settings.DrainTimeoutMs {
+			d.log.Warn().Uint64("revision", uint64(t.Revision)).Int("max_ms", longest).
+				Int("drain_timeout_ms", d.settings.DrainTimeoutMs).Msg("deadline_exceeds_drain")
+		}
+	}
+}
+
 // forwardedTimeout bounds the wait for the sub-requests that this daemon sends for others. Those that wait for it are
 // queries in flight at other daemons.
 const forwardedTimeout = 5 * time.Second
--- a/internal/measure/deployment.go
+++ b/internal/measure/deployment.go
@@ -22,6 +22,9 @@
 }
 
 func loadDeployment(name string, service model.ServiceName) (*deployment, error) {
+	if name == "" {
+		return nil, errors.Wrap(ErrUsage, "-deployment is required")
+	}
 	dir := name
 	if filepath.Base(name) == name {
 		dir = filepath.Join("examples", name)
--- a/internal/measure/options.go
+++ b/internal/measure/options.go
@@ -56,7 +56,7 @@
 	fs.SetOutput(errOut)
 	fs.StringVar(&scenarios, "scenario", "steady", "scenarios, separated by commas; NAME+NAME runs two at once; all")
 	fs.StringVar(&policies, "policy", "baseline,default", "policies, separated by commas")
-	fs.StringVar(&o.Deployment, "deployment", "dalisay", "directory with inventory.yaml and rules.yaml, under examples/ or a path")
+	fs.StringVar(&o.Deployment, "deployment", "", "required: directory with inventory.yaml and rules.yaml, under examples/ or a path")
 	fs.StringVar(&service, "service", "", "service to query (default: the first of the inventory)")
 	fs.Uint64Var(&o.Seed, "seed", 1, "seed of arrivals and faults")
 	fs.IntVar(&o.Rounds, "rounds", 3, "rounds of each policy; rows give medians")
--- a/internal/testing/acceptance/signals_test.go
+++ b/internal/testing/acceptance/signals_test.go
@@ -39,8 +39,12 @@
 		code := exitCode(daemon)
 		Expect(daemon.Process.Signal(syscall.SIGTERM)).To(Succeed())
 		Eventually(readiness(base), "2s").Should(ContainSubstring("draining"))
-		status, _ := get(base + "/healthz")
-		Expect(status).To(Equal(http.StatusOK))
+		resp, err := http.Get(base + "/healthz")
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		// Guards against a connection that is closed as idle while its caller sends the next request.
+		Expect(resp.Close).To(BeTrue())
 		Eventually(code, 30*time.Second).Should(Equal(0))
 	})
 
