Schedule no wake-up of an admission queue that the limit keeps back

With the pace below one and urgent queries at the limit, the queue asked to be called at a time that had passed, and the timer called it without end until an urgent query ended. Now it asks only if the pace alone holds a request back; one that the limit holds back starts when another ends. The spec failed before and passes after.

--- a/internal/decision/admission/queue.go
+++ b/internal/decision/admission/queue.go
@@ -247,8 +247,7 @@
 // WakeAt returns when Next should be called although nothing ended, because waiting work is spaced in time; zero if it
 // need not be.
 func (q *Queue) WakeAt() time.Time {
-	waiting := q.totalWaiting() - q.waiting[model.RankUrgent].size
-	if waiting == 0 {
+	if !q.paced() {
 		return time.Time{}
 	}
 	at, ok := q.pace.next(q.runningBelowUrgent(), q.hold)
@@ -258,6 +257,17 @@
 	return at
 }
 
+// paced tells whether the pace alone keeps a waiting request from starting. One that the limit keeps back starts when
+// another one ends.
+func (q *Queue) paced() bool {
+	for r := model.RankUrgent + 1; int(r) < model.RankCount; r++ {
+		if q.waiting[r].size > 0 && q.runningUpTo(r) < q.cfg.Limit {
+			return true
+		}
+	}
+	return false
+}
+
 // Abandon removes a waiting request, and tells whether it was still waiting.
 func (q *Queue) Abandon(w *Waiter) bool {
 	if w.state != stateWaiting {
@@ -343,11 +353,3 @@
 	}
 	return time.Duration(float64(q.hold) / parallel)
 }
-
-func (q *Queue) totalWaiting() int {
-	n := 0
-	for i := range q.waiting {
-		n += q.waiting[i].size
-	}
-	return n
-}
--- a/internal/decision/admission/queue_test.go
+++ b/internal/decision/admission/queue_test.go
@@ -160,6 +160,29 @@
 		}
 	})
 
+	It("asks to be called again only when a request could start then", func() {
+		// Guards against a timer that fires without end while urgent requests hold all places and the pace is below one.
+		q := admission.New(config(2))
+		now := start
+		for range 100 {
+			w := &admission.Waiter{Rank: model.RankDeferred, Deadline: now.Add(time.Minute)}
+			if q.Arrive(w, now).Verdict == admission.Admitted {
+				now = now.Add(hold)
+				q.Finish(w, 4, now)
+				continue
+			}
+			q.Abandon(w)
+			now = now.Add(hold)
+		}
+		for range 2 {
+			urgent := &admission.Waiter{Rank: model.RankUrgent, Deadline: now.Add(time.Minute)}
+			Expect(q.Arrive(urgent, now).Verdict).To(Equal(admission.Admitted))
+		}
+		deferred := &admission.Waiter{Rank: model.RankDeferred, Deadline: now.Add(time.Minute)}
+		Expect(q.Arrive(deferred, now).Verdict).To(Equal(admission.Queued))
+		Expect(q.WakeAt()).To(BeZero())
+	})
+
 	It("admits urgent work while less urgent work holds its places", func() {
 		// Guards against urgent work that waits for deferred queries, which wait for servers behind urgent work.
 		q := admission.New(config(2))
--- a/internal/measure/observe/cpu.go
+++ b/internal/measure/observe/cpu.go
@@ -43,6 +43,9 @@
 	category category
 }{
 	{"encoding/json.", categoryCodec},
+	{"encoding/gob.", categoryCodec},
+	{"net/rpc.", categoryNetwork},
+	{"oleandersill.example/oleandersill/internal/peer.", categoryNetwork},
 	{"oleandersill.example/oleandersill/internal/measure/cluster.", categoryEmulation},
 	{"oleandersill.example/oleandersill/internal/backend/", categoryCodec},
 	{"oleandersill.example/oleandersill/internal/query/queryhttp.", categoryCodec},
