Keep idle connections open during a drain's grace time

Cause: the drain called SetKeepAlivesEnabled(false) at its beginning, which closes idle connections at once; a caller that was sending its next request on one got EOF or a reset. Responses during a drain now end their connections and idle ones stay open until the listeners close.

--- a/internal/command/drain/drainer.go
+++ b/internal/command/drain/drainer.go
@@ -10,8 +10,6 @@
 
 // Listener is a port with requests in flight; http.Server is one.
 type Listener interface {
-	// SetKeepAlivesEnabled makes responses end their connections when it is false.
-	SetKeepAlivesEnabled(enabled bool)
 	// Shutdown closes the port and waits for its requests in flight until ctx ends.
 	Shutdown(ctx context.Context) error
 	// Close closes the port and its connections.
@@ -82,9 +80,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.Timeout)
 	defer cancel()
 	listeners := d.cfg.Listeners()
-	for _, l := range listeners {
-		l.SetKeepAlivesEnabled(false)
-	}
+	// Idle connections stay open: http.Server.SetKeepAlivesEnabled would close them just when a caller may be sending its
+	// next request. Responses during the drain end their connections instead.
 	wait(ctx, grace)
 	d.cfg.RefuseQueued()
 	complete := true
--- a/internal/command/drain/drainer_test.go
+++ b/internal/command/drain/drainer_test.go
@@ -38,8 +38,7 @@
 	s.list = append(s.list, step)
 }
 
-func (r *recorded) SetKeepAlivesEnabled(bool) {}
-func (r *recorded) Close() error              { r.steps.add("close " + r.name); return nil }
+func (r *recorded) Close() error { r.steps.add("close " + r.name); return nil }
 func (r *recorded) Shutdown(ctx context.Context) error {
 	r.steps.add("shutdown " + r.name)
 	return r.shutdown(ctx)
