--- a/internal/pool/pause.go
+++ b/internal/pool/pause.go
@@ -5,8 +5,11 @@
 	"time"
 )
 
-// Pause waits for d, and returns false if ctx ended first.
+// Pause waits for d, and returns false if ctx ended first. It does not wait if d is not positive.
 func Pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/internal/standin/platformserver/call.go
+++ b/internal/standin/platformserver/call.go
@@ -1,18 +1,17 @@
 package platformserver
 
 import (
-	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/platform"
 	"oleandersill.example/oleandersill/internal/platform/platformhttp"
+	"oleandersill.example/oleandersill/internal/pool"
 )
 
 // maxBodyBytes leaves room for a value above platform.MaxValueBytes in base64, so that it is answered with 413.
@@ -46,7 +45,7 @@
 	f := s.desk.current()
 	ignored := s.ignores(r, &f)
 	if !ignored {
-		pause(r.Context(), f.Delay)
+		pool.Pause(r.Context(), f.Delay)
 	}
 	switch {
 	case ignored || r.Context().Err() != nil:
@@ -86,18 +85,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // end sets the answer: the reply, or the status that stands for the error.
 func (c *call) end(reply any, err error) {
 	switch {
--- a/internal/testing/memplatform/platform.go
+++ b/internal/testing/memplatform/platform.go
@@ -10,6 +10,7 @@
 
 	"oleandersill.example/oleandersill/internal/lockorder"
 	"oleandersill.example/oleandersill/internal/platform"
+	"oleandersill.example/oleandersill/internal/pool"
 	"oleandersill.example/oleandersill/internal/standin"
 )
 
@@ -116,7 +117,7 @@
 		p.countUnanswered()
 		<-ctx.Done()
 	case f.Delay > 0:
-		pause(ctx, f.Delay)
+		pool.Pause(ctx, f.Delay)
 	}
 	return unanswered(ctx, unheard)
 }
@@ -147,15 +148,6 @@
 	return p.faults
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // broadcast wakes the watches. The caller holds the lock.
 func (p *Platform) broadcast() {
 	close(p.changed)
--- a/internal/testing/memplatform/reads.go
+++ b/internal/testing/memplatform/reads.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"oleandersill.example/oleandersill/internal/platform"
+	"oleandersill.example/oleandersill/internal/pool"
 )
 
 // Get implements platform.Reader.
@@ -64,7 +65,7 @@
 			return platform.Entry{}, errors.Wrap(platform.ErrUnavailable, "memplatform: down")
 		}
 		if s.present && s.version > after {
-			pause(ctx, f.StaleBy)
+			pool.Pause(ctx, f.StaleBy)
 			return s.entry(key), nil
 		}
 		select {
