Open each connection to a joining server once; spoil a part before daemons can read it

A goroutine dump showed the worker that takes configurations inside Dispatcher.Warm: its loop took spare headroom until there was none, and servers that answered health requests as fast as it ran gave headroom back each time. Adoption took up to 40 s, and the joining servers got health requests all that time. Ruled out: a starved machine (other packages kept their times), the store (the watch had answered), ports used twice.

Change: Warm takes the headroom in one step.

The other failure was of the test: it published a revision and then replaced one of its parts, so that a daemon could read the right part in between. The part is now written spoilt before the head.

--- a/internal/daemon/control/fake_test.go
+++ b/internal/daemon/control/fake_test.go
@@ -44,16 +44,23 @@
 	p.instances = append(p.instances, platform.Instance{Name: name, Role: platform.RoleServer, State: state})
 }
 
-// publish writes a configuration as configure does and returns its root.
-func (p *fakePlatform) publish(rev model.Revision, inv model.Inventory) *configdoc.Root {
+// publish writes a configuration as configure does.
+func (p *fakePlatform) publish(rev model.Revision, inv model.Inventory) {
+	p.publishParts(rev, inv, func(_ configdoc.PartName, value []byte) []byte { return value })
+}
+
+// publishParts writes a configuration of which each part is stored as spoil returns it. Parts are written before the
+// head, so that no daemon can read them unspoilt.
+func (p *fakePlatform) publishParts(
+	rev model.Revision, inv model.Inventory, spoil func(configdoc.PartName, []byte) []byte,
+) {
 	root := &configdoc.Root{Revision: rev, Editor: "test", Parts: map[configdoc.PartName]configdoc.Hash{}}
 	for name, part := range configdoc.Split(inv, model.Rules{}) {
 		root.Parts[name] = part.Hash
-		p.put(configdoc.PrefixParts+string(part.Hash), part.Value)
+		p.put(configdoc.PrefixParts+string(part.Hash), spoil(name, part.Value))
 	}
 	p.put(configdoc.PrefixRoots+string(configdoc.HashOf(root.Encode())), root.Encode())
 	p.put(configdoc.KeyHead, root.Encode())
-	return root
 }
 
 // link is one daemon's way to the platform, with faults.
--- a/internal/daemon/control/fleet_test.go
+++ b/internal/daemon/control/fleet_test.go
@@ -211,10 +211,14 @@
 		Entry("a head that cannot be decoded", func() { p.put("config/head", []byte("{")) }),
 		Entry("an invalid configuration", func() { p.publish(2, inventory(0)) }),
 		Entry("a part that does not match its hash", func() {
-			root := p.publish(2, inventory(9))
 			// A valid part of another revision, which only its hash tells apart.
 			other := configdoc.Split(inventory(77), model.Rules{})["fleet"]
-			p.put("config/parts/"+string(root.Parts["fleet"]), other.Value)
+			p.publishParts(2, inventory(9), func(name configdoc.PartName, value []byte) []byte {
+				if name == "fleet" {
+					return other.Value
+				}
+				return value
+			})
 		}),
 	)
 
--- a/internal/dispatch/warm.go
+++ b/internal/dispatch/warm.go
@@ -14,7 +14,9 @@
 // Warm opens the budgeted connections to a server that joined ahead of use, so that queries do not pay for them. It
 // returns at once; workers of the least urgent rank do the work.
 func (d *Dispatcher) Warm(s *tables.Server) {
-	for s.TryAcquireSpare() {
+	// The headroom is taken in one step: connections that open faster than this loop runs would otherwise keep it going,
+	// and with it the adoption of the configuration.
+	for range s.AcquireAllSpare() {
 		d.ready.Push(&tables.Attempt{Server: s, Rank: model.RankDeferred, Run: func() { d.warmOne(s) }})
 	}
 }
--- a/internal/tables/server.go
+++ b/internal/tables/server.go
@@ -142,6 +142,15 @@
 	return true
 }
 
+// AcquireAllSpare takes all headroom up to the connection budget and returns how much that was.
+func (s *Server) AcquireAllSpare() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	spare := max(0, s.budget-s.inFlight)
+	s.inFlight += spare
+	return spare
+}
+
 // Release gives headroom back and returns the waiting attempts that may start now, most urgent first.
 func (s *Server) Release(now time.Time) []*Attempt {
 	s.mu.Lock()
--- a/internal/testing/fakebackend/fake.go
+++ b/internal/testing/fakebackend/fake.go
@@ -32,12 +32,13 @@
 	mu      lockorder.Mutex
 	scripts map[model.ServerName]Script
 	queries map[model.ServerName]int
+	warmed  map[model.ServerName]int
 	cancels int
 }
 
 // New returns a connector whose servers behave as scripted; servers without a script have the zero one.
 func New(scripts map[model.ServerName]Script) *Connector {
-	return &Connector{scripts: scripts, queries: map[model.ServerName]int{}}
+	return &Connector{scripts: scripts, queries: map[model.ServerName]int{}, warmed: map[model.ServerName]int{}}
 }
 
 // Connect implements backend.Connector.
@@ -52,6 +53,13 @@
 	return c.queries[name]
 }
 
+// Warmed returns the number of connections to a server that were opened ahead of use.
+func (c *Connector) Warmed(name model.ServerName) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.warmed[name]
+}
+
 // Total returns the number of queries that all servers got.
 func (c *Connector) Total() int {
 	c.mu.Lock()
@@ -138,5 +146,11 @@
 	return backend.Health{Serving: true}, nil
 }
 func (s *server) Load(context.Context) (backend.Load, error) { return backend.Load{}, nil }
-func (s *server) Warm(context.Context) error                 { return nil }
 func (s *server) Close()                                     {}
+
+func (s *server) Warm(context.Context) error {
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	s.c.warmed[s.name]++
+	return nil
+}
