Let a drain wait for requests until their deadlines

Cause: deadlines.max_ms may be up to 600 s and drain_timeout_ms is 25 s, so a planned stop cut off requests within their deadline; the daemon only warned.

Change: the bound of a drain is the later of drain_timeout_ms and grace + longest deadline of the revisions that were in force + 2 s. A drain still ends as soon as its requests do. The daemon's spec has requests of 3 s against a timeout and grace of 2 s: both were cut off before and end complete now.

--- a/internal/command/drain/drainer.go
+++ b/internal/command/drain/drainer.go
@@ -8,6 +8,9 @@
 	"github.com/rs/zerolog"
 )
 
+// answerMargin is the time beyond its deadline that a request may need until its answer is written.
+const answerMargin = 2 * time.Second
+
 // Listener is a port with requests in flight; http.Server is one.
 type Listener interface {
 	// Shutdown closes the port and waits for its requests in flight until ctx ends.
@@ -22,6 +25,9 @@
 	Grace time.Duration
 	// Timeout bounds the whole drain, Grace included.
 	Timeout time.Duration
+	// LongestRequest returns the longest time that a request may still take once the grace time has passed. It extends
+	// Timeout, so that no request is cut off within its deadline. Nil means no extension.
+	LongestRequest func() time.Duration
 	// RefuseQueued refuses all work that has not started.
 	RefuseQueued func()
 	// Listeners returns the ports in the order in which they close.
@@ -77,7 +83,7 @@
 
 func (d *Drainer) run(grace time.Duration) {
 	defer close(d.done)
-	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.Timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), d.bound(grace))
 	defer cancel()
 	listeners := d.cfg.Listeners()
 	// Idle connections stay open: http.Server.SetKeepAlivesEnabled would close them just when a caller may be sending its
@@ -95,6 +101,14 @@
 	d.cfg.Log.Info().Bool("complete", complete).Msg("drain_ended")
 }
 
+// bound returns how long the drain may take.
+func (d *Drainer) bound(grace time.Duration) time.Duration {
+	if d.cfg.LongestRequest == nil {
+		return d.cfg.Timeout
+	}
+	return max(d.cfg.Timeout, grace+d.cfg.LongestRequest()+answerMargin)
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/command/drain/drainer_test.go
+++ b/internal/command/drain/drainer_test.go
@@ -94,8 +94,9 @@
 		Expect(did.list).To(ContainElements("close callers", "close operators"))
 	})
 
-	// Guards against G7: a planned stop must not cut off a request in flight.
-	It("lets a request in flight end whole", func() {
+	// Guards against G7: a planned stop must not cut off a request in flight, not even one whose deadline lies beyond the
+	// drain's timeout.
+	DescribeTable("lets a request in flight end whole", func(timeout time.Duration, longest func() time.Duration) {
 		entered, release := make(chan struct{}), make(chan struct{})
 		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			close(entered)
@@ -104,7 +105,7 @@
 		}))
 		defer srv.Close()
 		d := drain.New(drain.Config{
-			Timeout: time.Minute, Log: zerolog.Nop(),
+			Timeout: timeout, LongestRequest: longest, Log: zerolog.Nop(),
 			// The request ends only after the ports were told to close.
 			RefuseQueued: func() { time.AfterFunc(100*time.Millisecond, func() { close(release) }) },
 			Listeners:    func() []drain.Listener { return []drain.Listener{srv.Config} },
@@ -121,5 +122,8 @@
 		d.Begin("test")
 		Eventually(body, "10s").Should(Receive(Equal("whole")))
 		Eventually(d.Done(), "10s").Should(BeClosed())
-	})
+	},
+		Entry("within the timeout", time.Minute, nil),
+		Entry("with a deadline beyond the timeout", time.Millisecond, func() time.Duration { return time.Minute }),
+	)
 })
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,6 +49,8 @@
 	wg         sync.WaitGroup
 	control    *control.Part
 	drainer    *drain.Drainer
+	// longestDeadline is the longest deadline, in nanoseconds, of the revisions that were in force.
+	longestDeadline atomic.Int64
 	// stopCollector ends the removal of unused configuration parts.
 	stopCollector context.CancelFunc
 }
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -21,11 +21,12 @@
 // that peers can still pull a revision that only this daemon has.
 func (d *Daemon) newDrainer() *drain.Drainer {
 	return drain.New(drain.Config{
-		Grace:        time.Duration(d.settings.DrainGraceMs) * time.Millisecond,
-		Timeout:      time.Duration(d.settings.DrainTimeoutMs) * time.Millisecond,
-		RefuseQueued: d.dispatcher.Admissions.Drain,
-		Listeners:    func() []drain.Listener { return []drain.Listener{d.callers, d.operators} },
-		Log:          d.log,
+		Grace:          time.Duration(d.settings.DrainGraceMs) * time.Millisecond,
+		Timeout:        time.Duration(d.settings.DrainTimeoutMs) * time.Millisecond,
+		LongestRequest: func() time.Duration { return time.Duration(d.longestDeadline.Load()) },
+		RefuseQueued:   d.dispatcher.Admissions.Drain,
+		Listeners:      func() []drain.Listener { return []drain.Listener{d.callers, d.operators} },
+		Log:            d.log,
 	})
 }
 
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -53,11 +53,14 @@
 	return nil
 }
 
-// adopter returns what brings the tables in step with a revision. It warns of deadlines that a graceful shutdown does not
-// wait for, since requests that use them would be cut off.
+// adopter returns what brings the tables in step with a revision. It warns of deadlines that make a graceful shutdown
+// take longer than its timeout, since the platform may end the process before.
 func (d *Daemon) adopter(recorder *report.Recorder) func(*model.Topology, time.Time) {
 	return func(t *model.Topology, now time.Time) {
 		recorder.Adopt(t, now)
+		// Requests of earlier revisions may still be in flight, so the value only grows. One worker takes all revisions.
+		allowed := time.Duration(t.Rules.Deadlines.MaxMs) * time.Millisecond
+		d.longestDeadline.Store(max(d.longestDeadline.Load(), int64(allowed)))
 		if longest := t.Rules.Deadlines.MaxMs; longest > d.settings.DrainTimeoutMs {
 			d.log.Warn().Uint64("revision", uint64(t.Revision)).Int("max_ms", longest).
 				Int("drain_timeout_ms", d.settings.DrainTimeoutMs).Msg("deadline_exceeds_drain")
--- a/internal/daemon/lifecycle_test.go
+++ b/internal/daemon/lifecycle_test.go
@@ -122,16 +122,17 @@
 		Expect(st.StoreContact).To(BeTemporally("~", time.Now(), time.Minute))
 	})
 
-	// Guards against G7: requests that were sent before the drain and during its grace time end whole.
+	// Guards against G7: requests that were sent before the drain and during its grace time end whole, also if they need
+	// longer than the drain's timeout.
 	It("answers requests in flight and during the grace time of a drain", func() {
 		server := backendserver.New(backendserver.Config{
-			Shard: "s0", Epoch: 1, Version: 1, Slots: 4, ServiceTime: 500 * time.Millisecond, Items: 3,
+			Shard: "s0", Epoch: 1, Version: 1, Slots: 4, ServiceTime: 3 * time.Second, Items: 3,
 		})
 		backend := netfault.NewEndpoint(server, netfault.Config{})
 		Expect(backend.Open(loopback)).To(Succeed())
 		DeferCleanup(backend.Shut)
 		apply(backend.Address())
-		s.DrainGraceMs = 2000
+		s.DrainGraceMs, s.DrainTimeoutMs = 2000, 2000
 		d := start()
 		Eventually(readiness(d), within).Should(Equal(http.StatusOK))
 		answers := make(chan string, 2)
