Hear a peer before taking the store's configuration at a start

Cause: instances keep nothing, so that a daemon that restarted and read a stale replica of the store put an earlier revision in force than it had before, until a digest brought the newer one. docs/guarantees.md listed this as not proved.

Change: a daemon without a configuration that knows peers waits for the first that tells of a revision in force, at most 1 s, and processes that offer before the store's. Without known peers it does not wait.

A fleet that starts together is ready at most 1 s later.

--- a/internal/command/fleet/agent.go
+++ b/internal/command/fleet/agent.go
@@ -62,6 +62,8 @@
 	offers   chan offer
 	sends    chan func(context.Context)
 	listed   chan struct{}
+	informed chan struct{}
+	inform   sync.Once
 	started  time.Time
 	budget   readBudget
 	invalid  map[model.RootHash]struct{}
@@ -77,13 +79,14 @@
 // New returns an agent that has not started.
 func New(deps Deps) *Agent {
 	a := &Agent{
-		Deps:    deps,
-		digests: &digest.Builder{Members: deps.Members, Departures: deps.Departures, Config: deps.Config},
-		offers:  make(chan offer, offerQueue),
-		sends:   make(chan func(context.Context), sendQueue),
-		listed:  make(chan struct{}),
-		started: time.Now(),
-		invalid: map[model.RootHash]struct{}{},
+		Deps:     deps,
+		digests:  &digest.Builder{Members: deps.Members, Departures: deps.Departures, Config: deps.Config},
+		offers:   make(chan offer, offerQueue),
+		sends:    make(chan func(context.Context), sendQueue),
+		listed:   make(chan struct{}),
+		informed: make(chan struct{}),
+		started:  time.Now(),
+		invalid:  map[model.RootHash]struct{}{},
 	}
 	a.storeUp.Store(true)
 	a.loopsCtx, a.stop = context.WithCancel(context.Background())
@@ -116,13 +119,13 @@
 		a.Config.StoreContacted(contact)
 	}
 	a.hearLeaving(d.Departures, now)
-	a.offerFrom(d.From, d.InForce)
+	a.hearInForce(d.From, d.InForce)
 }
 
 // ObserveNotice records a peer's notice of a new revision.
 func (a *Agent) ObserveNotice(n peer.Notice) {
 	a.Members.Contacted(n.From, time.Now())
-	a.offerFrom(n.From, n.InForce)
+	a.hearInForce(n.From, n.InForce)
 }
 
 // ObserveLeaving records a peer's notice of leaving servers.
--- a/internal/command/fleet/take.go
+++ b/internal/command/fleet/take.go
@@ -33,6 +33,15 @@
 	done chan error
 }
 
+// hearInForce takes what a peer has in force as an offer, and notes that a peer has told of one. The offer is queued
+// first, so that it is processed before an offer of whoever waits for the note.
+func (a *Agent) hearInForce(m model.Member, o model.Offer) {
+	a.offerFrom(m, o)
+	if o.Revision > 0 {
+		a.inform.Do(func() { close(a.informed) })
+	}
+}
+
 // offerFrom queues what a peer has in force, if it is news.
 func (a *Agent) offerFrom(m model.Member, o model.Offer) {
 	if spread.Consider(a.Config.Document().Offer, o) == spread.Ignore {
--- a/internal/command/fleet/watch.go
+++ b/internal/command/fleet/watch.go
@@ -27,6 +27,8 @@
 	electionInterval = time.Second
 	// coldReadAfter is when a daemon that is no relay and still has no configuration reads the store itself.
 	coldReadAfter = 5 * time.Second
+	// firstPeerWait is how long a daemon without a configuration waits for a peer's before it takes the store's.
+	firstPeerWait = time.Second
 )
 
 // runWatch watches the head while this daemon is a relay, until ctx ends. It waits for the first list of members, so
@@ -38,6 +40,7 @@
 	case <-a.listed:
 	case <-ctx.Done():
 	}
+	a.awaitPeer(ctx)
 	var seen platform.Version
 	failures := 0
 	for ctx.Err() == nil {
@@ -59,6 +62,21 @@
 	}
 }
 
+// awaitPeer waits for a first peer to tell of a revision that is in force, for at most firstPeerWait, and not at all if no
+// peer is known. A daemon keeps nothing over a restart, so that a stale replica of the store could make it put an earlier
+// revision in force than it had before.
+func (a *Agent) awaitPeer(ctx context.Context) {
+	if len(a.Seeds) == 0 && len(a.Members.Snapshot(nil)) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, firstPeerWait)
+	defer cancel()
+	select {
+	case <-a.informed:
+	case <-ctx.Done():
+	}
+}
+
 // watchFor returns how long to watch, and whether to do so at all.
 func (a *Agent) watchFor(now, cold time.Time, rnd *rand.Rand) (time.Duration, bool) {
 	if a.isRelay(now) {
--- a/internal/daemon/control/fleet_test.go
+++ b/internal/daemon/control/fleet_test.go
@@ -59,7 +59,9 @@
 	servers *tables.Servers
 	part    *control.Part
 	stopped atomic.Bool
-	// reverted tells whether a lower revision than the one in force was adopted.
+	// highest is the highest revision that the daemon adopted, over its restarts too; reverted tells whether it adopted a
+	// lower one after it.
+	highest  model.Revision
 	reverted atomic.Bool
 }
 
@@ -77,9 +79,10 @@
 			return nil
 		},
 		Adopt: func(t *model.Topology, _ time.Time) {
-			if t.Revision < n.config.Revision() {
+			if t.Revision < n.highest {
 				n.reverted.Store(true)
 			}
+			n.highest = max(n.highest, t.Revision)
 		},
 		Draining: n.stopped.Load, Log: zerolog.Nop(),
 	})
@@ -193,6 +196,20 @@
 		}
 	})
 
+	// Guards against a daemon that keeps nothing over a restart and takes an earlier revision from a lagging replica.
+	It("puts no earlier revision in force after a restart with a stale replica of the store", func() {
+		old, _ := p.get("config/head")
+		p.publish(2, inventory(9))
+		Eventually(revisions(nodes), inForceWithin).Should(haveAll(2))
+		for _, n := range nodes {
+			n.link.set(func(l *link) { l.stale = &old })
+			n.part.Close()
+			n.start()
+			Eventually(n.config.Revision, inForceWithin).Should(Equal(model.Revision(2)), string(n.name))
+			Expect(n.reverted.Load()).To(BeFalse(), string(n.name))
+		}
+	})
+
 	// Guards against daemons that swap two roots of one revision for ever.
 	It("keeps the root in force when another one has the same revision", func() {
 		root := nodes[0].config.Document().Offer.Root
