Judge a whole zone as unreachable, move what is pending there and probe it once at a time

Cause: servers of a zone that is cut off were ejected one by one, and owners there were avoided for 3 s at a time, so that queries went on waiting in the zone until their deadlines. Change: decision/reach judges a zone from calls that were not answered although nothing else in the zone answered meanwhile: three servers or daemons, or all daemons where there are two. tables.Zones holds the judgement; candidates there are not usable, pending sub-requests end as zone_unreachable and are retried from the budget, and one probe at a time looks for a sign of life. A request that was not sent yet counts as not run; a non-idempotent one in flight is left to its end. Conclusion: partial answers come within about a quarter of a second, and then at once.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -7,6 +7,10 @@
 	"oleandersill.example/oleandersill/internal/model"
 )
 
+// DialTimeout bounds a connection attempt to a server; one that is not refused but gets no answer holds a worker for that
+// long, and a zone that is cut off has many servers.
+const DialTimeout = 300 * time.Millisecond
+
 // AttemptID identifies one try of one sub-request. A server echoes it, so that a late or crossed reply is recognised.
 type AttemptID struct {
 	Request     model.RequestID   `json:"request_id"`
@@ -44,11 +48,15 @@
 	StatusOwnerLost
 	// StatusBusy: the attempt waited for the server for too long and was withdrawn before it was sent.
 	StatusBusy
+	// StatusZoneUnreachable: the server's availability zone was judged unreachable while the attempt was pending; it may
+	// have run. It occurs for idempotent requests only.
+	StatusZoneUnreachable
 )
 
 var statusNames = [...]string{
 	"ok", "unreachable", "shed", "draining", "deadline_passed", "version_not_held", "lost", "mismatched", "failed",
 	"cancelled", "owner_lost", "busy",
+	"zone_unreachable",
 }
 
 // String returns the status's name as used in logs and metrics.
@@ -59,7 +67,8 @@
 	switch s {
 	case StatusUnreachable, StatusShed, StatusDraining, StatusDeadlinePassed, StatusVersionNotHeld, StatusBusy:
 		return true
-	case StatusOK, StatusLost, StatusMismatched, StatusFailed, StatusCancelled, StatusOwnerLost:
+	case StatusOK, StatusLost, StatusMismatched, StatusFailed, StatusCancelled, StatusOwnerLost,
+		StatusZoneUnreachable:
 		return false
 	}
 	return false
--- a/internal/backend/backendhttp/client.go
+++ b/internal/backend/backendhttp/client.go
@@ -18,10 +18,7 @@
 const (
 	// maxReplyBytes bounds a server's reply.
 	maxReplyBytes = 8 << 20
-	// dialTimeout bounds a connection attempt; one that is not refused but gets no answer holds a worker for that long, and
-	// a zone that is cut off has many servers.
-	dialTimeout = 300 * time.Millisecond
-	idleTimeout = 90 * time.Second
+	idleTimeout   = 90 * time.Second
 )
 
 // Connector makes clients. Servers with the same connection budget share a transport, which bounds the connections to
@@ -76,9 +73,9 @@
 	return t
 }
 
-// dial opens a connection within dialTimeout.
+// dial opens a connection within backend.DialTimeout.
 func (c *Connector) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, backend.DialTimeout)
 	defer cancel()
 	if c.Dial != nil {
 		return c.Dial(ctx, network, address)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,6 +71,7 @@
 		Workers: s.WorkersPerRank,
 		Policy:  s.Policy,
 		Metrics: d.metrics,
+		OnZone:  d.observeZone,
 		Seed:    uint64(time.Now().UnixNano()),
 	}, d.config, recorder.Servers, &attemptObserver{next: recorder, metrics: d.metrics, log: d.log})
 	recorder.Admissions, recorder.Budgets = d.dispatcher.Admissions, d.dispatcher.Budgets
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -81,7 +81,7 @@
 func (o *attemptObserver) ObserveAttempt(s *tables.Server, a dispatch.Attempt) float64 {
 	slowdown := o.next.ObserveAttempt(s, a)
 	spec := s.Spec()
-	if !a.Forwarded || a.Status == backend.StatusOwnerLost {
+	if !a.Forwarded || a.Status == backend.StatusOwnerLost || a.Status == backend.StatusZoneUnreachable {
 		// The owner that sent the attempt counts it.
 		o.metrics.Attempt(spec.Service, a.Status.String())
 	}
@@ -99,6 +99,15 @@
 	return slowdown
 }
 
+// observeZone logs that a zone became unreachable or is reachable again.
+func (d *Daemon) observeZone(zone model.AvailabilityZone, unreachable bool) {
+	if unreachable {
+		d.log.Warn().Str("zone", string(zone)).Msg("zone_unreachable")
+		return
+	}
+	d.log.Info().Str("zone", string(zone)).Msg("zone_reachable")
+}
+
 func (o *attemptObserver) event(spec *model.Server) *zerolog.Event {
 	return o.log.Info().Str("service", string(spec.Service)).Str("shard", string(spec.Shard)).
 		Str("server", string(spec.Name)).Str("zone", string(spec.Zone))
--- /dev/null
+++ b/internal/decision/reach/zone.go
@@ -0,0 +1,128 @@
+package reach
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+const (
+	// SilenceBound is the time after which a daemon that did not acknowledge a batch counts as silent. A daemon only
+	// queues a batch, and the round trip between regions is 20 ms.
+	SilenceBound = 250 * time.Millisecond
+	// ProbeTimeout bounds one probe of an unreachable zone.
+	ProbeTimeout = 300 * time.Millisecond
+
+	// targetsNeeded is the number of silent servers and daemons of a zone that make it unreachable.
+	targetsNeeded = 3
+	// daemonsNeeded is the same where all daemons of a zone are silent: small zones have no third one.
+	daemonsNeeded = 2
+	// minSilence separates a target that does not answer from one whose address refuses connections, which it does
+	// within a round trip.
+	minSilence = 200 * time.Millisecond
+	// maxLate is how late a silence may be noticed. A later one shows that this daemon was paused.
+	maxLate = 100 * time.Millisecond
+	// evidenceLife is the age after which a silence no longer counts.
+	evidenceLife = 3 * time.Second
+	// probeInterval is the mean time between probes of an unreachable zone.
+	probeInterval = time.Second
+)
+
+// Kind tells servers and daemons apart.
+type Kind uint8
+
+// The kinds of targets.
+const (
+	Server Kind = iota
+	Daemon
+)
+
+// Silence is one call to a target in the zone that was not answered by Due.
+type Silence struct {
+	Kind   Kind
+	Target string
+	Began  time.Time
+	// Due is when the call should have been answered, and Noticed when it was found not to be.
+	Due     time.Time
+	Noticed time.Time
+}
+
+// counts tells whether the silence is evidence: anything heard from the zone while the call was pending disproves it.
+func (s *Silence) counts(heard, now time.Time) bool {
+	return s.Target != "" && s.Began.After(heard) && s.Noticed.Sub(s.Began) >= minSilence &&
+		s.Noticed.Sub(s.Due) <= maxLate && now.Sub(s.Noticed) <= evidenceLife
+}
+
+// Evidence is the latest silence of each of a few targets of one zone. The zero value is empty. It is not safe for
+// concurrent use.
+type Evidence struct {
+	silences [targetsNeeded]Silence
+}
+
+// Add records a silence. heard is when anything in the zone last answered.
+func (e *Evidence) Add(s Silence, heard, now time.Time) {
+	free := -1
+	for i := range e.silences {
+		old := &e.silences[i]
+		if old.Kind == s.Kind && old.Target == s.Target {
+			free = i
+			break
+		}
+		if free < 0 && !old.counts(heard, now) {
+			free = i
+		}
+	}
+	if free >= 0 {
+		e.silences[free] = s
+	}
+}
+
+// Unreachable tells whether the zone is to be held unreachable: three of its servers and daemons are silent, or all of
+// its daemons, if there are at least two. daemons are those that may own servers in the zone.
+func (e *Evidence) Unreachable(daemons []model.Member, heard, now time.Time) bool {
+	targets, silentDaemons := 0, 0
+	for i := range e.silences {
+		s := &e.silences[i]
+		if !s.counts(heard, now) {
+			continue
+		}
+		targets++
+		if s.Kind == Daemon {
+			silentDaemons++
+		}
+	}
+	if targets >= targetsNeeded {
+		return true
+	}
+	return silentDaemons >= daemonsNeeded && e.allSilent(daemons, heard, now)
+}
+
+func (e *Evidence) allSilent(daemons []model.Member, heard, now time.Time) bool {
+	for i := range daemons {
+		if !e.silent(string(daemons[i].Instance), heard, now) {
+			return false
+		}
+	}
+	return true
+}
+
+func (e *Evidence) silent(daemon string, heard, now time.Time) bool {
+	for i := range e.silences {
+		s := &e.silences[i]
+		if s.Kind == Daemon && s.Target == daemon && s.counts(heard, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// ProbeDelay returns the time until the next probe of an unreachable zone, given the number of those before. The first
+// one follows at once, so that a wrong judgement is corrected within a round trip. Later ones are spread over the
+// interval, so that daemons do not all probe at the moment when a zone is back.
+func ProbeDelay(before int, rnd *rand.Rand) time.Duration {
+	if before == 0 {
+		return 0
+	}
+	return probeInterval/2 + time.Duration(rnd.Int64N(int64(probeInterval)))
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -44,6 +44,8 @@
 	Policy model.Policy
 	// Metrics counts refusals and cancellations; nil counts nothing.
 	Metrics *telemetry.Metrics
+	// OnZone, if set, is called when a zone becomes unreachable and when it is reachable again. It must not block.
+	OnZone func(zone model.AvailabilityZone, unreachable bool)
 	// Seed makes the replica draws reproducible.
 	Seed uint64
 }
@@ -63,6 +65,7 @@
 	// forwarding is nil if all attempts are sent from here.
 	forwarding *Forwarding
 	rollouts   *tables.Rollouts
+	zones      *tables.Zones
 	draws      atomic.Uint64
 }
 
@@ -77,6 +80,7 @@
 		Timer:      pool.NewTimer(tables.OrderTimer),
 		ready:      tables.NewReady(),
 		rollouts:   tables.NewRollouts(),
+		zones:      tables.NewZones(time.Now()),
 		observer:   observer,
 	}
 	for r := range model.RankCount {
@@ -133,6 +137,7 @@
 		c.Place = routing.PlaceOf(c.Server, d.cfg.Zone, d.cfg.Region)
 		cs = append(cs, c)
 	}
+	d.zones.Exclude(cs)
 	return cs, records
 }
 
@@ -156,6 +161,7 @@
 func (d *Dispatcher) end(s *tables.Server, begin time.Time, waited time.Duration, a Attempt) float64 {
 	a.Latency = time.Since(begin)
 	a.Total = waited + a.Latency
+	d.noteEnd(s.Spec(), begin, a.Status)
 	slowdown := d.observer.ObserveAttempt(s, a)
 	d.release(s)
 	return slowdown
--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -72,6 +72,13 @@
 		a.d.release(a.Server)
 		return
 	}
+	if a.d.zones.Unreachable(a.Server.Spec().Zone) {
+		// Nothing was sent, so that the request may go to another server.
+		a.endTrial()
+		a.d.release(a.Server)
+		a.done <- ExecuteEnd{Tried: true, Result: backend.ExecuteResult{Status: backend.StatusUnreachable}}
+		return
+	}
 	begin := time.Now()
 	if a.Trial && !a.healthy() {
 		a.d.end(a.Server, begin, 0, Attempt{Status: backend.StatusUnreachable})
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -137,8 +137,13 @@
 	batch.From = f.self
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 	defer cancel()
+	answered := f.d.watchBatch(to, time.Now())
 	receipt, err := f.sender.Forward(ctx, to.Address, batch)
+	answered()
 	f.forwards.Sent(to.Instance)
+	if err == nil && f.d.watches(to.Zone) {
+		f.d.zoneHeard(to.Zone)
+	}
 	now := time.Now()
 	switch {
 	case err != nil:
@@ -153,6 +158,9 @@
 
 // Receive takes a batch from another daemon. It only queues work and takes results, so it returns at once.
 func (f *Forwarding) Receive(b forwarding.Batch) forwarding.Receipt {
+	if len(b.Results) > 0 && f.d.watches(b.From.Zone) {
+		f.d.zoneHeard(b.From.Zone)
+	}
 	for _, id := range b.Cancels {
 		if cancel := f.forwards.Forget(id); cancel != nil {
 			cancel()
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -31,9 +31,11 @@
 	d        *Dispatcher
 	attempt  tables.Attempt
 	sent     atomic.Bool
-	ctx      context.Context //nolint:containedctx // the attempt's own lifetime, cancelled by Cancel
-	stop     context.CancelFunc
-	once     sync.Once
+	// moved tells that the attempt was ended because its server's zone became unreachable.
+	moved atomic.Bool
+	ctx   context.Context //nolint:containedctx // the attempt's own lifetime, cancelled by Cancel
+	stop  context.CancelFunc
+	once  sync.Once
 	// forwarded tells that the server's owner sends the attempt, and waited how long it waited before it was sent here.
 	forwarded bool
 	waited    time.Duration
@@ -119,12 +121,16 @@
 		q.Done(q, backend.QueryResult{Status: backend.StatusDraining})
 		return
 	}
+	if !q.enterZone() {
+		q.refuseZone()
+		return
+	}
 	q.sent.Store(true)
 	if q.bounce != nil {
 		q.d.Timer.Cancel(q.bounce)
 	}
 	q.waited = begin.Sub(q.Started)
-	result := q.Server.Client().Query(q.ctx, q.Request)
+	result := q.leaveZone(q.Server.Client().Query(q.ctx, q.Request))
 	q.Slowdown = q.d.end(q.Server, begin, q.waited, Attempt{
 		Status: result.Status, Load: result.Reply.Load, Held: heldVersions(result),
 	})
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -193,7 +193,8 @@
 	case backend.StatusUnreachable, backend.StatusDraining, backend.StatusOwnerLost, backend.StatusBusy:
 		// The server spent nothing on the attempt, or its owner is lost, so that another one needs no budget.
 		c.resend(i, now)
-	case backend.StatusShed, backend.StatusLost, backend.StatusMismatched, backend.StatusFailed:
+	case backend.StatusShed, backend.StatusLost, backend.StatusMismatched, backend.StatusFailed,
+		backend.StatusZoneUnreachable:
 		c.retry(i, now)
 	}
 	c.evaluate(now)
--- a/internal/query/scatter/scatter_test.go
+++ b/internal/query/scatter/scatter_test.go
@@ -27,17 +27,22 @@
 
 const service model.ServiceName = "search"
 
-// topology has four shards, s0 to s3, with two servers each, sN-a and sN-b.
-func topology() *model.Topology {
-	inv := model.Inventory{MaxInstances: 1, Zones: []model.ZoneSpec{{Name: "z", Region: "r"}}}
+// topology has four shards, s0 to s3, with two servers each, sN-a and sN-b. Those of the first shards are in another
+// zone than the daemon.
+func topology(far int) *model.Topology {
+	inv := model.Inventory{MaxInstances: 1, Zones: []model.ZoneSpec{{Name: "z", Region: "r"}, {Name: "far", Region: "r"}}}
 	svc := model.ServiceSpec{Name: service, ShardMapEpoch: 1}
 	for i := range 4 {
 		name := fmt.Sprintf("s%d", i)
+		zone := model.AvailabilityZone("z")
+		if i < far {
+			zone = "far"
+		}
 		svc.Shards = append(svc.Shards, model.ShardSpec{
 			Name: model.ShardName(name), KeyFrom: i * model.KeySpace / 4, KeyTo: (i + 1) * model.KeySpace / 4,
 			Servers: []model.ServerSpec{
-				{Name: model.ServerName(name + "-a"), Zone: "z", Slots: 2, Connections: 4, Address: "-"},
-				{Name: model.ServerName(name + "-b"), Zone: "z", Slots: 2, Connections: 4, Address: "-"},
+				{Name: model.ServerName(name + "-a"), Zone: zone, Slots: 2, Connections: 4, Address: "-"},
+				{Name: model.ServerName(name + "-b"), Zone: zone, Slots: 2, Connections: 4, Address: "-"},
 			},
 		})
 	}
@@ -56,7 +61,11 @@
 }
 
 func newBench(scripts map[model.ServerName]fakebackend.Script) *bench {
-	b := &bench{connector: fakebackend.New(scripts), topology: topology()}
+	return newBenchWith(scripts, topology(0))
+}
+
+func newBenchWith(scripts map[model.ServerName]fakebackend.Script, t *model.Topology) *bench {
+	b := &bench{connector: fakebackend.New(scripts), topology: t}
 	config := tables.NewConfig()
 	recorder := &report.Recorder{Config: config, Servers: tables.NewServers(), Connector: b.connector}
 	d := dispatch.New(dispatch.Config{Zone: "z", Region: "r", Workers: 16, Seed: 1}, config, recorder.Servers, recorder)
@@ -145,6 +154,24 @@
 		expectTruthful(Default, a)
 	})
 
+	// Guards against queries that wait for, or send to, servers of a zone that is known to be unreachable.
+	It("names the shards of an unreachable zone as missing at once", func() {
+		gone := fakebackend.Script{Status: backend.StatusUnreachable, Delay: 250 * time.Millisecond}
+		b := newBenchWith(map[model.ServerName]fakebackend.Script{
+			"s0-a": gone, "s0-b": gone, "s1-a": gone, "s1-b": gone,
+		}, topology(2))
+		b.search(context.Background(), 5*time.Second, 100)
+		Expect(b.searcher.Dispatcher.ZoneUnreachable("far")).To(BeTrue())
+		sent := b.connector.Queries("s0-a") + b.connector.Queries("s0-b")
+		begin := time.Now()
+		a := b.search(context.Background(), 5*time.Second, 100)
+		Expect(time.Since(begin)).To(BeNumerically("<", 200*time.Millisecond))
+		Expect(a.Outcome).To(Equal(model.OutcomePartial))
+		Expect(a.Coverage.Missing).To(ConsistOf(model.ShardName("s0"), model.ShardName("s1")))
+		Expect(b.connector.Queries("s0-a") + b.connector.Queries("s0-b")).To(Equal(sent))
+		expectTruthful(Default, a)
+	})
+
 	It("hedges a slow replica after the shard's own quantile and cancels the loser", func() {
 		b := newBench(map[model.ServerName]fakebackend.Script{"s1-a": {Delay: 2 * time.Second}})
 		for range 20 {
--- a/internal/tables/choice_bench_test.go
+++ b/internal/tables/choice_bench_test.go
@@ -40,6 +40,7 @@
 			rnd := rand.New(rand.NewPCG(1, 2))
 			now := time.Now()
 			var records []*tables.Server
+			zones := tables.NewZones(now)
 			candidates := make([]routing.Candidate, 0, 4)
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
@@ -48,6 +49,7 @@
 				for j, r := range records {
 					r.Candidate(&candidates[j], now)
 				}
+				zones.Exclude(candidates)
 				if _, ok := routing.Choose(candidates, rnd); !ok {
 					b.Fatal("no replica")
 				}
--- a/internal/tables/doc.go
+++ b/internal/tables/doc.go
@@ -19,6 +19,7 @@
 //	OrderForwards    Forwards      sub-requests on their way to and from owners
 //	OrderBudgets     Budgets       hedge and retry windows
 //	OrderRollouts    Rollouts      services whose index version is changing
+//	OrderZones       Zones         availability zones held unreachable
 //	OrderTimer       (pool.Timer)  the shared deadline heap
 //
 // A package that adds a table adds its order here and nowhere else; the stand-ins' orders, all above these, are in
--- a/internal/tables/forwards.go
+++ b/internal/tables/forwards.go
@@ -144,11 +144,20 @@
 
 // Lose takes all sub-requests that are pending at a peer.
 func (f *Forwards) Lose(peer model.InstanceID) map[backend.AttemptID]Pending {
+	return f.lose(func(p model.Member) bool { return p.Instance == peer })
+}
+
+// LoseZone takes all sub-requests that are pending at peers of a zone.
+func (f *Forwards) LoseZone(zone model.AvailabilityZone) map[backend.AttemptID]Pending {
+	return f.lose(func(p model.Member) bool { return p.Zone == zone })
+}
+
+func (f *Forwards) lose(selected func(model.Member) bool) map[backend.AttemptID]Pending {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	lost := map[backend.AttemptID]Pending{}
 	for id, p := range f.pending {
-		if p.Peer.Instance == peer {
+		if selected(p.Peer) {
 			lost[id] = p
 			delete(f.pending, id)
 		}
--- a/internal/tables/order.go
+++ b/internal/tables/order.go
@@ -18,5 +18,6 @@
 	OrderForwards
 	OrderBudgets
 	OrderRollouts
+	OrderZones
 	OrderTimer
 )
--- a/internal/tables/server.go
+++ b/internal/tables/server.go
@@ -299,7 +299,7 @@
 		}
 		s.health.EndProbe()
 	case backend.StatusDeadlinePassed, backend.StatusVersionNotHeld, backend.StatusOwnerLost,
-		backend.StatusBusy:
+		backend.StatusBusy, backend.StatusZoneUnreachable:
 		s.health.EndProbe()
 	}
 	return slowdown
--- a/internal/testing/fakebackend/fake.go
+++ b/internal/testing/fakebackend/fake.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"time"
@@ -27,6 +28,8 @@
 	Items int
 }
 
+var errUnreachable = errors.New("fakebackend: unreachable")
+
 // Connector makes fake servers. Create it with New.
 type Connector struct {
 	mu      lockorder.Mutex
@@ -142,7 +145,14 @@
 	return true
 }
 
+// Health fails for a server whose script makes it unreachable for good.
 func (s *server) Health(context.Context) (backend.Health, error) {
+	s.c.mu.Lock()
+	script := s.c.scripts[s.name]
+	s.c.mu.Unlock()
+	if script.Status == backend.StatusUnreachable && script.Times == 0 {
+		return backend.Health{}, errUnreachable
+	}
 	return backend.Health{Serving: true}, nil
 }
 func (s *server) Load(context.Context) (backend.Load, error) { return backend.Load{}, nil }
