Replace daemons as operators do in the measurement driver

Cause: the driver's daemons drained with a grace time of 500 ms instead of the default 3 s, a cut-off non-idempotent request counted as unknown, and net/http resent one whose connection was closed. Change: daemons behind the load balancer keep the default grace time and know their peers' addresses. CutOff covers non-idempotent requests, which the driver no longer resends by itself. Violation unconfigured counts requests refused for want of a configuration. New scenarios rolling-replacements (25 in turn) and store-down-restart (60 s, all daemons replaced).

--- a/internal/measure/caller.go
+++ b/internal/measure/caller.go
@@ -85,7 +85,12 @@
 	defer func() { _ = resp.Body.Close() }()
 	answer.HeaderOutcome = resp.Header.Get(httpapi.HeaderOutcome)
 	answer.HeaderCoverage = resp.Header.Get(httpapi.HeaderCoverage)
-	answer.Whole = json.NewDecoder(resp.Body).Decode(&answer.Body) == nil
+	var reply struct {
+		queryhttp.SearchResponse
+		Code string `json:"code"`
+	}
+	answer.Whole = json.NewDecoder(resp.Body).Decode(&reply) == nil
+	answer.Body, answer.Problem = reply.SearchResponse, reply.Code
 }
 
 // sendCommand sends a non-idempotent request with a new key. An answer that leaves open whether it ran, or says that it
@@ -98,39 +103,44 @@
 	cmd := observe.Command{Key: id.String()}
 	first := c.execute(ctx, a, cmd.Key, a.Target, true)
 	cmd.Answers = append(cmd.Answers, first)
-	if first != model.OutcomeComplete {
-		again := c.execute(ctx, a, cmd.Key, (a.Target+1)%c.daemons, first == model.OutcomeNotRun)
+	if first.Outcome != model.OutcomeComplete {
+		again := c.execute(ctx, a, cmd.Key, (a.Target+1)%c.daemons, first.Outcome == model.OutcomeNotRun)
 		cmd.Answers = append(cmd.Answers, again)
 	}
 	c.collector.TakeCommand(cmd, a.At, time.Since(intended), a.Rank)
 }
 
 // execute sends a non-idempotent request once. A request without a whole response is unknown.
-func (c *caller) execute(ctx context.Context, a load.Arrival, key string, daemon int, first bool) model.Outcome {
+func (c *caller) execute(ctx context.Context, a load.Arrival, key string, daemon int, first bool) observe.CommandAnswer {
+	none := observe.CommandAnswer{Outcome: model.OutcomeUnknown}
 	ctx, cancel := context.WithTimeout(ctx, c.deadline+answerGrace)
 	defer cancel()
 	body, err := json.Marshal(commandhttp.ExecuteRequest{Body: key})
 	if err != nil {
-		return model.OutcomeUnknown
+		return none
 	}
 	url := "http://" + c.cluster.CallerAddress(daemon) + "/v1/services/" + string(c.commands) + "/execute"
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
-		return model.OutcomeUnknown
+		return none
 	}
+	// net/http would resend a request with an idempotency key whose connection was closed, and hide that.
+	req.GetBody = nil
 	c.addHeaders(req, a)
 	req.Header.Set(httpapi.HeaderKey, key)
 	req.Header.Set(commandhttp.HeaderFirstAttempt, strconv.FormatBool(first))
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return model.OutcomeUnknown
+		return none
 	}
 	defer func() { _ = resp.Body.Close() }()
-	var answer commandhttp.ExecuteResponse
+	var answer httpapi.Problem
 	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
-		return model.OutcomeUnknown
+		return none
+	}
+	return observe.CommandAnswer{
+		Outcome: model.Outcome(resp.Header.Get(httpapi.HeaderOutcome)), Whole: true, Problem: answer.Code,
 	}
-	return model.Outcome(resp.Header.Get(httpapi.HeaderOutcome))
 }
 
 func (c *caller) addHeaders(req *http.Request, a load.Arrival) {
--- a/internal/measure/cluster/daemons.go
+++ b/internal/measure/cluster/daemons.go
@@ -12,12 +12,8 @@
 	"oleandersill.example/oleandersill/internal/settings"
 )
 
-const (
-	// balancerPoll is how often the load balancer asks a daemon whether it is ready.
-	balancerPoll = 100 * time.Millisecond
-	// drainGraceMs is the time that a draining daemon leaves the load balancer to notice, in milliseconds.
-	drainGraceMs = 500
-)
+// balancerPoll is how often the load balancer asks a daemon whether it is ready.
+const balancerPoll = 100 * time.Millisecond
 
 // member is one daemon with the load balancer's view of it.
 type member struct {
@@ -55,9 +51,9 @@
 	s.PlatformAddress = c.platformAddress
 	s.OperatorToken, s.PeerToken = Token, Token
 	s.Policy = c.cfg.Policy
-	s.DrainGraceMs = 0
-	if c.cfg.Balance {
-		s.DrainGraceMs = drainGraceMs
+	s.Peers = c.peersOf(i)
+	if !c.cfg.Balance {
+		s.DrainGraceMs = 0
 	}
 	place := Place{Zone: zone.Name, Region: zone.Region}
 	d, err := daemon.Start(s, c.log, daemon.WithDialer(c.Network.Dialer(place)))
@@ -70,6 +66,17 @@
 	return d, nil
 }
 
+// peersOf returns the peers' addresses of the daemons other than the i-th.
+func (c *Cluster) peersOf(i int) []string {
+	var out []string
+	for j, m := range c.members() {
+		if j != i {
+			out = append(out, m.daemon.PeerAddress())
+		}
+	}
+	return out
+}
+
 // members returns the daemons as they are now.
 func (c *Cluster) members() []member {
 	c.mu.Lock()
@@ -122,13 +129,16 @@
 // OperatorAddress returns the operators' address of a daemon, by its index.
 func (c *Cluster) OperatorAddress(i int) string { return c.members()[i].daemon.OperatorAddress() }
 
-// RollingRestart restarts the daemons one after the other, each with a graceful shutdown.
-type RollingRestart struct{}
+// RollingRestart replaces Count daemons in turn, each once the one before it is ready. A daemon withdraws its readiness,
+// goes on serving for the grace time of the default settings, and ends when its requests have ended.
+type RollingRestart struct {
+	Count int
+}
 
 // Inject implements Fault.
-func (RollingRestart) Inject(ctx context.Context, c *Cluster, _ model.ServiceName, _ *rand.Rand) error {
-	for i := range c.members() {
-		if err := c.restartDaemon(ctx, i); err != nil {
+func (f RollingRestart) Inject(ctx context.Context, c *Cluster, _ model.ServiceName, _ *rand.Rand) error {
+	for i := range f.Count {
+		if err := c.restartDaemon(ctx, i%c.cfg.Daemons); err != nil {
 			return err
 		}
 	}
@@ -148,6 +158,8 @@
 	c.replaceMember(i, member{daemon: next})
 	old.Stop()
 	c.Platform.SetInstances(c.instances(c.Inventory()))
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
 	if err := awaitReady(ctx, next.CallerAddress()); err != nil {
 		return err
 	}
--- a/internal/measure/observe/answer.go
+++ b/internal/measure/observe/answer.go
@@ -17,7 +17,9 @@
 	Sent    time.Time
 	Latency time.Duration
 	// Whole is false if no whole HTTP response came.
-	Whole          bool
+	Whole bool
+	// Problem is the code of a request rejected before it was run, or empty.
+	Problem        string
 	HeaderOutcome  string
 	HeaderCoverage string
 	Body           queryhttp.SearchResponse
--- a/internal/measure/observe/collector.go
+++ b/internal/measure/observe/collector.go
@@ -79,7 +79,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.commands = append(c.commands, cmd)
-	c.samples = append(c.samples, Sample{At: at, Latency: latency, Rank: rank, Command: true, Outcome: last})
+	c.samples = append(c.samples, Sample{At: at, Latency: latency, Rank: rank, Command: true, Outcome: last.Outcome})
 }
 
 // Commands returns the non-idempotent requests. Call it once all answers are in.
--- a/internal/measure/observe/commands.go
+++ b/internal/measure/observe/commands.go
@@ -2,11 +2,19 @@
 
 import "oleandersill.example/oleandersill/internal/model"
 
-// Command is a non-idempotent request with the outcomes that its caller was told, in order. A repeated send has the same
-// key.
+// Command is a non-idempotent request with what its caller was told, in order. A repeated send has the same key.
 type Command struct {
 	Key     string
-	Answers []model.Outcome
+	Answers []CommandAnswer
+}
+
+// CommandAnswer is the answer to one send of a non-idempotent request.
+type CommandAnswer struct {
+	// Outcome is unknown if no whole response came.
+	Outcome model.Outcome
+	Whole   bool
+	// Problem is the code of a request rejected before it was run, or empty.
+	Problem string
 }
 
 // CheckCommands compares what callers were told with the runs of each key on the servers.
@@ -14,8 +22,14 @@
 	var v Violations
 	for _, c := range commands {
 		complete, notRun := 0, 0
-		for _, outcome := range c.Answers {
-			switch outcome {
+		for _, a := range c.Answers {
+			if !a.Whole {
+				v.CutOff++
+			}
+			if a.Problem == problemNotReady {
+				v.Unconfigured++
+			}
+			switch a.Outcome {
 			case model.OutcomeComplete:
 				complete++
 			case model.OutcomeNotRun:
--- a/internal/measure/observe/observe_test.go
+++ b/internal/measure/observe/observe_test.go
@@ -164,15 +164,21 @@
 	})
 
 	It("compares what callers of non-idempotent requests were told with the runs", func() {
-		const done, notRun, unknown = model.OutcomeComplete, model.OutcomeNotRun, model.OutcomeUnknown
+		done := CommandAnswer{Outcome: model.OutcomeComplete, Whole: true}
+		notRun := CommandAnswer{Outcome: model.OutcomeNotRun, Whole: true}
+		unknown := CommandAnswer{Outcome: model.OutcomeUnknown, Whole: true}
+		cut := CommandAnswer{Outcome: model.OutcomeUnknown}
+		notReady := CommandAnswer{Outcome: model.OutcomeNotRun, Whole: true, Problem: problemNotReady}
 		v := CheckCommands([]Command{
-			{Key: "ran", Answers: []model.Outcome{done}},
-			{Key: "ran-late", Answers: []model.Outcome{notRun, done}},
-			{Key: "lost", Answers: []model.Outcome{unknown, unknown}},
-			{Key: "denied", Answers: []model.Outcome{notRun, notRun}},
-			{Key: "invented", Answers: []model.Outcome{done}},
+			{Key: "ran", Answers: []CommandAnswer{done}},
+			{Key: "ran-late", Answers: []CommandAnswer{notRun, done}},
+			{Key: "lost", Answers: []CommandAnswer{unknown, unknown}},
+			{Key: "denied", Answers: []CommandAnswer{notRun, notRun}},
+			{Key: "invented", Answers: []CommandAnswer{done}},
+			{Key: "cut", Answers: []CommandAnswer{cut, unknown}},
+			{Key: "refused", Answers: []CommandAnswer{notReady, notReady}},
 		}, map[string]int{"ran": 1, "ran-late": 1, "lost": 1, "denied": 1})
-		Expect(v).To(Equal(Violations{FalseNotRun: 1, FalseComplete: 1}))
+		Expect(v).To(Equal(Violations{FalseNotRun: 1, FalseComplete: 1, CutOff: 1, Unconfigured: 2}))
 	})
 
 	It("charges processor time to the innermost known function, and unlabelled time by the daemons' share", func() {
--- a/internal/measure/observe/violations.go
+++ b/internal/measure/observe/violations.go
@@ -4,12 +4,16 @@
 	"math"
 	"strconv"
 
+	"oleandersill.example/oleandersill/internal/httpapi"
 	"oleandersill.example/oleandersill/internal/model"
 )
 
 // coverageTolerance allows for the six digits of the X-Coverage header.
 const coverageTolerance = 1e-6
 
+// problemNotReady is the code of the problem of a daemon without a configuration in force.
+var problemNotReady = httpapi.NotReady().Code
+
 // Violations counts violations of the guarantees.
 type Violations struct {
 	// MixedSnapshot: an answer with items of more than one index version or shard map.
@@ -30,6 +34,8 @@
 	CutOff int `json:"cut_off"`
 	// ConfigReverted: an answer at a lower revision than an earlier one of the same daemon.
 	ConfigReverted int `json:"config_reverted"`
+	// Unconfigured: a request refused because its daemon had no configuration in force.
+	Unconfigured int `json:"unconfigured"`
 }
 
 // Add adds the counts of other.
@@ -43,12 +49,13 @@
 	v.WorkAfterLeave += other.WorkAfterLeave
 	v.CutOff += other.CutOff
 	v.ConfigReverted += other.ConfigReverted
+	v.Unconfigured += other.Unconfigured
 }
 
 // Total returns the sum of all counts.
 func (v *Violations) Total() int {
 	return v.MixedSnapshot + v.FalseCoverage + v.CrossedAnswer + v.FalseNotRun + v.FalseComplete + v.DoubleRun + v.WorkAfterLeave +
-		v.CutOff + v.ConfigReverted
+		v.CutOff + v.ConfigReverted + v.Unconfigured
 }
 
 // CheckAnswer compares an answer with its own items. The query's limit must admit all items of all shards.
@@ -58,6 +65,9 @@
 		v.CutOff = 1
 		return v
 	}
+	if a.Problem == problemNotReady {
+		v.Unconfigured = 1
+	}
 	seen := map[model.ShardName]bool{}
 	for _, item := range a.Body.Items {
 		origin, ok := parseItem(item)
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -71,7 +71,12 @@
 	rollTime     = 10 * time.Second
 	cutTime      = 10 * time.Second
 	recoveryTime = 7 * time.Second
-	restartTime  = 14 * time.Second
+	// replaceTime bounds the replacement of one daemon: the grace time of 3 s, the end and the start.
+	replaceTime = 4 * time.Second
+	// replacements are all daemons of the default number of daemons.
+	replacements     = 8
+	manyReplacements = 25
+	outageTime       = 60 * time.Second
 )
 
 // steadyName is the scenario that others are compared with.
@@ -128,8 +133,28 @@
 			}}},
 		},
 		{
-			Name: "rolling-restart", Shape: steadyShape, Least: restartTime, Balance: true,
-			Faults: []TimedFault{{At: faultAt, Fault: cluster.RollingRestart{}}},
+			Name: "rolling-restart", Shape: steadyShape, Least: replacements * replaceTime, Balance: true,
+			Faults: []TimedFault{{At: faultAt, Fault: cluster.RollingRestart{Count: replacements}}},
+		},
+	}
+}
+
+// longScenarios are left out of "all" and of two-at-once for their length.
+func longScenarios() []Scenario {
+	return []Scenario{
+		{
+			Name: "rolling-replacements", Shape: steadyShape, Least: manyReplacements * replaceTime, Balance: true,
+			Faults: []TimedFault{{At: faultAt, Fault: cluster.RollingRestart{Count: manyReplacements}}},
+		},
+		{
+			Name: "store-down-restart", Shape: steadyShape, Least: outageTime + recoveryTime, Balance: true,
+			Faults: []TimedFault{
+				{Fault: cluster.Sequence{
+					cluster.ConfigChanges{Count: 1},
+					cluster.StoreFaults{Faults: platformserver.Faults{Down: true}, For: outageTime},
+				}},
+				{At: 2 * faultAt, Fault: cluster.RollingRestart{Count: replacements}},
+			},
 		},
 	}
 }
@@ -167,7 +192,7 @@
 	parts := strings.Split(name, "+")
 	out := Scenario{Name: name}
 	for _, part := range parts {
-		all := append(scenarios(), spreadScenarios()...)
+		all := slices.Concat(scenarios(), spreadScenarios(), longScenarios())
 		i := slices.IndexFunc(all, func(s Scenario) bool { return s.Name == part })
 		if i < 0 {
 			return out, errors.Wrapf(ErrUsage, "no scenario %q", part)
