Add the driver scenarios racing-editors and paused-holder

Cause: both failures were covered by specs of single packages only, without load. Change: racing-editors lets two editors apply conflicting changes 200 times through two daemons while every write's reply is lost, and compares verdicts with the audit trail (violation false_edit). paused-holder holds up the store's replies, and the paths out of a zone, for longer than a claim's window, in each zone in turn.

--- a/internal/measure/cluster/cluster.go
+++ b/internal/measure/cluster/cluster.go
@@ -58,6 +58,7 @@
 	leaves    map[model.ServerName]time.Time
 	daemons   []member
 	spread    []time.Duration
+	edits     Edits
 }
 
 // Start starts a cluster and returns once all daemons have the configuration in force.
--- a/internal/measure/cluster/configure.go
+++ b/internal/measure/cluster/configure.go
@@ -16,33 +16,42 @@
 
 // Apply applies a configuration through the first daemon's operators' port.
 func (c *Cluster) Apply(ctx context.Context, inv model.Inventory, rules model.Rules) error {
-	body, err := json.Marshal(commandhttp.ApplyRequest{
+	reply, err := c.postConfig(ctx, 0, commandhttp.ApplyRequest{
 		Inventory: inv, Rules: rules, Expect: c.revision, Editor: "oleandersill-measure", Reason: "measurement",
 	})
 	if err != nil {
-		return errors.Wrap(err, "cluster: encoding configuration")
+		return err
+	}
+	if reply.Verdict != configure.Accepted {
+		return errors.Newf("cluster: configuration %s: %s", reply.Verdict, reply.Detail)
+	}
+	c.revision = reply.Root.Revision
+	c.setInventory(inv)
+	return nil
+}
+
+// postConfig sends a change to a daemon's operators' port.
+func (c *Cluster) postConfig(
+	ctx context.Context, daemon int, request commandhttp.ApplyRequest,
+) (commandhttp.ApplyResponse, error) {
+	var reply commandhttp.ApplyResponse
+	body, err := json.Marshal(request)
+	if err != nil {
+		return reply, errors.Wrap(err, "cluster: encoding configuration")
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost,
-		"http://"+c.OperatorAddress(0)+"/v1/config/apply", bytes.NewReader(body))
+		"http://"+c.OperatorAddress(daemon)+"/v1/config/apply", bytes.NewReader(body))
 	if err != nil {
-		return errors.Wrap(err, "cluster: building request")
+		return reply, errors.Wrap(err, "cluster: building request")
 	}
 	req.Header.Set("Authorization", "Bearer "+Token)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return errors.Wrap(err, "cluster: applying configuration")
+		return reply, errors.Wrap(err, "cluster: applying configuration")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	var reply commandhttp.ApplyResponse
-	if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil {
-		return errors.Wrapf(err, "cluster: applying configuration, status %d", resp.StatusCode)
-	}
-	if reply.Verdict != configure.Accepted {
-		return errors.Newf("cluster: configuration %s: %s", reply.Verdict, reply.Detail)
-	}
-	c.revision = reply.Root.Revision
-	c.setInventory(inv)
-	return nil
+	err = json.NewDecoder(resp.Body).Decode(&reply)
+	return reply, errors.Wrapf(err, "cluster: applying configuration, status %d", resp.StatusCode)
 }
 
 // edit changes the inventory in force, one edit at a time.
--- a/internal/measure/observe/observe_test.go
+++ b/internal/measure/observe/observe_test.go
@@ -11,6 +11,8 @@
 	. "github.com/onsi/gomega"
 
 	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/command/configure"
+	"oleandersill.example/oleandersill/internal/configdoc"
 	"oleandersill.example/oleandersill/internal/measure/labels"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/standin/backendserver"
@@ -51,6 +53,15 @@
 	return a
 }
 
+// trail returns an audit trail without gaps whose changes have the reasons given, newest first.
+func trail(reasons ...string) []configdoc.Change {
+	var out []configdoc.Change
+	for i, reason := range reasons {
+		out = append(out, configdoc.Change{Revision: model.Revision(len(reasons) - i), Reason: reason})
+	}
+	return out
+}
+
 func contains(list []model.ShardName, name model.ShardName) bool {
 	for _, s := range list {
 		if s == name {
@@ -181,6 +192,20 @@
 		Expect(v).To(Equal(Violations{FalseNotRun: 1, FalseComplete: 1, CutOff: 1, Unconfigured: 2}))
 	})
 
+	DescribeTable("compares what editors were told with the audit trail",
+		func(verdict configure.Verdict, revision model.Revision, trail []configdoc.Change, violations int) {
+			edits := []Edit{{Reason: "mine", Verdict: verdict, Revision: revision}}
+			Expect(CheckEdits(edits, trail)).To(Equal(Violations{FalseEdit: violations}))
+		},
+		Entry("accepted and there", configure.Accepted, model.Revision(2), trail("mine", "first"), 0),
+		Entry("accepted and lost", configure.Accepted, model.Revision(2), trail("other", "first"), 1),
+		Entry("accepted at another revision", configure.Accepted, model.Revision(1), trail("mine", "first"), 1),
+		Entry("accepted twice", configure.Accepted, model.Revision(2), trail("mine", "mine", "first"), 1),
+		Entry("refused and there", configure.NotAccepted, model.Revision(0), trail("mine", "first"), 1),
+		Entry("unknown and there", configure.Unknown, model.Revision(0), trail("mine", "first"), 0),
+		Entry("a gap in the trail", configure.Unknown, model.Revision(0), append(trail("a", "b", "c")[:1], trail("c")...), 1),
+	)
+
 	It("charges processor time to the innermost known function, and unlabelled time by the daemons' share", func() {
 		stack := func(part string, us int64, functions ...string) *profile.Sample {
 			s := &profile.Sample{Value: []int64{1, us * 1000}, Label: map[string][]string{}}
--- a/internal/measure/observe/violations.go
+++ b/internal/measure/observe/violations.go
@@ -36,6 +36,8 @@
 	ConfigReverted int `json:"config_reverted"`
 	// Unconfigured: a request refused because its daemon had no configuration in force.
 	Unconfigured int `json:"unconfigured"`
+	// FalseEdit: a configuration change whose editor was told otherwise than the audit trail shows, or a gap in it.
+	FalseEdit int `json:"false_edit"`
 }
 
 // Add adds the counts of other.
@@ -50,12 +52,13 @@
 	v.CutOff += other.CutOff
 	v.ConfigReverted += other.ConfigReverted
 	v.Unconfigured += other.Unconfigured
+	v.FalseEdit += other.FalseEdit
 }
 
 // Total returns the sum of all counts.
 func (v *Violations) Total() int {
 	return v.MixedSnapshot + v.FalseCoverage + v.CrossedAnswer + v.FalseNotRun + v.FalseComplete + v.DoubleRun + v.WorkAfterLeave +
-		v.CutOff + v.ConfigReverted + v.Unconfigured
+		v.CutOff + v.ConfigReverted + v.Unconfigured + v.FalseEdit
 }
 
 // CheckAnswer compares an answer with its own items. The query's limit must admit all items of all shards.
--- a/internal/measure/round.go
+++ b/internal/measure/round.go
@@ -72,6 +72,9 @@
 	}
 	r := d.evaluate(c, caller.collector, lateness, duration)
 	r.cpu, r.spread = cpu, c.Spread()
+	if edits := c.Edits(); len(edits.Edits) > 0 {
+		d.progress("%s", edits)
+	}
 	return r, nil
 }
 
@@ -159,6 +162,12 @@
 	}
 	r.recorded = observe.CheckRecord(queries, runs, c.Leaves())
 	r.recorded.Add(observe.CheckCommands(collector.Commands(), runs))
+	told := c.Edits()
+	edits := make([]observe.Edit, 0, len(told.Edits))
+	for _, e := range told.Edits {
+		edits = append(edits, observe.Edit(e))
+	}
+	r.recorded.Add(observe.CheckEdits(edits, told.Trail))
 	return r
 }
 
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -76,7 +76,11 @@
 	// replacements are all daemons of the default number of daemons.
 	replacements     = 8
 	manyReplacements = 25
-	outageTime       = 60 * time.Second
+	editRounds       = 200
+	editTime         = 30 * time.Second
+	// holdTime is longer than the window in which the holder of a claim may send its request.
+	holdTime   = 4 * time.Second
+	outageTime = 60 * time.Second
 )
 
 // steadyName is the scenario that others are compared with.
@@ -156,6 +160,20 @@
 				{At: 2 * faultAt, Fault: cluster.RollingRestart{Count: replacements}},
 			},
 		},
+		{
+			Name: "racing-editors", Shape: steadyShape, Least: editTime,
+			Faults: []TimedFault{{At: faultAt, Fault: cluster.RacingEditors{Rounds: editRounds}}},
+		},
+		{
+			// The holders in a zone that is cut off get the store's reply once their window has passed, with the deadline
+			// still ahead if callers ask for 5 s.
+			Name: "paused-holder", Shape: lossShape, Least: 6*holdTime + recoveryTime,
+			Faults: []TimedFault{{At: faultAt, Fault: cluster.Sequence{
+				cluster.ZoneCut{Zone: 0, For: holdTime}, cluster.PlatformCut{Zone: 0, For: holdTime},
+				cluster.ZoneCut{Zone: 1, For: holdTime}, cluster.PlatformCut{Zone: 1, For: holdTime},
+				cluster.ZoneCut{Zone: 2, For: holdTime}, cluster.PlatformCut{Zone: 2, For: holdTime},
+			}}},
+		},
 	}
 }
 
