Open connections to daemons that may own servers ahead of use

Change: Owners.SetMembers tells which members joined, and dispatch.Greet sends each an empty batch, at most 64 after one change. Both directions are opened, since both daemons see each other join.

--- a/internal/command/fleet/agent.go
+++ b/internal/command/fleet/agent.go
@@ -51,6 +51,8 @@
 	Validate func(*model.Inventory, model.Inventory, model.Rules) error
 	// Adopt is called with every Topology before it is put in force.
 	Adopt func(*model.Topology, time.Time)
+	// OwnersJoined, if set, is called with the daemons that may own servers from now on. It must not block.
+	OwnersJoined func([]model.Member)
 	// RandomSeed makes the choices reproducible; daemons must have different ones.
 	RandomSeed uint64
 	Log        zerolog.Logger
--- a/internal/command/fleet/exchange.go
+++ b/internal/command/fleet/exchange.go
@@ -53,7 +53,9 @@
 func (a *Agent) tick(now time.Time) {
 	a.Members.Beat()
 	a.Members.Forget(now)
-	a.Owners.SetMembers(a.ownerCandidates(now), now)
+	if joined := a.Owners.SetMembers(a.ownerCandidates(now), now); len(joined) > 0 && a.OwnersJoined != nil {
+		a.OwnersJoined(joined)
+	}
 	for _, name := range a.Departures.Expire(now) {
 		if r := a.Servers.Get(name); r != nil {
 			r.ClearLeaving(now)
--- a/internal/daemon/control/part.go
+++ b/internal/daemon/control/part.go
@@ -51,6 +51,8 @@
 	Validate func(*model.Inventory, model.Inventory, model.Rules) error
 	// Adopt is called with every Topology before it is put in force.
 	Adopt func(*model.Topology, time.Time)
+	// OwnersJoined, if set, is called with the daemons that may own servers from now on. It must not block.
+	OwnersJoined func([]model.Member)
 	// Draining tells whether the daemon is stopping.
 	Draining func() bool
 	Log      zerolog.Logger
@@ -99,19 +101,20 @@
 	p.Data = newClient(cfg, &p.data, peer.DataConns)
 	seed := xxhash.Sum64String(string(cfg.Instance)) ^ uint64(self.Incarnation) //nolint:gosec // any 64 bits will do
 	p.Agent = fleet.New(fleet.Deps{
-		Members:    p.Members,
-		Departures: p.Departures,
-		Owners:     p.Owners,
-		Config:     cfg.Config,
-		Servers:    cfg.Servers,
-		Store:      cfg.Store,
-		Instances:  cfg.Instances,
-		Peers:      p.client,
-		Seeds:      cfg.Seeds,
-		Validate:   cfg.Validate,
-		Adopt:      cfg.Adopt,
-		RandomSeed: seed,
-		Log:        cfg.Log,
+		Members:      p.Members,
+		Departures:   p.Departures,
+		Owners:       p.Owners,
+		Config:       cfg.Config,
+		Servers:      cfg.Servers,
+		Store:        cfg.Store,
+		Instances:    cfg.Instances,
+		Peers:        p.client,
+		Seeds:        cfg.Seeds,
+		Validate:     cfg.Validate,
+		Adopt:        cfg.Adopt,
+		OwnersJoined: cfg.OwnersJoined,
+		RandomSeed:   seed,
+		Log:          cfg.Log,
 	})
 	digests := &digest.Builder{Members: p.Members, Departures: p.Departures, Config: cfg.Config}
 	p.server = peer.NewServer(tables.OrderPeers, cfg.PeerToken, &p.Traffic)
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -21,20 +21,21 @@
 func (d *Daemon) openFleet(recorder *report.Recorder, dial DialFunc) error {
 	d.platform.Identify(d.settings.Instance, d.settings.Zone)
 	part, err := control.Open(control.Config{
-		Instance:    d.settings.Instance,
-		Zone:        d.settings.Zone,
-		PeerAddress: d.settings.PeerAddress,
-		PeerToken:   d.settings.PeerToken,
-		Seeds:       d.settings.Peers,
-		Dial:        peer.DialFunc(dial),
-		Store:       d.platform,
-		Instances:   d.platform,
-		Config:      d.config,
-		Servers:     recorder.Servers,
-		Validate:    validate,
-		Adopt:       d.adopter(recorder),
-		Draining:    d.drainer.Draining,
-		Log:         d.log,
+		Instance:     d.settings.Instance,
+		Zone:         d.settings.Zone,
+		PeerAddress:  d.settings.PeerAddress,
+		PeerToken:    d.settings.PeerToken,
+		Seeds:        d.settings.Peers,
+		Dial:         peer.DialFunc(dial),
+		Store:        d.platform,
+		Instances:    d.platform,
+		Config:       d.config,
+		Servers:      recorder.Servers,
+		Validate:     validate,
+		Adopt:        d.adopter(recorder),
+		OwnersJoined: d.dispatcher.Greet,
+		Draining:     d.drainer.Draining,
+		Log:          d.log,
 	})
 	if err != nil {
 		return err
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -19,6 +19,9 @@
 	// same for one that is stopping.
 	avoidFailed   = 3 * time.Second
 	avoidDraining = 10 * time.Second
+	// maxGreetings bounds the connections that are opened ahead of use after one change of the members. A daemon of a large
+	// fleet opens the others when it first sends there.
+	maxGreetings = 64
 	// forwardGrace is the time after its deadline for which the owner waits for an attempt.
 	forwardGrace = 50 * time.Millisecond
 )
@@ -156,6 +159,20 @@
 	}
 }
 
+// Greet opens connections to daemons that may own servers ahead of use. Without it the first query through an owner in
+// another region pays for the connections of both directions, about 100 ms at 10 ms one way.
+func (d *Dispatcher) Greet(owners []model.Member) {
+	f := d.forwarding
+	if f == nil {
+		return
+	}
+	for _, m := range owners[:min(len(owners), maxGreetings)] {
+		if m.Instance != f.self.Instance {
+			f.forwards.Greet(m)
+		}
+	}
+}
+
 // Receive takes a batch from another daemon. It only queues work and takes results, so it returns at once.
 func (f *Forwarding) Receive(b forwarding.Batch) forwarding.Receipt {
 	if len(b.Results) > 0 && f.d.watches(b.From.Zone) {
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -33,12 +33,17 @@
 	peer       *node
 	cut        bool
 	draining   bool
+	// received, unless nil, gets the batches that come here.
+	received chan forwarding.Batch
 }
 
 func (n *node) Forward(_ context.Context, _ string, b forwarding.Batch) (forwarding.Receipt, error) {
 	if n.cut {
 		return forwarding.Receipt{}, errors.New("cut off")
 	}
+	if n.peer.received != nil {
+		n.peer.received <- b
+	}
 	return n.peer.forwarding.Receive(b), nil
 }
 
@@ -135,6 +140,14 @@
 		}).WithTimeout(5 * time.Second).Should(BeNumerically(">", 0))
 	})
 
+	// Guards against a first query that waits for connections between regions to be opened.
+	It("reaches a daemon that may own servers before the first sub-request goes there", func() {
+		asker, owner := newPair(fakebackend.Script{})
+		owner.received = make(chan forwarding.Batch, 2)
+		asker.Greet([]model.Member{asker.self, owner.self})
+		Eventually(owner.received).WithTimeout(5 * time.Second).Should(Receive(Equal(forwarding.Batch{From: asker.self})))
+	})
+
 	It("drops a result that nobody waits for", func() {
 		asker, _ := newPair(fakebackend.Script{})
 		asker.forwarding.Receive(forwarding.Batch{Results: []forwarding.Result{{ID: backend.AttemptID{Request: "late"}}}})
--- a/internal/tables/forwards.go
+++ b/internal/tables/forwards.go
@@ -40,8 +40,10 @@
 }
 
 type outbox struct {
-	peer    model.Member
-	batch   forwarding.Batch
+	peer  model.Member
+	batch forwarding.Batch
+	// greet asks for a batch even if it is empty.
+	greet   bool
 	sending int
 	queued  bool
 }
@@ -68,6 +70,15 @@
 	f.offer(box)
 }
 
+// Greet queues a batch for the peer, an empty one if nothing else goes there.
+func (f *Forwards) Greet(peer model.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	box := f.box(peer)
+	box.greet = true
+	f.offer(box)
+}
+
 // Return queues a result for the daemon that forwarded the sub-request.
 func (f *Forwards) Return(to model.Member, r forwarding.Result) {
 	f.mu.Lock()
@@ -222,12 +233,13 @@
 }
 
 func (b *outbox) empty() bool {
-	return len(b.batch.Queries) == 0 && len(b.batch.Results) == 0 && len(b.batch.Cancels) == 0
+	return !b.greet && len(b.batch.Queries) == 0 && len(b.batch.Results) == 0 && len(b.batch.Cancels) == 0
 }
 
 // take removes at most maxBatch entries of each kind.
 func (b *outbox) take() forwarding.Batch {
 	var out forwarding.Batch
+	b.greet = false
 	out.Queries, b.batch.Queries = cut(b.batch.Queries)
 	out.Results, b.batch.Results = cut(b.batch.Results)
 	out.Cancels, b.batch.Cancels = cut(b.batch.Cancels)
--- a/internal/tables/owners.go
+++ b/internal/tables/owners.go
@@ -38,12 +38,30 @@
 // View returns the current state.
 func (o *Owners) View() *OwnerView { return o.current.Load() }
 
-// SetMembers replaces the members; each zone's list must be sorted by instance.
-func (o *Owners) SetMembers(zones map[model.AvailabilityZone][]model.Member, now time.Time) {
+// SetMembers replaces the members; each zone's list must be sorted by instance. It returns those that were not among the
+// members before, or have restarted since.
+func (o *Owners) SetMembers(zones map[model.AvailabilityZone][]model.Member, now time.Time) (joined []model.Member) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	for zone, members := range zones {
+		joined = appendAbsent(joined, members, o.members[zone])
+	}
 	o.members = zones
 	o.publish(now)
+	return joined
+}
+
+// appendAbsent appends the members that are not in known; both lists are sorted by instance.
+func appendAbsent(joined, members, known []model.Member) []model.Member {
+	for _, m := range members {
+		for len(known) > 0 && known[0].Instance < m.Instance {
+			known = known[1:]
+		}
+		if len(known) == 0 || !sameMembers(known[:1], []model.Member{m}) {
+			joined = append(joined, m)
+		}
+	}
+	return joined
 }
 
 // Avoid keeps a member from owning servers until the given time, unless it restarts before.
