--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -19,10 +19,11 @@
 	maxReplyBytes   = MaxPartsBytes + 512<<10
 )
 
-// Deadlines of a connection. A client ends its idle connections before the server does.
+// Deadlines of a connection. A client ends its idle connections before the server does. They are long, because opening one
+// to another region costs a query about 60 ms; the number of connections is bounded apart from that.
 const (
-	clientIdle   = 20 * time.Second
-	serverIdle   = 60 * time.Second
+	clientIdle   = 5 * time.Minute
+	serverIdle   = 6 * time.Minute
 	writeTimeout = 5 * time.Second
 )
 
