Keep urgent work off servers that ramp up while a warm replica has room

Cause: each daemon learns from attempts of its own how slow a new server is, and took the longest latency of the warm replicas until then, divided by the ramp-up. It sent its first attempts as soon as the warm replicas had one or two pending: 8 daemons and 5 cold servers make 40 first attempts.

Change: for urgent work, servers that ramp up are not usable while a usable warm replica has at most its limit pending.

By reading: the hedge delay (that of the fastest replica of the shard, which cold replies do not raise) and the limit of a fresh server (it starts at the daemon's connections and only shrinks against its own latency).

--- a/internal/command/execute/send.go
+++ b/internal/command/execute/send.go
@@ -23,7 +23,7 @@
 	for attempt := uint32(1); int(attempt) <= max(1, c.Topology.Rules.Retry.MaxAttempts); attempt++ {
 		cs, records := d.Candidates(nil, nil, c.shard, time.Now())
 		routing.Exclude(cs, tried)
-		i, ok := d.Choose(cs, rnd)
+		i, ok := d.Choose(cs, c.Rank, rnd)
 		if !ok || (attempt > 1 && !d.Budgets.SpendRetry(time.Now())) {
 			return refusal
 		}
--- a/internal/decision/routing/ramp.go
+++ b/internal/decision/routing/ramp.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // RampUp is the time over which a server that joined gets its full share of work.
 const RampUp = 3 * time.Second
@@ -13,3 +16,22 @@
 	}
 	return max(minAdmission, float64(age)/float64(RampUp))
 }
+
+// SpareColdServers makes servers that ramp up unusable while a warm replica is usable and has room. It is for urgent work:
+// each daemon learns how slow a new server is from attempts of its own, and these go to ranks that can wait.
+func SpareColdServers(cs []Candidate) {
+	if !slices.ContainsFunc(cs, warmWithRoom) {
+		return
+	}
+	for i := range cs {
+		if cs[i].Admission < 1 {
+			cs[i].Usable = false
+		}
+	}
+}
+
+// warmWithRoom tells whether at most as many attempts as may be in flight are pending at a usable server that does not
+// ramp up.
+func warmWithRoom(c Candidate) bool {
+	return c.Usable && c.Admission >= 1 && c.Pending <= c.Limit
+}
--- a/internal/decision/routing/routing_test.go
+++ b/internal/decision/routing/routing_test.go
@@ -69,6 +69,26 @@
 	})
 })
 
+var _ = Describe("SpareColdServers", func() {
+	warm, busy, cold, gone := usable(5*time.Millisecond), usable(5*time.Millisecond), usable(0), routing.Candidate{Admission: 1}
+	busy.Pending = busy.Limit + 1
+	cold.Admission = 0.9
+
+	// Guards against urgent queries that are the first to meet a cold server, at each daemon and each shard anew.
+	DescribeTable("leaves servers that ramp up to work that can wait",
+		func(cs []routing.Candidate, want []bool) {
+			routing.SpareColdServers(cs)
+			for i := range cs {
+				Expect(cs[i].Usable).To(Equal(want[i]))
+			}
+		},
+		Entry("a warm replica has room", []routing.Candidate{cold, warm}, []bool{false, true}),
+		Entry("one of two warm replicas has room", []routing.Candidate{busy, warm, cold}, []bool{true, true, false}),
+		Entry("the warm replica is over its limit", []routing.Candidate{busy, cold}, []bool{true, true}),
+		Entry("the warm replica is not usable", []routing.Candidate{gone, cold}, []bool{false, true}),
+	)
+})
+
 var _ = Describe("Health", func() {
 	fail := func(h *routing.Health, n int, now time.Time, mayEject bool) {
 		for range n {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -112,11 +112,14 @@
 // Policy returns the dispatcher's policy.
 func (d *Dispatcher) Policy() model.Policy { return d.cfg.Policy }
 
-// Choose returns the index of the candidate that should get the next attempt, or false if none is usable.
-func (d *Dispatcher) Choose(cs []routing.Candidate, rnd *rand.Rand) (int, bool) {
+// Choose returns the index of the candidate that should get the next attempt of the rank, or false if none is usable.
+func (d *Dispatcher) Choose(cs []routing.Candidate, rank model.Rank, rnd *rand.Rand) (int, bool) {
 	if d.cfg.Policy == model.PolicyBaseline {
 		return routing.ChooseRandom(cs, rnd)
 	}
+	if rank == model.RankUrgent {
+		routing.SpareColdServers(cs)
+	}
 	return routing.Choose(cs, rnd)
 }
 
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -124,7 +124,7 @@
 	sh := &c.shards[i]
 	c.candidates, c.records = c.searcher.Dispatcher.Candidates(c.candidates, c.records, sh.shard, now)
 	routing.Exclude(c.candidates, sh.tried)
-	j, ok := c.searcher.Dispatcher.Choose(c.candidates, c.rnd)
+	j, ok := c.searcher.Dispatcher.Choose(c.candidates, c.req.Rank, c.rnd)
 	if !ok {
 		return false
 	}
