Check a suspected zone by probes, and let no batch wait for daemons of a lost one

Cause: a zone with one daemon was judged only after the open connections to its servers had been used up, and batches queued for each daemon of a lost zone would hold the senders for 500 ms each. Change: a silence that is too little for a judgement has two other servers of the zone probed, at most once a second; a batch for a lost zone is dropped and what is pending at its daemon is moved. Conclusion: a lost daemon is told from a lost zone within two time bounds, 250 and 300 ms.

--- a/internal/decision/reach/zone.go
+++ b/internal/decision/reach/zone.go
@@ -11,7 +11,7 @@
 	// SilenceBound is the time after which a daemon that did not acknowledge a batch counts as silent. A daemon only
 	// queues a batch, and the round trip between regions is 20 ms.
 	SilenceBound = 250 * time.Millisecond
-	// ProbeTimeout bounds one probe of an unreachable zone.
+	// ProbeTimeout bounds one probe of a zone.
 	ProbeTimeout = 300 * time.Millisecond
 
 	// targetsNeeded is the number of silent servers and daemons of a zone that make it unreachable.
@@ -23,6 +23,11 @@
 	minSilence = 200 * time.Millisecond
 	// maxLate is how late a silence may be noticed. A later one shows that this daemon was paused.
 	maxLate = 100 * time.Millisecond
+	// ConfirmInterval is the least time between two rounds of probes by which a suspected zone is checked.
+	ConfirmInterval = time.Second
+	// ConfirmProbes is the number of servers in a round: with the target that raised the suspicion they are enough.
+	ConfirmProbes = targetsNeeded - 1
+
 	// evidenceLife is the age after which a silence no longer counts.
 	evidenceLife = 3 * time.Second
 	// probeInterval is the mean time between probes of an unreachable zone.
@@ -78,9 +83,22 @@
 	}
 }
 
-// Unreachable tells whether the zone is to be held unreachable: three of its servers and daemons are silent, or all of
-// its daemons, if there are at least two. daemons are those that may own servers in the zone.
-func (e *Evidence) Unreachable(daemons []model.Member, heard, now time.Time) bool {
+// Verdict is what the evidence says about a zone.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Reachable: no call that counts is unanswered.
+	Reachable Verdict = iota
+	// Suspected: some are, too few to tell a lost zone from a lost server or daemon.
+	Suspected
+	// Unreachable: three of the zone's servers and daemons are silent, or all of its daemons, if there are at least two.
+	Unreachable
+)
+
+// Judge returns the verdict at now. daemons are those that may own servers in the zone, and heard is when anything in
+// the zone last answered.
+func (e *Evidence) Judge(daemons []model.Member, heard, now time.Time) Verdict {
 	targets, silentDaemons := 0, 0
 	for i := range e.silences {
 		s := &e.silences[i]
@@ -92,10 +110,15 @@
 			silentDaemons++
 		}
 	}
-	if targets >= targetsNeeded {
-		return true
+	switch {
+	case targets >= targetsNeeded:
+		return Unreachable
+	case silentDaemons >= daemonsNeeded && e.allSilent(daemons, heard, now):
+		return Unreachable
+	case targets > 0:
+		return Suspected
 	}
-	return silentDaemons >= daemonsNeeded && e.allSilent(daemons, heard, now)
+	return Reachable
 }
 
 func (e *Evidence) allSilent(daemons []model.Member, heard, now time.Time) bool {
--- a/internal/decision/reach/zone_test.go
+++ b/internal/decision/reach/zone_test.go
@@ -40,28 +40,28 @@
 	paused.Noticed = paused.Due.Add(time.Second)
 
 	DescribeTable("judges a zone",
-		func(unreachable bool, daemons []model.Member, silences ...reach.Silence) {
+		func(verdict reach.Verdict, daemons []model.Member, silences ...reach.Silence) {
 			var e reach.Evidence
 			now := start.Add(500 * time.Millisecond)
 			for _, s := range silences {
 				e.Add(s, start, now)
 			}
-			Expect(e.Unreachable(daemons, start, now)).To(Equal(unreachable))
+			Expect(e.Judge(daemons, start, now)).To(Equal(verdict))
 		},
-		Entry("nothing was noticed", false, fleet("x", "y")),
-		Entry("three servers", true, fleet("x", "y"), server("a"), server("b"), server("c")),
-		Entry("two servers", false, fleet("x", "y"), server("a"), server("b")),
-		Entry("one lost server, many times", false, nil, server("a"), server("a"), server("a"), server("a")),
-		Entry("one lost daemon of several", false, fleet("x", "y"), daemon("x"), daemon("x"), daemon("x")),
-		Entry("one lost daemon, the only one", false, fleet("x"), daemon("x"), daemon("x"), daemon("x")),
-		Entry("all daemons of a zone with two", true, fleet("x", "y"), daemon("x"), daemon("y")),
-		Entry("two daemons of three", false, fleet("x", "y", "z"), daemon("x"), daemon("y")),
-		Entry("two daemons and a server", true, fleet("x", "y", "z"), daemon("x"), server("a"), daemon("y")),
-		Entry("a server that refuses connections answers", false, nil, server("a"), server("b"), refused),
-		Entry("a silence noticed late, after a pause", false, nil, server("a"), server("b"), paused),
-		Entry("calls from before the last answer", false, nil,
+		Entry("nothing was noticed", reach.Reachable, fleet("x", "y")),
+		Entry("three servers", reach.Unreachable, fleet("x", "y"), server("a"), server("b"), server("c")),
+		Entry("two servers", reach.Suspected, fleet("x", "y"), server("a"), server("b")),
+		Entry("one lost server, many times", reach.Suspected, nil, server("a"), server("a"), server("a"), server("a")),
+		Entry("one lost daemon of several", reach.Suspected, fleet("x", "y"), daemon("x"), daemon("x"), daemon("x")),
+		Entry("one lost daemon, the only one", reach.Suspected, fleet("x"), daemon("x"), daemon("x"), daemon("x")),
+		Entry("all daemons of a zone with two", reach.Unreachable, fleet("x", "y"), daemon("x"), daemon("y")),
+		Entry("two daemons of three", reach.Suspected, fleet("x", "y", "z"), daemon("x"), daemon("y")),
+		Entry("two daemons and a server", reach.Unreachable, fleet("x", "y", "z"), daemon("x"), server("a"), daemon("y")),
+		Entry("a server that refuses connections answers", reach.Suspected, nil, server("a"), server("b"), refused),
+		Entry("a silence noticed late, after a pause", reach.Suspected, nil, server("a"), server("b"), paused),
+		Entry("calls from before the last answer", reach.Suspected, nil,
 			server("a"), server("b"), silence(reach.Server, "c", -time.Millisecond)),
-		Entry("more targets than are kept", true, fleet("x"),
+		Entry("more targets than are kept", reach.Unreachable, fleet("x"),
 			server("a"), server("b"), server("a"), server("c"), server("d")),
 	)
 
@@ -71,7 +71,7 @@
 		for i, name := range []string{"a", "b", "c"} {
 			s := silence(reach.Server, name, time.Duration(i)*10*time.Second+time.Millisecond)
 			e.Add(s, start, s.Noticed)
-			Expect(e.Unreachable(nil, start, s.Noticed)).To(BeFalse())
+			Expect(e.Judge(nil, start, s.Noticed)).To(Equal(reach.Suspected))
 		}
 	})
 
@@ -89,7 +89,7 @@
 					heard = answer
 				}
 				e.Add(s, heard, s.Noticed)
-				if e.Unreachable(fleet("a", "b"), heard, s.Noticed) {
+				if e.Judge(fleet("a", "b"), heard, s.Noticed) == reach.Unreachable {
 					t.Fatalf("unreachable although it answered")
 				}
 			}
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -109,9 +109,11 @@
 	q.Done(q, r.Result)
 }
 
-// lose ends a forwarded attempt whose owner was lost. It says nothing about the server.
-func (f *Forwarding) lose(q tables.Pending, id backend.AttemptID) {
-	q.End(forwarding.Result{ID: id, Result: backend.QueryResult{Status: backend.StatusOwnerLost}})
+// lose ends forwarded attempts whose owners were lost. That says nothing about the servers.
+func (f *Forwarding) lose(lost map[backend.AttemptID]tables.Pending, status backend.Status) {
+	for id, p := range lost {
+		p.End(forwarding.Result{ID: id, Result: backend.QueryResult{Status: status}})
+	}
 }
 
 // cancel ends a forwarded attempt and tells whether it was still pending.
@@ -134,6 +136,12 @@
 }
 
 func (f *Forwarding) send(to model.Member, batch forwarding.Batch) {
+	if f.d.zones.Unreachable(to.Zone) {
+		// Senders that wait for each daemon of a lost zone would be missing for the daemons of other zones.
+		f.forwards.Sent(to.Instance)
+		f.lose(f.forwards.Lose(to.Instance), backend.StatusZoneUnreachable)
+		return
+	}
 	batch.From = f.self
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 	defer cancel()
@@ -148,9 +156,7 @@
 	switch {
 	case err != nil:
 		f.owners.Avoid(to, now.Add(avoidFailed), now)
-		for id, p := range f.forwards.Lose(to.Instance) {
-			f.lose(p, id)
-		}
+		f.lose(f.forwards.Lose(to.Instance), backend.StatusOwnerLost)
 	case receipt.Draining:
 		f.owners.Avoid(to, now.Add(avoidDraining), now)
 	}
--- a/internal/dispatch/zones.go
+++ b/internal/dispatch/zones.go
@@ -43,22 +43,34 @@
 	}
 }
 
-// zoneSilent records a call into the zone that was not answered until now. If that makes the zone unreachable, what is
-// pending there is moved and probes begin.
+// zoneSilent records a call into the zone that was not answered until now. A suspected zone is checked by probes of more
+// servers. If the zone becomes unreachable, what is pending there is moved.
 func (d *Dispatcher) zoneSilent(zone model.AvailabilityZone, s reach.Silence) {
 	now := time.Now()
 	s.Noticed = now
 	judgement := d.zones.Silent(zone, s, d.daemonsIn(zone), now)
-	if judgement == 0 {
+	if judgement.Check {
+		d.ready.Push(&tables.Attempt{Rank: model.RankUrgent, Run: func() { d.check(zone, model.ServerName(s.Target)) }})
+	}
+	if judgement.Verdict != reach.Unreachable {
 		return
 	}
 	d.tellZone(zone, true)
-	d.scheduleProbe(zone, judgement, 0)
+	d.scheduleProbe(zone, judgement.Number, 0)
 	for _, move := range d.zones.Take(zone) {
 		move()
 	}
 	if d.forwarding != nil {
-		d.ready.Push(&tables.Attempt{Rank: model.RankUrgent, Run: func() { d.forwarding.loseZone(zone) }})
+		d.ready.Push(&tables.Attempt{Rank: model.RankUrgent, Run: func() {
+			d.forwarding.lose(d.forwarding.forwards.LoseZone(zone), backend.StatusZoneUnreachable)
+		}})
+	}
+}
+
+// check has servers of a suspected zone probed, other than the one that raised the suspicion.
+func (d *Dispatcher) check(zone model.AvailabilityZone, suspect model.ServerName) {
+	for _, s := range d.probeTargets(zone, suspect, reach.ConfirmProbes) {
+		d.ready.Push(&tables.Attempt{Server: s, Rank: model.RankUrgent, Run: func() { d.probeServer(s) }})
 	}
 }
 
@@ -120,13 +132,6 @@
 	return r
 }
 
-// loseZone ends the attempts that are pending at daemons of the zone.
-func (f *Forwarding) loseZone(zone model.AvailabilityZone) {
-	for id, p := range f.forwards.LoseZone(zone) {
-		p.End(forwarding.Result{ID: id, Result: backend.QueryResult{Status: backend.StatusZoneUnreachable}})
-	}
-}
-
 // scheduleProbe has the zone probed unless the judgement no longer stands by then. One probe of a zone is under way at a
 // time, so that an unreachable zone holds one worker, whatever the number of its servers.
 func (d *Dispatcher) scheduleProbe(zone model.AvailabilityZone, judgement uint64, before int) {
@@ -136,44 +141,59 @@
 			return
 		}
 		d.ready.Push(&tables.Attempt{Rank: model.RankUrgent, Run: func() {
-			if d.probe(zone, before, rnd) {
-				d.zoneHeard(zone)
-				return
+			if d.probe(zone, before, rnd); d.zones.Stands(zone, judgement) {
+				d.scheduleProbe(zone, judgement, before+1)
 			}
-			d.scheduleProbe(zone, judgement, before+1)
 		}})
 	})
 }
 
 // probe asks a server or a daemon of the zone, in turn, for a sign of life.
-func (d *Dispatcher) probe(zone model.AvailabilityZone, before int, rnd *rand.Rand) bool {
+func (d *Dispatcher) probe(zone model.AvailabilityZone, before int, rnd *rand.Rand) {
+	daemons := d.daemonsIn(zone)
+	if before%2 == 0 || len(daemons) == 0 {
+		for _, s := range d.probeTargets(zone, "", 1) {
+			d.probeServer(s)
+		}
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), reach.ProbeTimeout)
 	defer cancel()
-	if daemons := d.daemonsIn(zone); before%2 == 1 && len(daemons) > 0 {
-		_, err := d.forwarding.sender.Forward(ctx, daemons[rnd.IntN(len(daemons))].Address, forwarding.Batch{
-			From: d.forwarding.self,
-		})
-		return err == nil
-	}
-	s := d.probeTarget(zone, rnd)
-	if s == nil {
-		return false
+	address := daemons[rnd.IntN(len(daemons))].Address
+	_, err := d.forwarding.sender.Forward(ctx, address, forwarding.Batch{From: d.forwarding.self})
+	if err == nil {
+		d.zoneHeard(zone)
 	}
+}
+
+// probeServer asks a server, of which spare headroom was taken, for its health and records whether it answered.
+func (d *Dispatcher) probeServer(s *tables.Server) {
 	defer d.release(s)
-	_, err := s.Client().Health(ctx)
-	return err == nil
+	zone := s.Spec().Zone
+	begin := time.Now()
+	due := begin.Add(reach.ProbeTimeout)
+	ctx, cancel := context.WithDeadline(context.Background(), due)
+	defer cancel()
+	if _, err := s.Client().Health(ctx); err == nil {
+		d.zoneHeard(zone)
+		return
+	}
+	d.zoneSilent(zone, reach.Silence{Kind: reach.Server, Target: string(s.Name()), Began: begin, Due: due})
 }
 
-// probeTarget takes spare headroom of a random server in the zone and returns its record, or nil if there is none.
-func (d *Dispatcher) probeTarget(zone model.AvailabilityZone, rnd *rand.Rand) *tables.Server {
+// probeTargets takes spare headroom of at most n random servers in the zone other than the given one.
+func (d *Dispatcher) probeTargets(zone model.AvailabilityZone, other model.ServerName, n int) []*tables.Server {
 	all := d.Servers.All()
-	rnd.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	for _, s := range all {
-		if s.Spec().Zone == zone && s.TryAcquireSpare() {
-			return s
+	var targets []*tables.Server
+	for _, i := range d.Rand().Perm(len(all)) {
+		if len(targets) == n {
+			break
+		}
+		if s := all[i]; s.Name() != other && s.Spec().Zone == zone && s.TryAcquireSpare() {
+			targets = append(targets, s)
 		}
 	}
-	return nil
+	return targets
 }
 
 // ZoneUnreachable tells whether the zone is held unreachable.
--- a/internal/dispatch/zones_test.go
+++ b/internal/dispatch/zones_test.go
@@ -190,6 +190,22 @@
 		Expect(z.executes.Load()).To(BeZero())
 	})
 
+	// Guards against queries that use up the open connections to each server before a zone with one daemon is judged.
+	It("is noticed by probes where one daemon owns all servers", func() {
+		z := newFarZone(daemons[0])
+		z.query()
+		Eventually(z.unreachable).WithTimeout(time.Second).Should(BeTrue())
+	})
+
+	// Guards against a judgement that a lost daemon brings about while the servers are well.
+	It("is not given up for one lost daemon", func() {
+		z := newFarZone(daemons[0])
+		z.query()
+		time.AfterFunc(100*time.Millisecond, func() { z.cut.Store(false) })
+		Eventually(z.probes.Load).WithTimeout(5 * time.Second).Should(BeNumerically(">", 0))
+		Consistently(z.unreachable).WithTimeout(time.Second).Should(BeFalse())
+	})
+
 	// Guards against a wrong judgement that lasts: the daemons are lost, their zone is not.
 	It("is used again at once if its servers answer", func() {
 		z := newFarZone(daemons...)
--- a/internal/tables/zones.go
+++ b/internal/tables/zones.go
@@ -26,9 +26,11 @@
 	// heard is when anything in the zone last answered, in nanoseconds since the table's start.
 	heard       atomic.Int64
 	unreachable atomic.Bool
-	// evidence and judgements, the number of times that the zone became unreachable, are under the table's lock.
+	// The rest is under the table's lock: the evidence, the number of times that the zone became unreachable, and when a
+	// suspicion was last checked.
 	evidence   reach.Evidence
 	judgements uint64
+	checked    time.Time
 }
 
 type zoneAttempt struct {
@@ -84,22 +86,42 @@
 	return true
 }
 
-// Silent records a call into the zone that was not answered in time. If the zone becomes unreachable by it, it returns
-// the number of that judgement, otherwise 0. daemons are those that may own servers in the zone.
-func (t *Zones) Silent(zone model.AvailabilityZone, s reach.Silence, daemons []model.Member, now time.Time) uint64 {
+// Judgement is what follows from a silence.
+type Judgement struct {
+	Verdict reach.Verdict
+	// Number tells judgements of a zone as unreachable apart.
+	Number uint64
+	// Check tells that the suspicion is to be checked now.
+	Check bool
+}
+
+// Silent records a call into the zone that was not answered in time, and judges the zone unless it is unreachable
+// already. daemons are those that may own servers in the zone.
+func (t *Zones) Silent(zone model.AvailabilityZone, s reach.Silence, daemons []model.Member, now time.Time) Judgement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.record(zone)
+	if r.unreachable.Load() {
+		return Judgement{}
+	}
 	heard := t.start.Add(time.Duration(r.heard.Load()))
 	r.evidence.Add(s, heard, now)
-	if r.unreachable.Load() || !r.evidence.Unreachable(daemons, heard, now) {
-		return 0
+	j := Judgement{Verdict: r.evidence.Judge(daemons, heard, now)}
+	switch j.Verdict {
+	case reach.Reachable:
+	case reach.Suspected:
+		if now.Sub(r.checked) >= reach.ConfirmInterval {
+			r.checked = now
+			j.Check = true
+		}
+	case reach.Unreachable:
+		r.evidence = reach.Evidence{}
+		r.judgements++
+		r.unreachable.Store(true)
+		t.lost.Add(1)
+		j.Number = r.judgements
 	}
-	r.evidence = reach.Evidence{}
-	r.judgements++
-	r.unreachable.Store(true)
-	t.lost.Add(1)
-	return r.judgements
+	return j
 }
 
 func (t *Zones) add(zone model.AvailabilityZone) *zoneRecord {
