Deliver the results of forwarded sub-requests before a daemon stops

Cause: a stopping daemon waited until the last result for another daemon was queued, not until it was delivered, and then closed its connections. It also took batches until its port closed and never sent them. The asker sends nothing more to a draining owner, so it learnt of neither and waited for a hedge or the deadline. Change: Forwards counts results until their batch was delivered or failed. Retire ends the wait when none is left; from then on queries are refused by Receipt.Refused, and the asker sends them elsewhere at once.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -138,16 +138,18 @@
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 	defer cancel()
 	receipt, err := f.sender.Forward(ctx, to.Address, batch)
-	f.forwards.Sent(to.Instance)
+	f.forwards.Sent(to.Instance, len(batch.Results))
 	now := time.Now()
 	switch {
 	case err != nil:
 		f.owners.Avoid(to, now.Add(avoidFailed), now)
+	case receipt.Draining || receipt.Refused:
+		f.owners.Avoid(to, now.Add(avoidDraining), now)
+	}
+	if err != nil || receipt.Refused {
 		for id, p := range f.forwards.Lose(to.Instance) {
 			f.lose(p, id)
 		}
-	case receipt.Draining:
-		f.owners.Avoid(to, now.Add(avoidDraining), now)
 	}
 }
 
@@ -158,26 +160,27 @@
 			cancel()
 		}
 	}
+	refused := false
 	for i := range b.Queries {
-		f.accept(b.From, &b.Queries[i])
+		refused = !f.accept(b.From, &b.Queries[i]) || refused
 	}
 	for _, r := range b.Results {
 		if p, ok := f.forwards.Settle(r.ID); ok {
 			p.End(r)
 		}
 	}
-	return forwarding.Receipt{Draining: f.draining()}
+	return forwarding.Receipt{Draining: f.draining(), Refused: refused}
 }
 
 // accept sends a sub-request for another daemon. It is never forwarded again, so that differing views of the members
-// cannot pass it around.
-func (f *Forwarding) accept(from model.Member, sent *forwarding.Query) {
+// cannot pass it around. It returns false if this daemon has finished its work for others.
+func (f *Forwarding) accept(from model.Member, sent *forwarding.Query) bool {
 	s := f.d.Servers.Get(sent.Server)
 	if s == nil {
 		f.forwards.Return(from, forwarding.Result{
 			ID: sent.Request.ID, Result: backend.QueryResult{Status: backend.StatusOwnerLost},
 		})
-		return
+		return true
 	}
 	now := time.Now()
 	request := sent.Request
@@ -188,21 +191,27 @@
 		release()
 		f.forwards.Return(from, forwarding.Result{ID: q.Request.ID, Result: r, Waited: q.waited})
 	}
-	f.forwards.Accept(request.ID, func() {
+	accepted := f.forwards.Accept(request.ID, func() {
 		if q.Cancel() {
 			release()
 		}
 	})
+	if !accepted {
+		release()
+		return false
+	}
 	f.d.startHere(ctx, q, now)
+	return true
 }
 
-// WaitForwarded waits until the sub-requests that this daemon sends for others have ended, or ctx has.
+// WaitForwarded waits until the sub-requests that this daemon sends for others have ended and their results were
+// delivered, or ctx has ended. From then on it takes no further ones.
 func (d *Dispatcher) WaitForwarded(ctx context.Context) {
 	if d.forwarding == nil {
 		return
 	}
 	select {
-	case <-d.forwarding.forwards.Idle():
+	case <-d.forwarding.forwards.Retire():
 	case <-ctx.Done():
 	}
 }
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -33,9 +34,14 @@
 	peer       *node
 	cut        bool
 	draining   bool
+	// gate, unless nil, holds up batches until it is closed.
+	gate chan struct{}
 }
 
 func (n *node) Forward(_ context.Context, _ string, b forwarding.Batch) (forwarding.Receipt, error) {
+	if n.gate != nil {
+		<-n.gate
+	}
 	if n.cut {
 		return forwarding.Receipt{}, errors.New("cut off")
 	}
@@ -135,6 +141,33 @@
 		}).WithTimeout(5 * time.Second).Should(BeNumerically(">", 0))
 	})
 
+	It("delivers the results of what it took before it stops, and then refuses further sub-requests", func() {
+		// Guards against a daemon that stops with results on their way, or that takes sub-requests which it never sends:
+		// those who wait for them would wait for their deadline.
+		asker, owner := newPair(fakebackend.Script{})
+		owner.gate = make(chan struct{})
+		open := sync.OnceFunc(func() { close(owner.gate) })
+		DeferCleanup(open)
+		results := make(chan backend.QueryResult, 2)
+		asker.start(1, model.RankUrgent, func(r backend.QueryResult) { results <- r })
+		Eventually(func() int { return owner.connector.Queries(serverName) }).WithTimeout(5 * time.Second).Should(Equal(1))
+		stopped := make(chan struct{})
+		go func() {
+			owner.WaitForwarded(context.Background())
+			close(stopped)
+		}()
+		Consistently(stopped).WithTimeout(100 * time.Millisecond).ShouldNot(BeClosed())
+		open()
+		Eventually(stopped).WithTimeout(5 * time.Second).Should(BeClosed())
+		var r backend.QueryResult
+		Eventually(results).WithTimeout(5 * time.Second).Should(Receive(&r))
+		Expect(r.Status).To(Equal(backend.StatusOK))
+		asker.start(2, model.RankUrgent, func(r backend.QueryResult) { results <- r })
+		Eventually(results).WithTimeout(5 * time.Second).Should(Receive(&r))
+		Expect(r.Status).To(Equal(backend.StatusOwnerLost))
+		Expect(owner.connector.Queries(serverName)).To(Equal(1))
+	})
+
 	It("drops a result that nobody waits for", func() {
 		asker, _ := newPair(fakebackend.Script{})
 		asker.forwarding.Receive(forwarding.Batch{Results: []forwarding.Result{{ID: backend.AttemptID{Request: "late"}}}})
--- a/internal/forwarding/messages.go
+++ b/internal/forwarding/messages.go
@@ -40,4 +40,6 @@
 type Receipt struct {
 	// Draining tells that the receiver is stopping: it serves the batch, but wants no further queries.
 	Draining bool
+	// Refused tells that the receiver has finished its work for others and dropped the batch's queries, unsent.
+	Refused bool
 }
--- a/internal/tables/forwards.go
+++ b/internal/tables/forwards.go
@@ -34,9 +34,13 @@
 	pending map[backend.AttemptID]Pending
 	// inbound holds how to cancel the sub-requests that this daemon sends for others.
 	inbound map[backend.AttemptID]func()
-	// idle, unless nil, is closed when inbound becomes empty.
-	idle   chan struct{}
-	closed bool
+	// returning counts the results for other daemons that are queued or on their way.
+	returning int
+	// retiring, unless nil, is closed once inbound is empty and no result is returning. From then on retired is true and
+	// nothing is accepted.
+	retiring chan struct{}
+	retired  bool
+	closed   bool
 }
 
 type outbox struct {
@@ -72,6 +76,7 @@
 func (f *Forwards) Return(to model.Member, r forwarding.Result) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.returning++
 	f.removeInbound(r.ID)
 	box := f.box(to)
 	box.batch.Results = append(box.batch.Results, r)
@@ -93,11 +98,16 @@
 	return true
 }
 
-// Accept records a sub-request that this daemon sends for another, with the way to cancel it.
-func (f *Forwards) Accept(id backend.AttemptID, cancel func()) {
+// Accept records a sub-request that this daemon sends for another, with the way to cancel it. It returns false once this
+// daemon has retired.
+func (f *Forwards) Accept(id backend.AttemptID, cancel func()) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.retired {
+		return false
+	}
 	f.inbound[id] = cancel
+	return true
 }
 
 // Forget removes a sub-request that was accepted and returns the way to cancel it, or nil.
@@ -111,26 +121,26 @@
 
 func (f *Forwards) removeInbound(id backend.AttemptID) {
 	delete(f.inbound, id)
-	if len(f.inbound) == 0 && f.idle != nil {
-		close(f.idle)
-		f.idle = nil
+	f.checkRetired()
+}
+
+// checkRetired ends Retire's wait once. A cancellation that crosses its result may queue a result later still.
+func (f *Forwards) checkRetired() {
+	if f.retiring == nil || f.retired || len(f.inbound) > 0 || f.returning > 0 {
+		return
 	}
+	f.retired = true
+	close(f.retiring)
 }
 
-// Idle returns a channel that is closed once this daemon is sending no sub-request for others.
-func (f *Forwards) Idle() <-chan struct{} {
+// Retire returns a channel that is closed once this daemon sends no sub-request for others and has delivered all results.
+// From then on it accepts none, since it could end before it delivers the result. Call it once.
+func (f *Forwards) Retire() <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	idle := f.idle
-	if idle == nil {
-		idle = make(chan struct{})
-	}
-	if len(f.inbound) == 0 {
-		close(idle)
-		return idle
-	}
-	f.idle = idle
-	return idle
+	f.retiring = make(chan struct{})
+	f.checkRetired()
+	return f.retiring
 }
 
 // Settle takes the pending sub-request of a result, or false if there is none: the result is late or crossed.
@@ -175,10 +185,12 @@
 	return box.peer, batch, true
 }
 
-// Sent records that a batch to the peer was delivered or failed.
-func (f *Forwards) Sent(peer model.InstanceID) {
+// Sent records that a batch to the peer was delivered or failed, with the number of results in it.
+func (f *Forwards) Sent(peer model.InstanceID, results int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.returning -= results
+	f.checkRetired()
 	box := f.outbox[peer]
 	box.sending--
 	f.offer(box)
