--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -141,7 +141,7 @@
 func (f *Forwarding) send(to model.Member, batch forwarding.Batch) {
 	if f.d.zones.Unreachable(to.Zone) {
 		// Senders that wait for each daemon of a lost zone would be missing for the daemons of other zones.
-		f.forwards.Sent(to.Instance)
+		f.forwards.Sent(to.Instance, len(batch.Results))
 		f.lose(f.forwards.Lose(to.Instance), backend.StatusZoneUnreachable)
 		return
 	}
@@ -151,7 +151,7 @@
 	answered := f.d.watchBatch(to, time.Now())
 	receipt, err := f.sender.Forward(ctx, to.Address, batch)
 	answered()
-	f.forwards.Sent(to.Instance)
+	f.forwards.Sent(to.Instance, len(batch.Results))
 	if err == nil && f.d.watches(to.Zone) {
 		f.d.zoneHeard(to.Zone)
 	}
@@ -159,10 +159,12 @@
 	switch {
 	case err != nil:
 		f.owners.Avoid(to, now.Add(avoidFailed), now)
-		f.lose(f.forwards.Lose(to.Instance), backend.StatusOwnerLost)
-	case receipt.Draining:
+	case receipt.Draining || receipt.Refused:
 		f.owners.Avoid(to, now.Add(avoidDraining), now)
 	}
+	if err != nil || receipt.Refused {
+		f.lose(f.forwards.Lose(to.Instance), backend.StatusOwnerLost)
+	}
 }
 
 // Greet opens connections to daemons that may own servers ahead of use. Without it the first query through an owner in
@@ -189,26 +191,27 @@
 			cancel()
 		}
 	}
+	refused := false
 	for i := range b.Queries {
-		f.accept(b.From, &b.Queries[i])
+		refused = !f.accept(b.From, &b.Queries[i]) || refused
 	}
 	for _, r := range b.Results {
 		if p, ok := f.forwards.Settle(r.ID); ok {
 			p.End(r)
 		}
 	}
-	return forwarding.Receipt{Draining: f.draining()}
+	return forwarding.Receipt{Draining: f.draining(), Refused: refused}
 }
 
 // accept sends a sub-request for another daemon. It is never forwarded again, so that differing views of the members
-// cannot pass it around.
-func (f *Forwarding) accept(from model.Member, sent *forwarding.Query) {
+// cannot pass it around. It returns false if this daemon has finished its work for others.
+func (f *Forwarding) accept(from model.Member, sent *forwarding.Query) bool {
 	s := f.d.Servers.Get(sent.Server)
 	if s == nil {
 		f.forwards.Return(from, forwarding.Result{
 			ID: sent.Request.ID, Result: backend.QueryResult{Status: backend.StatusOwnerLost},
 		})
-		return
+		return true
 	}
 	now := time.Now()
 	request := sent.Request
@@ -219,21 +222,27 @@
 		release()
 		f.forwards.Return(from, forwarding.Result{ID: q.Request.ID, Result: r, Waited: q.waited})
 	}
-	f.forwards.Accept(request.ID, func() {
+	accepted := f.forwards.Accept(request.ID, func() {
 		if q.Cancel() {
 			release()
 		}
 	})
+	if !accepted {
+		release()
+		return false
+	}
 	f.d.startHere(ctx, q, now)
+	return true
 }
 
-// WaitForwarded waits until the sub-requests that this daemon sends for others have ended, or ctx has.
+// WaitForwarded waits until the sub-requests that this daemon sends for others have ended and their results were
+// delivered, or ctx has ended. From then on it takes no further ones.
 func (d *Dispatcher) WaitForwarded(ctx context.Context) {
 	if d.forwarding == nil {
 		return
 	}
 	select {
-	case <-d.forwarding.forwards.Idle():
+	case <-d.forwarding.forwards.Retire():
 	case <-ctx.Done():
 	}
 }
