--- a/internal/tables/owners.go
+++ b/internal/tables/owners.go
@@ -53,12 +53,13 @@
 
 // appendAbsent appends the members that are not in known; both lists are sorted by instance.
 func appendAbsent(joined, members, known []model.Member) []model.Member {
-	for _, m := range members {
+	for i := range members {
+		m := &members[i]
 		for len(known) > 0 && known[0].Instance < m.Instance {
 			known = known[1:]
 		}
-		if len(known) == 0 || !sameMembers(known[:1], []model.Member{m}) {
-			joined = append(joined, m)
+		if len(known) == 0 || !sameMember(&known[0], m) {
+			joined = append(joined, *m)
 		}
 	}
 	return joined
@@ -111,9 +112,13 @@
 		return false
 	}
 	for i := range a {
-		if a[i].Instance != b[i].Instance || a[i].Incarnation != b[i].Incarnation || a[i].Address != b[i].Address {
+		if !sameMember(&a[i], &b[i]) {
 			return false
 		}
 	}
 	return true
 }
+
+func sameMember(a, b *model.Member) bool {
+	return a.Instance == b.Instance && a.Incarnation == b.Incarnation && a.Address == b.Address
+}
