Queue a fan-out's sub-requests before any sender takes them

Cause: Forwards.Forward queued one sub-request and woke a sender, which took it while the rest of the query's fan-out was still being chosen. Sub-requests for one owner went out in several messages. Change: scatter chooses the replicas of a round first and starts them with StartQueries, which queues all of them under one acquisition of the table's lock. Tests: forward_test.go calls StartQueries, which replaces StartQuery; a spec guards the batch sizes.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -74,18 +74,21 @@
 	return owner, ok && owner.Instance != f.self.Instance
 }
 
-// forward queues an attempt for the owner of its server.
-func (f *Forwarding) forward(q *QueryAttempt, owner model.Member) {
+// outgoing prepares an attempt for the owner of its server.
+func (f *Forwarding) outgoing(q *QueryAttempt, owner model.Member) tables.Outgoing {
 	q.forwarded = true
 	q.Server.AddForwarded(1)
-	f.forwards.Forward(forwarding.Query{
-		Server:  q.Server.Name(),
-		Rank:    q.Rank,
-		Request: q.Request,
-		Left:    q.Request.Deadline.Sub(q.Started),
-
-		BounceAfter: q.BounceAfter,
-	}, tables.Pending{Peer: owner, End: func(r forwarding.Result) { f.end(q, r) }})
+	return tables.Outgoing{
+		Query: forwarding.Query{
+			Server:  q.Server.Name(),
+			Rank:    q.Rank,
+			Request: q.Request,
+			Left:    q.Request.Deadline.Sub(q.Started),
+
+			BounceAfter: q.BounceAfter,
+		},
+		Pending: tables.Pending{Peer: owner, End: func(r forwarding.Result) { f.end(q, r) }},
+	}
 }
 
 // end takes the result of a forwarded attempt.
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -33,12 +33,17 @@
 	peer       *node
 	cut        bool
 	draining   bool
+	// sent lists the sizes of the batches that carried queries.
+	sent chan int
 }
 
 func (n *node) Forward(_ context.Context, _ string, b forwarding.Batch) (forwarding.Receipt, error) {
 	if n.cut {
 		return forwarding.Receipt{}, errors.New("cut off")
 	}
+	if len(b.Queries) > 0 && n.sent != nil {
+		n.sent <- len(b.Queries)
+	}
 	return n.peer.forwarding.Receive(b), nil
 }
 
@@ -79,7 +84,13 @@
 }
 
 func (n *node) start(attempt uint32, rank model.Rank, done func(backend.QueryResult)) *dispatch.QueryAttempt {
-	q := &dispatch.QueryAttempt{
+	q := n.attempt(attempt, rank, done)
+	n.StartQueries(context.Background(), []*dispatch.QueryAttempt{q}, time.Now())
+	return q
+}
+
+func (n *node) attempt(attempt uint32, rank model.Rank, done func(backend.QueryResult)) *dispatch.QueryAttempt {
+	return &dispatch.QueryAttempt{
 		Server: n.Servers.Get(serverName),
 		Rank:   rank,
 		Request: backend.QueryRequest{
@@ -88,8 +99,6 @@
 		},
 		Done: func(_ *dispatch.QueryAttempt, r backend.QueryResult) { done(r) },
 	}
-	n.StartQuery(context.Background(), q, time.Now())
-	return q
 }
 
 var _ = Describe("forwarding", func() {
@@ -105,6 +114,21 @@
 		Expect(asker.connector.Queries(serverName)).To(BeZero())
 	})
 
+	It("sends attempts that start together and have one owner in as few batches as their size allows", func() {
+		// Guards against a message for each sub-request of a fan-out.
+		asker, _ := newPair(fakebackend.Script{})
+		asker.sent = make(chan int, 100)
+		qs := make([]*dispatch.QueryAttempt, 100)
+		for i := range qs {
+			qs[i] = asker.attempt(uint32(i+1), model.RankUrgent, func(backend.QueryResult) {})
+		}
+		asker.StartQueries(context.Background(), qs, time.Now())
+		var first, second int
+		Eventually(asker.sent).WithTimeout(5 * time.Second).Should(Receive(&first))
+		Eventually(asker.sent).WithTimeout(5 * time.Second).Should(Receive(&second))
+		Expect([]int{first, second}).To(ConsistOf(64, 36))
+	})
+
 	It("ends attempts whose owner is lost, and then sends from here", func() {
 		// Guards against queries that wait for their deadline because a daemon died.
 		asker, owner := newPair(fakebackend.Script{})
@@ -160,7 +184,7 @@
 			BounceAfter: 20 * time.Millisecond,
 			Done:        func(_ *dispatch.QueryAttempt, r backend.QueryResult) { results <- r },
 		}
-		asker.StartQuery(context.Background(), waiting, time.Now())
+		asker.StartQueries(context.Background(), []*dispatch.QueryAttempt{waiting}, time.Now())
 		var r backend.QueryResult
 		Eventually(results).WithTimeout(5 * time.Second).Should(Receive(&r))
 		Expect(r.Status).To(Equal(backend.StatusBusy))
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -40,16 +40,22 @@
 	bounce    *pool.Entry
 }
 
-// StartQuery sends the attempt through the owner of its server, or when the server and a worker are free. ctx must carry
-// the request's deadline.
-func (d *Dispatcher) StartQuery(ctx context.Context, q *QueryAttempt, now time.Time) {
-	owner, ok := d.route(q.Server)
-	if !ok {
-		d.startHere(ctx, q, now)
-		return
+// StartQueries sends each attempt through the owner of its server, or when the server and a worker are free. Attempts that
+// have the same owner share batches. ctx must carry the requests' deadline.
+func (d *Dispatcher) StartQueries(ctx context.Context, qs []*QueryAttempt, now time.Time) {
+	var out []tables.Outgoing
+	for _, q := range qs {
+		owner, ok := d.route(q.Server)
+		if !ok {
+			d.startHere(ctx, q, now)
+			continue
+		}
+		q.prepare(ctx, d, now)
+		out = append(out, d.forwarding.outgoing(q, owner))
+	}
+	if len(out) > 0 {
+		d.forwarding.forwards.Forward(out)
 	}
-	q.prepare(ctx, d, now)
-	d.forwarding.forward(q, owner)
 }
 
 // startHere sends the attempt from this daemon.
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -50,6 +50,9 @@
 
 	candidates []routing.Candidate
 	records    []*tables.Server
+	// chosen are the attempts that startChosen has yet to start. It is empty whenever the lock is free and whenever attempts
+	// are cancelled.
+	chosen []*dispatch.QueryAttempt
 }
 
 // shardState is what a call knows about one shard.
@@ -113,13 +116,15 @@
 		c.searcher.Dispatcher.Budgets.OnRequest(now)
 		c.sendTo(i, now)
 	}
+	c.startChosen(now)
 	timer := c.searcher.Dispatcher.Timer
 	c.deadline = timer.Schedule(c.req.Deadline.Add(-answerMargin), c.end)
 	c.scheduleHedge()
 	c.evaluate(now)
 }
 
-// sendTo starts one attempt for a shard at the best replica that was not tried yet, and tells whether there was one.
+// sendTo chooses the best replica that was not tried yet for one attempt of a shard, and tells whether there was one. The
+// attempt starts with startChosen.
 func (c *call) sendTo(i int, now time.Time) bool {
 	sh := &c.shards[i]
 	c.candidates, c.records = c.searcher.Dispatcher.Candidates(c.candidates, c.records, sh.shard, now)
@@ -167,7 +172,14 @@
 		q.BounceAfter = sh.hedgeAt.Sub(now)
 	}
 	sh.pending = append(sh.pending, q)
-	c.searcher.Dispatcher.StartQuery(c.ctx, q, now)
+	c.chosen = append(c.chosen, q)
+}
+
+// startChosen starts what send and sendTo chose, together, so that attempts with the same owner share batches.
+func (c *call) startChosen(now time.Time) {
+	c.searcher.Dispatcher.StartQueries(c.ctx, c.chosen, now)
+	clear(c.chosen)
+	c.chosen = c.chosen[:0]
 }
 
 // onEnd takes the result of one attempt.
@@ -232,6 +244,7 @@
 		c.shards[i].tried = nil
 		c.sendTo(i, now)
 	}
+	c.startChosen(now)
 }
 
 func (c *call) mayResend(i int) bool {
@@ -299,6 +312,7 @@
 			started = true
 		}
 	}
+	c.startChosen(now)
 	return started
 }
 
--- a/internal/query/scatter/hedge.go
+++ b/internal/query/scatter/hedge.go
@@ -68,10 +68,11 @@
 			c.hedgeShard(i, now)
 		}
 	}
+	c.startChosen(now)
 	c.scheduleHedge()
 }
 
-// hedgeShard sends a second attempt to a replica that has headroom now, so that hedges add nothing under overload.
+// hedgeShard chooses a second attempt to a replica that has headroom now, so that hedges add nothing under overload.
 func (c *call) hedgeShard(i int, now time.Time) {
 	sh := &c.shards[i]
 	c.candidates, c.records = c.searcher.Dispatcher.Candidates(c.candidates, c.records, sh.shard, now)
--- a/internal/tables/forwards.go
+++ b/internal/tables/forwards.go
@@ -58,14 +58,23 @@
 	return f
 }
 
-// Forward queues a sub-request for its owner. p.End is called when it ends.
-func (f *Forwards) Forward(q forwarding.Query, p Pending) {
+// Outgoing is a sub-request to forward. Pending.End is called when it ends.
+type Outgoing struct {
+	Query   forwarding.Query
+	Pending Pending
+}
+
+// Forward queues sub-requests for their owners. No sender can take a part of them, so that those with the same owner share
+// batches.
+func (f *Forwards) Forward(list []Outgoing) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.pending[q.Request.ID] = p
-	box := f.box(p.Peer)
-	box.batch.Queries = append(box.batch.Queries, q)
-	f.offer(box)
+	for i := range list {
+		f.pending[list[i].Query.Request.ID] = list[i].Pending
+		box := f.box(list[i].Pending.Peer)
+		box.batch.Queries = append(box.batch.Queries, list[i].Query)
+		f.offer(box)
+	}
 }
 
 // Return queues a result for the daemon that forwarded the sub-request.
