--- a/internal/dispatch/zones_test.go
+++ b/internal/dispatch/zones_test.go
@@ -127,7 +127,7 @@
 			},
 			Done: func(_ *dispatch.QueryAttempt, r backend.QueryResult) { results <- r },
 		}
-		z.StartQuery(context.Background(), q, time.Now())
+		z.StartQueries(context.Background(), []*dispatch.QueryAttempt{q}, time.Now())
 	}
 	return results
 }
