Hold less of a configuration: packed parts, shared specs, smaller records

Cause: a daemon at 73,000 servers held 125 of 128 MB. The raw parts took about as much as the Topology, model.Server copied each spec, and a record had room for a queue that few servers need. Clients of servers also kept the spec of the revision that they were made in.

Existing tests: literals of model.Server and client follow the types; no check changed.

Resident memory of a daemon process was not measured.

--- a/internal/backend/backendhttp/client.go
+++ b/internal/backend/backendhttp/client.go
@@ -24,24 +24,20 @@
 	idleTimeout = 90 * time.Second
 )
 
-// Connector makes clients. Servers with the same connection budget share a transport, which bounds the connections to
-// each of them. The zero value is ready to use.
+// Connector makes clients. Servers with the same connection budget share an http.Client, whose transport bounds the
+// connections to each of them. The zero value is ready to use.
 type Connector struct {
 	// Dial opens connections; nil stands for a plain TCP dialer. Set it before the first Connect.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	// mu has the lowest order: no other lock is held when it is acquired.
-	mu         lockorder.Mutex
-	transports map[int]*http.Transport
+	mu      lockorder.Mutex
+	clients map[int]*http.Client
 }
 
 // Connect implements backend.Connector.
 func (c *Connector) Connect(server *model.Server, connections int) backend.Server {
-	return &client{
-		server: server,
-		http:   &http.Client{Transport: c.transport(max(1, connections)), CheckRedirect: refuseRedirect},
-		base:   "http://" + server.Address,
-	}
+	return &client{name: server.Name, http: c.client(max(1, connections)), base: "http://" + server.Address}
 }
 
 // refuseRedirect keeps net/http from sending a request a second time, to the place that a redirect names.
@@ -51,19 +47,19 @@
 func (c *Connector) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, t := range c.transports {
-		t.CloseIdleConnections()
+	for _, h := range c.clients {
+		h.CloseIdleConnections()
 	}
 }
 
-func (c *Connector) transport(connections int) *http.Transport {
+func (c *Connector) client(connections int) *http.Client {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if t := c.transports[connections]; t != nil {
-		return t
+	if h := c.clients[connections]; h != nil {
+		return h
 	}
-	if c.transports == nil {
-		c.transports = map[int]*http.Transport{}
+	if c.clients == nil {
+		c.clients = map[int]*http.Client{}
 	}
 	t := &http.Transport{
 		DialContext:         c.dial,
@@ -72,8 +68,9 @@
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
-	c.transports[connections] = t
-	return t
+	h := &http.Client{Transport: t, CheckRedirect: refuseRedirect}
+	c.clients[connections] = h
+	return h
 }
 
 // dial opens a connection within dialTimeout.
@@ -87,9 +84,9 @@
 }
 
 type client struct {
-	server *model.Server
-	http   *http.Client
-	base   string
+	name model.ServerName
+	http *http.Client
+	base string
 }
 
 // Query implements backend.Server.
@@ -160,11 +157,11 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return errors.Wrapf(err, "backendhttp: %s %s", c.server.Name, path)
+		return errors.Wrapf(err, "backendhttp: %s %s", c.name, path)
 	}
 	defer closeBody(resp.Body)
 	if resp.StatusCode != http.StatusOK {
-		return errors.Newf("backendhttp: %s %s: status %d", c.server.Name, path, resp.StatusCode)
+		return errors.Newf("backendhttp: %s %s: status %d", c.name, path, resp.StatusCode)
 	}
 	return errors.Wrap(readJSON(resp.Body, into), "backendhttp: decoding")
 }
--- a/internal/backend/backendhttp/client_test.go
+++ b/internal/backend/backendhttp/client_test.go
@@ -33,7 +33,7 @@
 			Server: server,
 			Connect: func(connections int) backend.Server {
 				spec := model.ServerSpec{Name: "a", Address: server.Address()}
-				return connector.Connect(&model.Server{ServerSpec: spec}, connections)
+				return connector.Connect(&model.Server{ServerSpec: &spec}, connections)
 			},
 			DropIdle: connector.Close,
 		}
@@ -65,7 +65,7 @@
 		connector := &backendhttp.Connector{}
 		DeferCleanup(connector.Close)
 		spec := model.ServerSpec{Name: "a", Address: server.Listener.Addr().String()}
-		client := connector.Connect(&model.Server{ServerSpec: spec}, 1)
+		client := connector.Connect(&model.Server{ServerSpec: &spec}, 1)
 		result := client.Execute(ctx, backend.ExecuteRequest{ID: attempt(1), Deadline: time.Now().Add(time.Hour)})
 		Expect(result.Status).To(Equal(want))
 		Expect(requests.Load()).To(Equal(int32(1)), "requests")
--- a/internal/backend/backendhttp/fuzz_test.go
+++ b/internal/backend/backendhttp/fuzz_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"oleandersill.example/oleandersill/internal/backend"
-	"oleandersill.example/oleandersill/internal/model"
 )
 
 // cannedReply gives the same bytes as the reply to every request, on a connection of its own.
@@ -76,9 +75,8 @@
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		reply := cannedReply(raw)
 		c := &client{
-			server: &model.Server{},
-			http:   &http.Client{Transport: reply, CheckRedirect: refuseRedirect},
-			base:   "http://127.0.0.1:1",
+			http: &http.Client{Transport: reply, CheckRedirect: refuseRedirect},
+			base: "http://127.0.0.1:1",
 		}
 		id := backend.AttemptID{Request: "r", Incarnation: 1, Attempt: 2}
 		q := c.Query(context.Background(), backend.QueryRequest{ID: id, Shard: "s"})
--- a/internal/command/fleet/agent_test.go
+++ b/internal/command/fleet/agent_test.go
@@ -21,7 +21,7 @@
 
 var _ = Describe("leaving servers", func() {
 	var a *Agent
-	spec := &model.Server{ServerSpec: model.ServerSpec{Name: "srv"}}
+	spec := &model.Server{ServerSpec: &model.ServerSpec{Name: "srv"}}
 	BeforeEach(func() {
 		a = New(Deps{
 			Members: tables.NewMembers(model.Member{Instance: "self"}), Departures: tables.NewDepartures(), Owners: tables.NewOwners(),
--- a/internal/command/fleet/load.go
+++ b/internal/command/fleet/load.go
@@ -39,7 +39,7 @@
 	return true
 }
 
-// pull gets values from a peer. Values that the peer has not got are absent from the result. It asks again for values that
+// pull gets packed values from a peer, checked against their hashes. Values that the peer has not got are absent from the result. It asks again for values that
 // did not fit into a reply, as long as each reply brings some that were asked for.
 func (a *Agent) pull(ctx context.Context, address string, hashes []configdoc.Hash) (map[configdoc.Hash][]byte, error) {
 	values := make(map[configdoc.Hash][]byte, len(hashes))
@@ -49,11 +49,10 @@
 			return values, err
 		}
 		for _, p := range reply.Parts {
-			v, err := p.Unpack()
-			if err != nil {
+			if _, err := p.Unpack(); err != nil {
 				return values, err
 			}
-			values[p.Hash] = v
+			values[p.Hash] = p.Gzip
 		}
 		rest := without(hashes, values)
 		if len(rest) == len(hashes) {
@@ -74,7 +73,7 @@
 	return out
 }
 
-// read gets values from the store, a few at a time. It returns an error unless it got all.
+// read gets values from the store, a few at a time, and packs them. It returns an error unless it got all.
 func (a *Agent) read(ctx context.Context, prefix string, hashes []configdoc.Hash) (map[configdoc.Hash][]byte, error) {
 	values := make(map[configdoc.Hash][]byte, len(hashes))
 	if len(hashes) == 0 {
@@ -104,7 +103,9 @@
 	var failed error
 	for range hashes {
 		r := <-results
-		values[r.hash] = r.value
+		if r.err == nil {
+			values[r.hash] = configdoc.Pack(r.value)
+		}
 		failed = errors.CombineErrors(failed, r.err)
 	}
 	return values, failed
--- a/internal/command/fleet/take.go
+++ b/internal/command/fleet/take.go
@@ -84,18 +84,29 @@
 		return errors.Wrapf(ErrMissing, "%d parts of revision %d", len(absent), root.Revision)
 	}
 	held := a.held(doc)
-	inv, rules, err := configdoc.JoinOn(baseOf(held, doc), root, func(h configdoc.Hash) []byte { return values[h] })
+	inv, rules, err := configdoc.JoinOn(baseOf(held, doc), root, unpacking(values))
 	if err != nil {
 		return errors.Mark(err, ErrInvalid)
 	}
 	if err := a.Validate(inventoryOf(held), inv, rules); err != nil {
 		return errors.Mark(err, ErrInvalid)
 	}
-	values[configdoc.Hash(o.Root)] = o.root
+	values[configdoc.Hash(o.Root)] = configdoc.Pack(o.root)
 	a.install(model.NewTopologyOn(held, root.Revision, inv, rules), tables.Document{Root: root, Offer: o.Offer, Values: values})
 	return nil
 }
 
+// unpacking returns a function that unpacks one value, or returns nil if it is missing or corrupt.
+func unpacking(values map[configdoc.Hash][]byte) func(configdoc.Hash) []byte {
+	return func(h configdoc.Hash) []byte {
+		value, err := configdoc.Unpack(h, values[h])
+		if err != nil {
+			return nil
+		}
+		return value
+	}
+}
+
 // held returns the Topology in force, whose unchanged services a new one shares, or nil if it is not of the document's
 // revision: the hashes in the document's root would then say nothing about its services.
 func (a *Agent) held(doc tables.Document) *model.Topology {
@@ -143,7 +154,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if o.root = values[hash]; o.root == nil {
+		if o.root = unpacking(values)(hash); o.root == nil {
 			return nil, errors.Wrapf(ErrMissing, "root %s", hash)
 		}
 	}
@@ -157,7 +168,7 @@
 	return root, nil
 }
 
-// loadParts returns the values of the root's parts. It pulls what the revision in force has not got, from the peer that
+// loadParts returns the packed values of the root's parts. It pulls what the revision in force has not got, from the peer that
 // offered the root and then from the store.
 func (a *Agent) loadParts(
 	ctx context.Context, o offer, root *configdoc.Root, doc tables.Document,
--- a/internal/daemon/control/fleet_test.go
+++ b/internal/daemon/control/fleet_test.go
@@ -65,7 +65,7 @@
 
 func (n *node) start() {
 	n.config, n.servers = tables.NewConfig(), tables.NewServers()
-	n.servers.Put(tables.NewServer(&model.Server{ServerSpec: model.ServerSpec{Name: "srv-1"}}, nil, 5, time.Time{}))
+	n.servers.Put(tables.NewServer(&model.Server{ServerSpec: &model.ServerSpec{Name: "srv-1"}}, nil, 5, time.Time{}))
 	var err error
 	n.part, err = control.Open(control.Config{
 		Instance: n.name, Zone: n.zone, PeerAddress: n.address, PeerToken: token, Seeds: n.seeds,
--- a/internal/dispatch/warm_test.go
+++ b/internal/dispatch/warm_test.go
@@ -20,7 +20,7 @@
 		DeferCleanup(n.Close)
 		const servers, budget = 100, 3
 		for i := range servers {
-			spec := &model.Server{ServerSpec: model.ServerSpec{Name: model.ServerName(fmt.Sprintf("joining-%d", i)), Slots: 1}}
+			spec := &model.Server{ServerSpec: &model.ServerSpec{Name: model.ServerName(fmt.Sprintf("joining-%d", i)), Slots: 1}}
 			n.Warm(tables.NewServer(spec, n.connector.Connect(spec, budget), budget, time.Now()))
 		}
 		for i := range servers {
--- a/internal/measure/calibrate.go
+++ b/internal/measure/calibrate.go
@@ -82,7 +82,7 @@
 	done *counter,
 ) *pool.Pool {
 	workers := spec.Slots + calibrationSpare
-	client := connector.Connect(&model.Server{ServerSpec: *spec, Shard: sh.Name}, workers)
+	client := connector.Connect(&model.Server{ServerSpec: spec, Shard: sh.Name}, workers)
 	return pool.Start(workers, func() (func(), bool) {
 		return func() {
 			r := client.Query(ctx, backend.QueryRequest{
--- a/internal/measure/fleetload/holding.go
+++ b/internal/measure/fleetload/holding.go
@@ -10,7 +10,6 @@
 	"oleandersill.example/oleandersill/internal/configdoc"
 	"oleandersill.example/oleandersill/internal/document"
 	"oleandersill.example/oleandersill/internal/model"
-	"oleandersill.example/oleandersill/internal/peer"
 )
 
 // Holding is what one daemon holds of a configuration and what a change of one shard costs it.
@@ -23,7 +22,7 @@
 	// PartBytes and PackedPartBytes are the same for the largest part.
 	PartBytes       int `json:"part_bytes"`
 	PackedPartBytes int `json:"packed_part_bytes"`
-	// MemoryMB is the live heap for the raw values and the Topology, in MB.
+	// MemoryMB is the live heap for the packed values and the Topology, in MB.
 	MemoryMB float64 `json:"memory_mb"`
 	// TakeMs is the time to join, validate and index the configuration, on one core; ChangeMs is the same for a revision
 	// in which one service differs from the one in force.
@@ -40,14 +39,15 @@
 	stored := 0
 	for name, p := range parts {
 		root.Parts[name] = p.Hash
-		values[p.Hash] = p.Value
-		stored += len(p.Value)
+		packed := configdoc.Pack(p.Value)
+		values[p.Hash] = packed
+		stored += len(packed)
 		if len(p.Value) > h.PartBytes {
-			h.PartBytes, h.PackedPartBytes = len(p.Value), len(peer.Pack(p.Hash, p.Value).Gzip)
+			h.PartBytes, h.PackedPartBytes = len(p.Value), len(packed)
 		}
 	}
 	encoded := root.Encode()
-	h.RootBytes, h.PackedRootBytes = len(encoded), len(peer.Pack(configdoc.HashOf(encoded), encoded).Gzip)
+	h.RootBytes, h.PackedRootBytes = len(encoded), len(configdoc.Pack(encoded))
 	before := memoryMB()
 	topology, took, err := index(nil, nil, root, values)
 	if err != nil {
@@ -73,7 +73,10 @@
 	if held != nil {
 		inForce = &held.Inventory
 	}
-	inv, rules, err := configdoc.JoinOn(base, root, func(hash configdoc.Hash) []byte { return values[hash] })
+	inv, rules, err := configdoc.JoinOn(base, root, func(hash configdoc.Hash) []byte {
+		value, _ := configdoc.Unpack(hash, values[hash])
+		return value
+	})
 	if err == nil {
 		err = document.ValidateOn(inForce, inv, rules).Err()
 	}
@@ -91,7 +94,7 @@
 	next := &configdoc.Root{Revision: root.Revision + 1, Parts: map[configdoc.PartName]configdoc.Hash{}}
 	for name, p := range configdoc.Split(inv, rules()) {
 		next.Parts[name] = p.Hash
-		values[p.Hash] = p.Value
+		values[p.Hash] = configdoc.Pack(p.Value)
 	}
 	return next
 }
--- a/internal/model/topology.go
+++ b/internal/model/topology.go
@@ -42,9 +42,9 @@
 	return float64(s.KeyTo-s.KeyFrom) / KeySpace
 }
 
-// Server is a backend server with its region resolved.
+// Server is a backend server with its region resolved. Its spec is that of the inventory, which is never changed.
 type Server struct {
-	ServerSpec
+	*ServerSpec
 	Service ServiceName
 	Shard   ShardName
 	Region  Region
@@ -110,9 +110,13 @@
 	for i := range spec.Shards {
 		sh := &spec.Shards[i]
 		shard := &Shard{Name: sh.Name, Index: i, KeyFrom: sh.KeyFrom, KeyTo: sh.KeyTo}
-		for _, srv := range sh.Servers {
-			server := &Server{ServerSpec: srv, Service: spec.Name, Shard: sh.Name, Region: regions[srv.Zone]}
-			shard.Servers = append(shard.Servers, server)
+		// One allocation for a shard's servers: they come and go with the Service.
+		servers := make([]Server, len(sh.Servers))
+		shard.Servers = make([]*Server, len(servers))
+		for i := range servers {
+			srv := &sh.Servers[i]
+			servers[i] = Server{ServerSpec: srv, Service: spec.Name, Shard: sh.Name, Region: regions[srv.Zone]}
+			shard.Servers[i] = &servers[i]
 		}
 		svc.servers += len(shard.Servers)
 		svc.Shards = append(svc.Shards, shard)
--- a/internal/query/queryrpc/service.go
+++ b/internal/query/queryrpc/service.go
@@ -71,11 +71,11 @@
 	doc := s.config.Document()
 	size := 0
 	for _, hash := range req.Hashes[:min(len(req.Hashes), peer.MaxHashes)] {
-		value, ok := doc.Values[hash]
+		packed, ok := doc.Values[hash]
 		if !ok {
 			continue
 		}
-		p := peer.Pack(hash, value)
+		p := peer.PackedPart{Hash: hash, Gzip: packed}
 		if size += len(p.Gzip); size > peer.MaxPartsBytes && len(reply.Parts) > 0 {
 			return nil
 		}
--- a/internal/standin/backendserver/server_test.go
+++ b/internal/standin/backendserver/server_test.go
@@ -30,7 +30,7 @@
 		Expect(s.Start("127.0.0.1:0")).To(Succeed())
 		connector := &backendhttp.Connector{}
 		DeferCleanup(connector.Close)
-		return s, connector.Connect(&model.Server{ServerSpec: model.ServerSpec{Address: s.Address()}}, 4)
+		return s, connector.Connect(&model.Server{ServerSpec: &model.ServerSpec{Address: s.Address()}}, 4)
 	}
 	request := func(instance string, attempt uint32) backend.QueryRequest {
 		return backend.QueryRequest{
--- a/internal/standin/control/control_test.go
+++ b/internal/standin/control/control_test.go
@@ -51,7 +51,7 @@
 		connector := &backendhttp.Connector{}
 		DeferCleanup(connector.Close)
 		spec := model.ServerSpec{Name: "w0-a", Address: s.Server("w0-a").Address()}
-		client = connector.Connect(&model.Server{ServerSpec: spec}, 2)
+		client = connector.Connect(&model.Server{ServerSpec: &spec}, 2)
 	})
 	send := func(method, path, body string) *httptest.ResponseRecorder {
 		w := httptest.NewRecorder()
--- a/internal/tables/choice_bench_test.go
+++ b/internal/tables/choice_bench_test.go
@@ -20,7 +20,7 @@
 	for i := 0; i < servers || len(shards) < benchShards; i += 2 {
 		sh := &model.Shard{Name: model.ShardName(fmt.Sprintf("shard-%d", i))}
 		for j := range 2 {
-			spec := &model.Server{ServerSpec: model.ServerSpec{Name: model.ServerName(fmt.Sprintf("server-%06d", i+j)), Zone: "a"}}
+			spec := &model.Server{ServerSpec: &model.ServerSpec{Name: model.ServerName(fmt.Sprintf("server-%06d", i+j)), Zone: "a"}}
 			sh.Servers = append(sh.Servers, spec)
 			t.Put(tables.NewServer(spec, nil, 2, time.Time{}))
 		}
--- a/internal/tables/config.go
+++ b/internal/tables/config.go
@@ -25,7 +25,8 @@
 type Document struct {
 	Root  *configdoc.Root
 	Offer model.Offer
-	// Values are the raw root and parts by hash.
+	// Values are the root and parts by hash, packed by configdoc.Pack: raw ones would take about as much memory as the
+	// Topology, and only the parts of changed services are read again.
 	Values map[configdoc.Hash][]byte
 }
 
--- a/internal/tables/server.go
+++ b/internal/tables/server.go
@@ -21,6 +21,8 @@
 	failureWeight = 0.05
 )
 
+var noMinimums share.Minimums
+
 // Server is the record of one backend server. Invariants: inFlight never exceeds the connection budget, and an attempt
 // waits only while inFlight is at the limit. Owners: dispatch (in-flight and waiting), command/report (all else).
 type Server struct {
@@ -31,9 +33,9 @@
 	budget   int
 	inFlight int
 	limit    limit.Adaptive
-	waiting  [model.RankCount][]*Attempt
+	// queue is nil until an attempt waits: a daemon has records of all servers, and attempts wait at few.
+	queue    *serverQueue
 	queued   int
-	served   share.Ledger
 	minimums *share.Minimums
 	// forwarded counts the attempts that this daemon has pending at the server's owner.
 	forwarded int
@@ -49,16 +51,21 @@
 	quantile  budget.Quantile
 	joined    time.Time
 	leaving   time.Time
-	load      backend.Load
 	// notedEjected is the ejection state that TakeEjectionChange last returned.
 	notedEjected bool
 }
 
+// serverQueue holds the attempts that wait for a server's headroom, by rank, and what was served by rank.
+type serverQueue struct {
+	waiting [model.RankCount][]*Attempt
+	served  share.Ledger
+}
+
 // NewServer returns the record of a server that joined at joined, reached through client with a connection budget.
 func NewServer(spec *model.Server, client backend.Server, connections int, joined time.Time) *Server {
 	return &Server{
 		mu:       lockorder.New(OrderServer),
-		minimums: &share.Minimums{},
+		minimums: &noMinimums,
 		name:     spec.Name,
 		spec:     spec,
 		client:   client,
@@ -126,7 +133,10 @@
 		s.inFlight++
 		return true
 	}
-	s.waiting[a.Rank] = append(s.waiting[a.Rank], a)
+	if s.queue == nil {
+		s.queue = &serverQueue{}
+	}
+	s.queue.waiting[a.Rank] = append(s.queue.waiting[a.Rank], a)
 	s.queued++
 	return false
 }
@@ -174,16 +184,17 @@
 	if s.queued == 0 {
 		return nil
 	}
-	waiting := func(r model.Rank) bool { return len(s.waiting[r]) > 0 }
-	rank, ok := s.served.Neediest(waiting, s.minimums, now)
+	q := s.queue
+	waiting := func(r model.Rank) bool { return len(q.waiting[r]) > 0 }
+	rank, ok := q.served.Neediest(waiting, s.minimums, now)
 	for r := 0; !ok && r < model.RankCount; r++ {
 		rank = model.Rank(r)
 		ok = waiting(rank)
 	}
-	a := s.waiting[rank][0]
-	s.waiting[rank] = s.waiting[rank][1:]
+	a := q.waiting[rank][0]
+	q.waiting[rank] = q.waiting[rank][1:]
 	s.queued--
-	s.served.Add(rank, now)
+	q.served.Add(rank, now)
 	return a
 }
 
@@ -191,10 +202,13 @@
 func (s *Server) Withdraw(a *Attempt) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ws := s.waiting[a.Rank]
+	if s.queue == nil {
+		return false
+	}
+	ws := s.queue.waiting[a.Rank]
 	for i := range ws {
 		if ws[i] == a {
-			s.waiting[a.Rank] = append(ws[:i:i], ws[i+1:]...)
+			s.queue.waiting[a.Rank] = append(ws[:i:i], ws[i+1:]...)
 			s.queued--
 			return true
 		}
@@ -277,7 +291,6 @@
 		slowdown = s.limit.Slowdown(o.Total)
 		s.quantile.Observe(o.Latency, o.Quantile)
 		s.observeLatency(o.Latency, now)
-		s.load = o.Load
 		if o.Load.Draining {
 			s.markLeaving(now)
 		}
--- a/internal/tables/serverowner.go
+++ b/internal/tables/serverowner.go
@@ -8,9 +8,9 @@
 
 // ownerCache is the owner of a server by one view of the members.
 type ownerCache struct {
-	view  *OwnerView
-	owner model.Member
-	found bool
+	view *OwnerView
+	// owner points into view; it is nil if the server's zone has no daemon.
+	owner *model.Member
 }
 
 // Owner returns the daemon that owns the server by the given view, or false if the server's zone has no daemon.
@@ -21,10 +21,13 @@
 		members := view.Zones[s.spec.Zone]
 		s.owner = ownerCache{view: view}
 		if i := ownership.Owner(s.name, members); i >= 0 {
-			s.owner.owner, s.owner.found = members[i], true
+			s.owner.owner = &members[i]
 		}
 	}
-	return s.owner.owner, s.owner.found
+	if s.owner.owner == nil {
+		return model.Member{}, false
+	}
+	return *s.owner.owner, true
 }
 
 // AddForwarded counts attempts that were forwarded to the server's owner, or with -1 one that ended.
--- a/internal/tables/state_test.go
+++ b/internal/tables/state_test.go
@@ -13,7 +13,7 @@
 
 var _ = Describe("a server record", func() {
 	It("reports each step into and out of ejection once", func() {
-		s := tables.NewServer(&model.Server{}, nil, 4, time.Time{})
+		s := tables.NewServer(&model.Server{ServerSpec: &model.ServerSpec{}}, nil, 4, time.Time{})
 		now := time.Now()
 		observe := func(status backend.Status) tables.EjectionChange {
 			s.Observe(tables.Observation{Status: status, Latency: time.Millisecond, MayEject: true}, now)
--- a/internal/telemetry/metrics_test.go
+++ b/internal/telemetry/metrics_test.go
@@ -88,7 +88,7 @@
 var _ = Describe("the metrics page", func() {
 	It("serves every defined metric with its labels, and ends a server's series with its state", func() {
 		spec := &model.Server{
-			ServerSpec: model.ServerSpec{Name: "s1", Zone: "luzon"}, Service: "phrases", Shard: "p0",
+			ServerSpec: &model.ServerSpec{Name: "s1", Zone: "luzon"}, Service: "phrases", Shard: "p0",
 		}
 		sample := telemetry.Sample{
 			Queues:   []telemetry.QueueSample{{Service: "phrases"}},
