Keep records of revisions in place of copies of roots

Change: the audit trail keeps the root without its part map, but with the map's hash and the hashes that the changed parts had before. Records are stored by their own hash and name the previous record's, so that the chain checks itself from any point; walking from the head gives each part map back, checked against the record. Nothing is removed, so the collector's argument stays. A daemon that needs a root from the store reads the head.

Chains that begin with copies of roots stay readable. Daemons of both versions must not accept changes in turn.

--- a/internal/command/configure/apply.go
+++ b/internal/command/configure/apply.go
@@ -177,7 +177,7 @@
 	return names
 }
 
-// write writes the parts, the root's copy and the head. It returns false if the head moved meanwhile and the change is
+// write writes the parts, the root's record and the head. It returns false if the head moved meanwhile and the change is
 // certainly not part of what moved it.
 func (e *edit) write(
 	ctx context.Context, head configstore.Head, target map[configdoc.PartName]configdoc.Hash,
@@ -190,6 +190,7 @@
 		Reason:   e.change.Reason,
 		Previous: head.Hash,
 	}
+	next.Seal(head.Root)
 	if err := e.writeParts(ctx, head, next); err != nil {
 		return unavailable(err), true
 	}
--- a/internal/command/configure/collect.go
+++ b/internal/command/configure/collect.go
@@ -56,7 +56,7 @@
 //
 // The argument relies on the store's clock not going back between the rewrite of the head and the writes after it.
 //
-// Roots are never removed: they are the audit trail.
+// Records of roots are never removed: they are the audit trail.
 func (c *Configurer) Collect(ctx context.Context) (Collection, error) {
 	window := lease.Window{Granted: c.Now(), TTL: collectorLease / 2}
 	held, err := c.lockCollector(ctx)
--- a/internal/command/configure/editors_test.go
+++ b/internal/command/configure/editors_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -100,7 +101,7 @@
 		Expect(again.Current.Revision).To(Equal(model.Revision(3)))
 	})
 
-	It("writes only the changed part, a copy of the root and the head", func() {
+	It("writes only the changed part, the record of the root and the head", func() {
 		store.writes = nil
 		Expect(c.Apply(ctx, change(1, "anna", 2, 1)).Verdict).To(Equal(configure.Accepted))
 		Expect(store.writes).To(HaveLen(3))
@@ -219,6 +220,52 @@
 		}
 	})
 
+	// Guards against a collection that takes a part of either of two editors who race between its steps, or that lets another
+	// collection start while a delete without an answer may still arrive.
+	DescribeTable("keeps what two racing editors need while replies of deletes are lost",
+		func(when string) {
+			store := newFaultyStore()
+			c := newConfigurer(store)
+			for i := range configure.KeepRevisions + 2 {
+				Expect(c.Apply(ctx, change(model.Revision(i), "first", i+1, 1)).Verdict).To(Equal(configure.Accepted))
+			}
+			expect := model.Revision(configure.KeepRevisions + 2)
+			time.Sleep(2 * time.Millisecond)
+			var results []configure.Result
+			collector, slow := *c, *c
+			slow.Store = &hookedStore{faultyStore: store, before: "put " + configdoc.KeyHead, hook: func() {
+				results = append(results, c.Apply(ctx, change(expect, "ben", 2, 1)))
+			}}
+			collector.Store = &hookedStore{faultyStore: store, before: when, hook: func() {
+				results = append(results, slow.Apply(ctx, change(expect, "anna", 1, 1)))
+				store.plan = func(op, _ string) fault {
+					if op == "delete" {
+						return lostReply
+					}
+					return ok
+				}
+			}}
+			done, err := collector.Collect(ctx)
+			store.plan = nil
+			if err == nil {
+				Expect(done.Removed).To(BeZero())
+				_, again := c.Collect(ctx)
+				Expect(errors.Is(again, configure.ErrCollecting)).To(Equal(done.Unconfirmed > 0))
+			}
+			Expect(results).To(HaveLen(2))
+			Expect(results[0].Verdict).To(Equal(configure.Accepted), results[0].Detail)
+			Expect(results[1].Cause).To(Equal(configure.CauseConflict))
+			for name, hash := range results[0].Root.Parts {
+				Expect(store.last(configdoc.PrefixParts+string(hash)).Version).NotTo(BeZero(), string(name))
+			}
+			back := configure.Rollback{To: expect, Expect: expect + 1, Editor: "cara"}
+			Expect(c.Rollback(ctx, back).Verdict).To(Equal(configure.Accepted))
+		},
+		Entry("while the records are read", "get "+configdoc.PrefixRoots),
+		Entry("before the head is rewritten", "put "+configdoc.KeyHead),
+		Entry("before the first delete", "delete "),
+	)
+
 	It("runs once at a time", func() {
 		store := newFaultyStore()
 		c := newConfigurer(store)
--- a/internal/command/configure/machine_test.go
+++ b/internal/command/configure/machine_test.go
@@ -213,6 +213,7 @@
 func accepted(t *rapid.T, entries []platform.Entry) []*configdoc.Root {
 	var roots []*configdoc.Root
 	last := ""
+	var record configdoc.Hash
 	for _, e := range entries {
 		if string(e.Value) == last {
 			continue
@@ -221,9 +222,10 @@
 		if err != nil || int(root.Revision) != len(roots)+1 {
 			t.Fatalf("head version %d holds revision %v after %d: %v", e.Version, root, len(roots), err)
 		}
-		if last != "" && root.Previous != configdoc.HashOf([]byte(last)) {
+		if last != "" && root.Previous != record {
 			t.Fatalf("revision %d does not follow its predecessor", root.Revision)
 		}
+		_, record = root.Record()
 		roots, last = append(roots, root), string(e.Value)
 	}
 	return roots
--- a/internal/command/configure/write.go
+++ b/internal/command/configure/write.go
@@ -11,7 +11,7 @@
 	"oleandersill.example/oleandersill/internal/platform"
 )
 
-// writeParts writes the parts that the head does not name, and the copy of the root.
+// writeParts writes the parts that the head does not name, and the record of the root.
 func (e *edit) writeParts(ctx context.Context, head configstore.Head, next *configdoc.Root) error {
 	named := map[configdoc.Hash]bool{}
 	if head.Root != nil {
@@ -32,8 +32,8 @@
 			return errors.Wrapf(err, "writing part %s", name)
 		}
 	}
-	value := next.Encode()
-	key := configdoc.PrefixRoots + string(configdoc.HashOf(value))
+	value, hash := next.Record()
+	key := configdoc.PrefixRoots + string(hash)
 	err := e.ensure(ctx, key, value, func(platform.Entry) bool { return true })
 	return errors.Wrap(err, "writing the root")
 }
--- a/internal/command/fleet/load.go
+++ b/internal/command/fleet/load.go
@@ -111,6 +111,25 @@
 	return values, failed
 }
 
+// readHead reads the root with the given hash from the store. Only the head has its parts: of earlier revisions the store
+// keeps records. A daemon that asks for one of those gets ErrMissing, and peers tell it of the newer one.
+func (a *Agent) readHead(ctx context.Context, hash configdoc.Hash) ([]byte, error) {
+	if !a.budget.take(1, time.Now()) {
+		return nil, ErrTooManyReads
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	e, err := a.Store.Get(ctx, configdoc.KeyHead)
+	a.noteStore(err)
+	if err != nil {
+		return nil, err
+	}
+	if configdoc.HashOf(e.Value) != hash {
+		return nil, errors.Wrapf(ErrMissing, "root %s is not the head", hash)
+	}
+	return e.Value, nil
+}
+
 // readOne reads one value. A value that does not match its hash counts as invalid: hashes name immutable values.
 func (a *Agent) readOne(ctx context.Context, prefix string, hash configdoc.Hash) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/internal/command/fleet/take.go
+++ b/internal/command/fleet/take.go
@@ -148,13 +148,14 @@
 	if o.root == nil {
 		hash := configdoc.Hash(o.Root)
 		values, err := a.pull(ctx, o.from, []configdoc.Hash{hash})
-		if values[hash] == nil && a.storeUp.Load() {
-			values, err = a.read(ctx, configdoc.PrefixRoots, []configdoc.Hash{hash})
+		o.root = unpacking(values)(hash)
+		if o.root == nil && a.storeUp.Load() {
+			o.root, err = a.readHead(ctx, hash)
 		}
 		if err != nil {
 			return nil, err
 		}
-		if o.root = unpacking(values)(hash); o.root == nil {
+		if o.root == nil {
 			return nil, errors.Wrapf(ErrMissing, "root %s", hash)
 		}
 	}
--- a/internal/configdoc/change.go
+++ b/internal/configdoc/change.go
@@ -1,6 +1,7 @@
 package configdoc
 
 import (
+	"maps"
 	"slices"
 
 	"oleandersill.example/oleandersill/internal/model"
@@ -15,19 +16,25 @@
 	Reason string `json:"reason"`
 	// Parts are the names of the parts that differ from the previous revision, in order.
 	Parts []PartName `json:"parts"`
-	// Root is the hash of the revision's root.
+	// Root is the hash of the record of the revision's root.
 	Root Hash `json:"root"`
 }
 
 // ChangeOf describes a root as a change of its predecessor, which is nil for the first revision.
 func ChangeOf(prev, root *Root) Change {
+	parts := slices.AppendSeq([]PartName{}, maps.Keys(root.Before))
+	slices.Sort(parts)
+	if root.PartsHash == "" {
+		parts = ChangedParts(prev, root)
+	}
+	_, hash := root.Record()
 	return Change{
 		Revision: root.Revision,
 		Editor:   root.Editor,
 		TimeMs:   root.TimeMs,
 		Reason:   root.Reason,
-		Parts:    ChangedParts(prev, root),
-		Root:     HashOf(root.Encode()),
+		Parts:    parts,
+		Root:     hash,
 	}
 }
 
--- a/internal/configdoc/layout.go
+++ b/internal/configdoc/layout.go
@@ -14,7 +14,8 @@
 
 // Keys of the store.
 const (
-	KeyHead     = "config/head"
+	KeyHead = "config/head"
+	// PrefixRoots holds the records of roots by hash.
 	PrefixRoots = "config/roots/"
 	PrefixParts = "config/parts/"
 	// KeyCollector is held under a lease by the one instance that removes unused parts.
@@ -41,13 +42,19 @@
 
 // Root names the parts of one revision and says who made it, when and why.
 type Root struct {
-	Revision model.Revision    `json:"revision"`
-	Parts    map[PartName]Hash `json:"parts"`
-	Editor   string            `json:"editor"`
+	Revision model.Revision `json:"revision"`
+	// Parts is nil in a record.
+	Parts map[PartName]Hash `json:"parts,omitempty"`
+	// PartsHash is the hash of the encoded Parts; it is empty in roots written before there were records.
+	PartsHash Hash `json:"parts_hash,omitempty"`
+	// Before has the hash that each changed part had in the previous revision, empty for a part that is new.
+	Before map[PartName]Hash `json:"before,omitempty"`
+	Editor string            `json:"editor"`
 	// TimeMs is when the revision was made, in Unix milliseconds.
-	TimeMs   int64  `json:"time_ms"`
-	Reason   string `json:"reason"`
-	Previous Hash   `json:"previous,omitempty"`
+	TimeMs int64  `json:"time_ms"`
+	Reason string `json:"reason"`
+	// Previous is the hash of the previous revision's record.
+	Previous Hash `json:"previous,omitempty"`
 }
 
 // Part is an immutable piece of a configuration.
@@ -83,15 +90,18 @@
 	return err == nil && len(raw) == sha256.Size
 }
 
-// Encode returns the stored form of a root. Its hash identifies the revision in the audit trail.
+// Encode returns the form of a root in which the head holds it and daemons exchange it.
 func (r *Root) Encode() []byte { return encode(r) }
 
-// DecodeRoot decodes a stored root.
+// DecodeRoot decodes a stored root or a record. Parts that are not those of the record are ErrCorrupt.
 func DecodeRoot(value []byte) (*Root, error) {
 	var r Root
 	if err := json.Unmarshal(value, &r); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "configdoc: root"), ErrCorrupt)
 	}
+	if r.PartsHash != "" && r.Parts != nil && HashOf(encode(r.Parts)) != r.PartsHash {
+		return nil, errors.Wrapf(ErrCorrupt, "the record of revision %d is of other parts", r.Revision)
+	}
 	return &r, nil
 }
 
--- a/internal/configstore/reader.go
+++ b/internal/configstore/reader.go
@@ -33,7 +33,7 @@
 	ModifiedAt time.Time
 	// Root is nil if there is no configuration yet.
 	Root *configdoc.Root
-	// Value is the root as stored, and Hash its hash.
+	// Value is the root as stored, and Hash the hash of its record.
 	Value []byte
 	Hash  configdoc.Hash
 }
@@ -55,13 +55,14 @@
 	if err != nil {
 		return Head{}, err
 	}
-	root, err := configdoc.DecodeRoot(e.Value)
-	return Head{
-		Version: e.Version, ModifiedAt: e.ModifiedAt, Root: root, Value: e.Value, Hash: configdoc.HashOf(e.Value),
-	}, err
+	head := Head{Version: e.Version, ModifiedAt: e.ModifiedAt, Value: e.Value}
+	if head.Root, err = configdoc.DecodeRoot(e.Value); err == nil {
+		_, head.Hash = head.Root.Record()
+	}
+	return head, err
 }
 
-// Root reads the immutable copy of a root.
+// Root reads the record with the given hash. Only roots from before there were records have parts.
 func (r Reader) Root(ctx context.Context, hash configdoc.Hash) (*configdoc.Root, error) {
 	e, err := r.get(ctx, configdoc.PrefixRoots+string(hash), true)
 	if errors.Is(err, platform.ErrNotFound) {
@@ -76,12 +77,16 @@
 	return configdoc.DecodeRoot(e.Value)
 }
 
-// Previous reads the predecessor of a root, or nil for the first revision.
+// Previous reads the predecessor of a root, or nil for the first revision. It has its parts if the root has.
 func (r Reader) Previous(ctx context.Context, root *configdoc.Root) (*configdoc.Root, error) {
 	if root.Previous == "" {
 		return nil, nil
 	}
-	return r.Root(ctx, root.Previous)
+	prev, err := r.Root(ctx, root.Previous)
+	if err != nil {
+		return nil, err
+	}
+	return prev, prev.Restore(root)
 }
 
 // Chain returns the roots from the given one back to the revision low, newest first, at most limit of them.
--- a/internal/measure/fleetload/holding.go
+++ b/internal/measure/fleetload/holding.go
@@ -19,6 +19,8 @@
 	// RootBytes and PackedRootBytes are the size of the root, as stored and as it travels.
 	RootBytes       int `json:"root_bytes"`
 	PackedRootBytes int `json:"packed_root_bytes"`
+	// RecordBytes is what the audit trail keeps of a revision that changes the last service.
+	RecordBytes int `json:"record_bytes"`
 	// PartBytes and PackedPartBytes are the same for the largest part.
 	PartBytes       int `json:"part_bytes"`
 	PackedPartBytes int `json:"packed_part_bytes"`
@@ -56,6 +58,8 @@
 	h.TakeMs = took
 	h.MemoryMB = memoryMB() - before + float64(stored)/(1<<20)
 	next := changeOne(topology.Inventory, root, values)
+	record, _ := next.Record()
+	h.RecordBytes = len(record)
 	if _, took, err = index(&configdoc.Base{Root: root, Inventory: topology.Inventory}, topology, next, values); err != nil {
 		return h, err
 	}
@@ -96,6 +100,7 @@
 		next.Parts[name] = p.Hash
 		values[p.Hash] = configdoc.Pack(p.Value)
 	}
+	next.Seal(root)
 	return next
 }
 
@@ -136,14 +141,14 @@
 
 // PrintHoldings writes holdings as a Markdown table.
 func PrintHoldings(w io.Writer, hs []Holding) error {
-	_, err := fmt.Fprintln(w, "| servers | parts | root B | packed root B | largest part B | packed part B | memory MB | take ms | change ms |\n"+
-		"|---|---|---|---|---|---|---|---|---|")
+	_, err := fmt.Fprintln(w, "| servers | parts | root B | packed root B | record B | largest part B | packed part B | memory MB | take ms | change ms |\n"+
+		"|---|---|---|---|---|---|---|---|---|---|")
 	for _, h := range hs {
 		if err != nil {
 			return err
 		}
-		_, err = fmt.Fprintf(w, "| %d | %d | %d | %d | %d | %d | %.1f | %.0f | %.0f |\n",
-			h.Servers, h.Parts, h.RootBytes, h.PackedRootBytes, h.PartBytes, h.PackedPartBytes, h.MemoryMB, h.TakeMs, h.ChangeMs)
+		_, err = fmt.Fprintf(w, "| %d | %d | %d | %d | %d | %d | %d | %.1f | %.0f | %.0f |\n",
+			h.Servers, h.Parts, h.RootBytes, h.PackedRootBytes, h.RecordBytes, h.PartBytes, h.PackedPartBytes, h.MemoryMB, h.TakeMs, h.ChangeMs)
 	}
 	return err
 }
--- a/internal/query/configread/reader_test.go
+++ b/internal/query/configread/reader_test.go
@@ -21,9 +21,11 @@
 
 func TestConfigRead(t *testing.T) { suite.Run(t, "./internal/query/configread") }
 
-// accept writes a revision as an editor would, and returns its root's hash.
+// accept writes a revision as an editor would, and returns the hash of its root's record.
 func accept(store platform.Store, revision model.Revision, previous configdoc.Hash) configdoc.Hash {
 	ctx := context.Background()
+	head, err := configstore.Reader{Store: store}.Head(ctx)
+	Expect(err).NotTo(HaveOccurred())
 	root := &configdoc.Root{Revision: revision, Previous: previous, Editor: "anna", Parts: map[configdoc.PartName]configdoc.Hash{}}
 	inv := model.Inventory{MaxInstances: int(revision)}
 	for name, part := range configdoc.Split(inv, model.Rules{}) {
@@ -31,8 +33,9 @@
 		_, err := store.Put(ctx, configdoc.PrefixParts+string(part.Hash), part.Value, 0, "")
 		Expect(err).To(Or(BeNil(), MatchError(platform.ErrConflict)))
 	}
-	hash := configdoc.HashOf(root.Encode())
-	_, err := store.Put(ctx, configdoc.PrefixRoots+string(hash), root.Encode(), 0, "")
+	root.Seal(head.Root)
+	record, hash := root.Record()
+	_, err = store.Put(ctx, configdoc.PrefixRoots+string(hash), record, 0, "")
 	Expect(err).NotTo(HaveOccurred())
 	_, err = store.Put(ctx, configdoc.KeyHead, root.Encode(), platform.Version(revision-1), "")
 	Expect(err).NotTo(HaveOccurred())
