Learn from forwarded attempts that were cancelled

Cause: when a hedge wins, the losing attempt is cancelled. A direct one counts as evidence of a slow server, with the time that it took until then.

Change: the cancellation of a forwarded attempt of the urgent or standard rank is observed like one that is overdue. Deferred attempts wait at the owner behind others, which says nothing here.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -121,6 +121,11 @@
 	}
 	q.Server.AddForwarded(-1)
 	q.stop()
+	if q.Rank != model.RankDeferred {
+		// No result will tell how slow the server is; the attempt took at least this long. See end for deferred work.
+		now := time.Now()
+		q.Server.ObserveOverdue(now.Sub(q.Started), now)
+	}
 	return true
 }
 
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -11,6 +11,7 @@
 
 	"oleandersill.example/oleandersill/internal/backend"
 	"oleandersill.example/oleandersill/internal/command/report"
+	"oleandersill.example/oleandersill/internal/decision/routing"
 	"oleandersill.example/oleandersill/internal/dispatch"
 	"oleandersill.example/oleandersill/internal/forwarding"
 	"oleandersill.example/oleandersill/internal/model"
@@ -146,6 +147,10 @@
 		Eventually(func() int { return owner.connector.Queries(serverName) }).WithTimeout(5 * time.Second).Should(Equal(1))
 		Expect(q.Cancel()).To(BeTrue())
 		Eventually(owner.Servers.Get(serverName).Idle).WithTimeout(5 * time.Second).Should(BeTrue())
+		// Guards against a slow server that looks fast because hedges always win against it.
+		var c routing.Candidate
+		asker.Servers.Get(serverName).Candidate(&c, time.Now())
+		Expect(c.Latency).To(BeNumerically(">", 0))
 	})
 
 	It("hands back an attempt that waits for its server for too long, unsent", func() {
