--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -162,9 +162,9 @@
 		Done: func(q *dispatch.QueryAttempt, r backend.QueryResult) { c.onEnd(i, q, r) },
 	}
 	sh.hedgeAt = c.hedgeTime(now)
-	if sh.attempts == 1 && !sh.hedgeAt.IsZero() && len(c.records) > 1 {
-		// A first attempt that waits for too long moves to another replica; later ones stay.
-		q.BounceAfter = routing.MoveAfter(c.req.Rank, sh.hedgeAt.Sub(now), c.req.Deadline.Sub(now))
+	if sh.attempts == 1 && c.req.Rank != model.RankDeferred && !sh.hedgeAt.IsZero() && len(c.records) > 1 {
+		// A first attempt that waits for longer than a hedge would moves to another replica; later ones stay.
+		q.BounceAfter = sh.hedgeAt.Sub(now)
 	}
 	sh.pending = append(sh.pending, q)
 	c.searcher.Dispatcher.StartQuery(c.ctx, q, now)
