--- a/internal/decision/reach/zone.go
+++ b/internal/decision/reach/zone.go
@@ -31,7 +31,7 @@
 	// evidenceLife is the age after which a silence no longer counts.
 	evidenceLife = 3 * time.Second
 	// probeInterval is the mean time between probes of an unreachable zone.
-	probeInterval = time.Second
+	probeInterval = 500 * time.Millisecond
 )
 
 // Kind tells servers and daemons apart.
--- a/internal/testing/fakebackend/fake.go
+++ b/internal/testing/fakebackend/fake.go
@@ -145,11 +145,16 @@
 	return true
 }
 
-// Health fails for a server whose script makes it unreachable for good.
-func (s *server) Health(context.Context) (backend.Health, error) {
+// Health takes as long as a query, and fails for a server whose script makes it unreachable for good.
+func (s *server) Health(ctx context.Context) (backend.Health, error) {
 	s.c.mu.Lock()
 	script := s.c.scripts[s.name]
 	s.c.mu.Unlock()
+	select {
+	case <-time.After(script.Delay):
+	case <-ctx.Done():
+		return backend.Health{}, ctx.Err()
+	}
 	if script.Status == backend.StatusUnreachable && script.Times == 0 {
 		return backend.Health{}, errUnreachable
 	}
