End a zone's judgement when a batch comes from it

Change: any batch from a daemon of the zone is a sign of life. Conclusion: both sides of a healed cut leave the judgement with the first batch.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -164,7 +164,9 @@
 
 // Receive takes a batch from another daemon. It only queues work and takes results, so it returns at once.
 func (f *Forwarding) Receive(b forwarding.Batch) forwarding.Receipt {
-	if len(b.Results) > 0 && f.d.watches(b.From.Zone) {
+	if f.d.watches(b.From.Zone) {
+		// A daemon sends batches to zones that answer it. While this daemon held its zone unreachable, its results would
+		// be dropped.
 		f.d.zoneHeard(b.From.Zone)
 	}
 	for _, id := range b.Cancels {
--- a/internal/dispatch/zones_test.go
+++ b/internal/dispatch/zones_test.go
@@ -24,9 +24,10 @@
 // farZone is another zone with servers and daemons. While it is cut, nothing in it answers.
 type farZone struct {
 	*dispatch.Dispatcher
-	cut      atomic.Bool
-	probes   atomic.Int32
-	executes atomic.Int32
+	forwarding *dispatch.Forwarding
+	cut        atomic.Bool
+	probes     atomic.Int32
+	executes   atomic.Int32
 }
 
 // farServer is one server of the zone. While the zone is cut, connecting to it fails after bound.
@@ -107,7 +108,7 @@
 	config.Install(t)
 	owners := tables.NewOwners()
 	owners.SetMembers(map[model.AvailabilityZone][]model.Member{"far": daemons}, time.Now())
-	z.EnableForwarding(dispatch.ForwardingConfig{
+	z.forwarding = z.EnableForwarding(dispatch.ForwardingConfig{
 		Sender: z, Self: model.Member{Instance: "self", Zone: "near"}, Owners: owners, Workers: 16,
 		Draining: func() bool { return false },
 	})
@@ -190,6 +191,15 @@
 		Expect(z.executes.Load()).To(BeZero())
 	})
 
+	// Guards against results that are dropped because this daemon notices later than the other that the zone is back.
+	It("is used again once one of its daemons sends a batch", func() {
+		z := newFarZone(daemons...)
+		z.query()
+		Eventually(z.unreachable).WithTimeout(5 * time.Second).Should(BeTrue())
+		z.forwarding.Receive(forwarding.Batch{From: daemons[0]})
+		Expect(z.unreachable()).To(BeFalse())
+	})
+
 	// Guards against queries that use up the open connections to each server before a zone with one daemon is judged.
 	It("is noticed by probes where one daemon owns all servers", func() {
 		z := newFarZone(daemons[0])
