--- a/internal/daemon/lifecycle_test.go
+++ b/internal/daemon/lifecycle_test.go
@@ -1,7 +1,6 @@
 package daemon_test
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -135,18 +134,7 @@
 		d := start()
 		Eventually(readiness(d), within).Should(Equal(http.StatusOK))
 		answers := make(chan string, 2)
-		query := func() {
-			req, _ := http.NewRequest(http.MethodPost, "http://"+d.CallerAddress()+"/v1/services/search/query",
-				bytes.NewBufferString(`{"text":"x","limit":3}`))
-			req.Header.Set("X-Caller", "c")
-			resp, err := http.DefaultClient.Do(req)
-			if err != nil {
-				answers <- err.Error()
-				return
-			}
-			defer resp.Body.Close()
-			answers <- resp.Header.Get("X-Outcome")
-		}
+		query := func() { answers <- search(d) }
 		go query()
 		resp, err := http.Post("http://"+d.OperatorAddress()+"/v1/drain", "application/json", nil)
 		Expect(err).NotTo(HaveOccurred())
