--- a/internal/measure/caller.go
+++ b/internal/measure/caller.go
@@ -134,12 +134,16 @@
 		return none
 	}
 	defer func() { _ = resp.Body.Close() }()
-	var answer httpapi.Problem
+	var answer struct {
+		commandhttp.ExecuteResponse
+		Code string `json:"code"`
+	}
 	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
 		return none
 	}
 	return observe.CommandAnswer{
 		Outcome: model.Outcome(resp.Header.Get(httpapi.HeaderOutcome)), Whole: true, Problem: answer.Code,
+		Reason: answer.Reason,
 	}
 }
 
--- a/internal/measure/observe/commands.go
+++ b/internal/measure/observe/commands.go
@@ -15,6 +15,21 @@
 	Whole   bool
 	// Problem is the code of a request rejected before it was run, or empty.
 	Problem string
+	// Reason is that of an outcome other than complete.
+	Reason string
+}
+
+// Reasons counts the reasons of all answers.
+func Reasons(commands []Command) map[string]int {
+	counts := map[string]int{}
+	for _, c := range commands {
+		for _, a := range c.Answers {
+			if a.Reason != "" {
+				counts[a.Reason]++
+			}
+		}
+	}
+	return counts
 }
 
 // CheckCommands compares what callers were told with the runs of each key on the servers.
--- a/internal/measure/round.go
+++ b/internal/measure/round.go
@@ -75,6 +75,9 @@
 	if edits := c.Edits(); len(edits.Edits) > 0 {
 		d.progress("%s", edits)
 	}
+	if reasons := observe.Reasons(caller.collector.Commands()); len(reasons) > 0 {
+		d.progress("non-idempotent requests that did not run at once: %v", reasons)
+	}
 	return r, nil
 }
 
