--- a/internal/standin/backendserver/record.go
+++ b/internal/standin/backendserver/record.go
@@ -11,7 +11,8 @@
 )
 
 // maxQueries bounds the query executions that a record keeps; older ones are dropped and only counted.
-const maxQueries = 1 << 17
+// The driver's longest scenario makes about 270,000, all of which its figures need.
+const maxQueries = 1 << 19
 
 // End is how an execution ended.
 type End string
