Give a call between daemons one deadline instead of two

Cause: each batch is sent with a context that ends after 500 ms; the peers' client derived another one, with its own timer, that ends after 2 s. Change: the client derives a context only if the caller's ends later than 2 s or never.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -107,8 +107,11 @@
 
 // call makes one call within callTimeout and ctx, on a new connection if the kept one turns out to be closed.
 func (c *Client) call(ctx context.Context, address, method string, args, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
+	if deadline, ok := ctx.Deadline(); !ok || time.Until(deadline) > callTimeout {
+		bounded, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		ctx = bounded
+	}
 	err := c.callOnce(ctx, address, method, args, reply)
 	if errors.Is(err, rpc.ErrShutdown) {
 		err = c.callOnce(ctx, address, method, args, reply)
