Keep the measured heap free of the driver's read buffers

Cause: the driver's emulated connections allocated 32 KiB for each read. Change: one buffer for each connection; what was read is copied at its size.

--- a/internal/measure/cluster/conn.go
+++ b/internal/measure/cluster/conn.go
@@ -108,10 +108,11 @@
 
 // receive takes what the other end sent, to be read once it has arrived here.
 func (c *conn) receive() {
+	// One buffer for all reads: a new one for each would fill the heap of the daemons that are measured.
+	buf := make([]byte, readSize)
 	for {
-		buf := make([]byte, readSize)
 		n, err := c.Conn.Read(buf)
-		p := packet{data: buf[:n], due: time.Now().Add(latency(c.from, c.to)), err: err}
+		p := packet{data: slices.Clone(buf[:n]), due: time.Now().Add(latency(c.from, c.to)), err: err}
 		select {
 		case c.in <- p:
 		case <-c.closed:
