--- a/internal/backend/backendhttp/client.go
+++ b/internal/backend/backendhttp/client.go
@@ -21,42 +21,39 @@
 	idleTimeout   = 90 * time.Second
 )
 
-// Connector makes clients. Servers with the same connection budget share an http.Client, whose transport bounds the
-// connections to each of them. The zero value is ready to use.
+// Connector makes clients. Servers with the same connection budget share a transport, which bounds the connections to
+// each of them. The zero value is ready to use.
 type Connector struct {
 	// Dial opens connections; nil stands for a plain TCP dialer. Set it before the first Connect.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	// mu has the lowest order: no other lock is held when it is acquired.
-	mu      lockorder.Mutex
-	clients map[int]*http.Client
+	mu         lockorder.Mutex
+	transports map[int]*http.Transport
 }
 
 // Connect implements backend.Connector.
 func (c *Connector) Connect(server *model.Server, connections int) backend.Server {
-	return &client{name: server.Name, http: c.client(max(1, connections)), base: "http://" + server.Address}
+	return &client{name: server.Name, transport: c.transport(max(1, connections)), base: "http://" + server.Address}
 }
 
-// refuseRedirect keeps net/http from sending a request a second time, to the place that a redirect names.
-func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // Close closes the idle connections of all clients.
 func (c *Connector) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, h := range c.clients {
-		h.CloseIdleConnections()
+	for _, t := range c.transports {
+		t.CloseIdleConnections()
 	}
 }
 
-func (c *Connector) client(connections int) *http.Client {
+func (c *Connector) transport(connections int) *http.Transport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if h := c.clients[connections]; h != nil {
-		return h
+	if t := c.transports[connections]; t != nil {
+		return t
 	}
-	if c.clients == nil {
-		c.clients = map[int]*http.Client{}
+	if c.transports == nil {
+		c.transports = map[int]*http.Transport{}
 	}
 	t := &http.Transport{
 		DialContext:         c.dial,
@@ -65,9 +62,8 @@
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
-	h := &http.Client{Transport: t, CheckRedirect: refuseRedirect}
-	c.clients[connections] = h
-	return h
+	c.transports[connections] = t
+	return t
 }
 
 // dial opens a connection within backend.DialTimeout.
@@ -80,10 +76,12 @@
 	return (&net.Dialer{}).DialContext(ctx, network, address)
 }
 
+// client sends its requests through the transport and not through an http.Client, which would send a request a second time to
+// the place that a redirect names, and which copies each request for its redirects, cookies and timeouts.
 type client struct {
-	name model.ServerName
-	http *http.Client
-	base string
+	name      model.ServerName
+	transport http.RoundTripper
+	base      string
 }
 
 // Query implements backend.Server.
@@ -152,7 +150,7 @@
 	if err != nil {
 		return errors.Wrap(err, "backendhttp: building request")
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
 		return errors.Wrapf(err, "backendhttp: %s %s", c.name, path)
 	}
