Bring connection budgets in step with the number of daemons

Cause: the record of a server that stayed kept its connection budget when only max_instances or surge_instances changed. A fleet that grew from 8 to 16 daemons would have kept 3 connections each to a server that accepts 25: 48 in all.

Change: Adopt sets the budget of kept records, which lowers the ceiling of their in-flight limit and gives them a client of the new budget; idle connections of the old one are closed. What was learnt about the server stays.

The new spec sees budgets 5, 1, 5 for 5, 25, 5 daemons at a server of 25 connections; before, 5 throughout.

--- a/internal/backend/backendhttp/client.go
+++ b/internal/backend/backendhttp/client.go
@@ -142,8 +142,13 @@
 	return err
 }
 
-// Close implements backend.Server. Connections are shared by the transport and end by its idle timeout.
-func (c *client) Close() {}
+// Close implements backend.Server. Servers with one connection budget share the transport, so that the idle connections of
+// all of them are closed.
+func (c *client) Close() {
+	if t, ok := c.transport.(*http.Transport); ok {
+		t.CloseIdleConnections()
+	}
+}
 
 func (c *client) get(ctx context.Context, path string, into any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
--- a/internal/command/report/adopt.go
+++ b/internal/command/report/adopt.go
@@ -115,6 +115,7 @@
 	rec := r.Servers.Get(spec.Name)
 	if rec != nil && sameEndpoint(rec.Spec(), spec) {
 		rec.SetSpec(spec)
+		r.adoptBudget(rec, spec, connections)
 		return rec
 	}
 	rec = tables.NewServer(spec, r.Connector.Connect(spec, connections), connections, joined)
@@ -126,6 +127,15 @@
 	return rec
 }
 
+// adoptBudget brings the connection budget of a server that stays in step. What was learnt about the server stays too. The
+// number of daemons that may run is part of the budget: with the budget of a smaller fleet, a larger one would exceed what
+// the server accepts.
+func (r *Recorder) adoptBudget(rec *tables.Server, spec *model.Server, connections int) {
+	if rec.Budget() != connections {
+		rec.SetBudget(connections, r.Connector.Connect(spec, connections)).Close()
+	}
+}
+
 func sameEndpoint(a, b *model.Server) bool {
 	return a.Address == b.Address && a.Connections == b.Connections && a.Service == b.Service && a.Shard == b.Shard
 }
--- a/internal/command/report/adopt_bench_test.go
+++ b/internal/command/report/adopt_bench_test.go
@@ -18,6 +18,8 @@
 
 type idleServer struct{ backend.Server }
 
+func (idleServer) Close() {}
+
 func (idleConnector) Connect(*model.Server, int) backend.Server { return idleServer{} }
 
 // benchTopology has services of 92 shards with two servers each.
--- a/internal/command/report/adopt_test.go
+++ b/internal/command/report/adopt_test.go
@@ -89,4 +89,21 @@
 		}),
 		Entry("the number of daemons changes", func(inv *model.Inventory) { inv.MaxInstances = 7000 }),
 	)
+
+	// Guards against a fleet that grows and keeps the connection budgets of the smaller one, which together exceed what
+	// servers accept.
+	It("changes the connection budgets of servers that stay with the number of daemons", func() {
+		first := benchTopology(1, 2)
+		inv := first.Inventory
+		r := newRecorder()
+		for _, c := range []struct{ instances, budget, limit int }{{5, 5, 5}, {25, 1, 1}, {5, 5, 1}} {
+			inv.MaxInstances = c.instances
+			r.Adopt(model.NewTopologyOn(first, 1, inv, model.Rules{}), time.Now())
+			rec := r.Servers.Get("server-000000")
+			Expect([]int{rec.Budget(), rec.Limit(), rec.AcquireAllSpare()}).To(Equal([]int{c.budget, c.limit, c.budget}))
+			for range c.budget {
+				rec.Release(time.Now())
+			}
+		}
+	})
 })
--- a/internal/tables/server.go
+++ b/internal/tables/server.go
@@ -23,7 +23,7 @@
 
 var noMinimums share.Minimums
 
-// Server is the record of one backend server. Invariants: inFlight never exceeds the connection budget, and an attempt
+// Server is the record of one backend server. Invariants: inFlight grows no further than the connection budget, and an attempt
 // waits only while inFlight is at the limit. Owners: dispatch (in-flight and waiting), command/report (all else).
 type Server struct {
 	mu       lockorder.Mutex
@@ -76,7 +76,29 @@
 }
 
 // Client returns the server's client.
-func (s *Server) Client() backend.Server { return s.client }
+func (s *Server) Client() backend.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.client
+}
+
+// Budget returns the number of connections that this daemon may hold to the server.
+func (s *Server) Budget() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget
+}
+
+// SetBudget changes the connection budget, which the client keeps to from now on, and returns the client before. More
+// attempts than the new budget may be in flight until they end.
+func (s *Server) SetBudget(connections int, client backend.Server) (before backend.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before, s.client = s.client, client
+	s.budget = connections
+	s.limit.SetCeiling(connections)
+	return before
+}
 
 // Spec returns the server's entry in the latest Topology that was adopted.
 func (s *Server) Spec() *model.Server {
