Send results once more whose batch failed

Cause: when a batch between daemons failed, results in it were dropped. An asker that was paused for the 500 ms that a batch may take had its queries wait for a hedge or their deadline.

Change: Forwards.Undelivered queues the results of a failed batch for a second and last try; an outbox without content is removed. Queries and cancellations are not repeated: what was pending at the peer is sent elsewhere already.

A spec of the table sees two tries of a result and no third.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -145,38 +145,42 @@
 
 // nextBatch is the source of the senders' work.
 func (f *Forwarding) nextBatch() (func(), bool) {
-	to, batch, ok := f.forwards.Take()
+	s, ok := f.forwards.Take()
 	if !ok {
 		return nil, false
 	}
-	return func() { f.send(to, batch) }, true
+	return func() { f.send(s) }, true
 }
 
-func (f *Forwarding) send(to model.Member, batch forwarding.Batch) {
+func (f *Forwarding) send(s tables.Sending) {
+	to := s.To
 	if f.d.zones.Unreachable(to.Zone) {
 		// Senders that wait for each daemon of a lost zone would be missing for the daemons of other zones.
-		f.forwards.Sent(to.Instance, len(batch.Results))
+		f.forwards.Sent(s)
 		f.lose(f.forwards.Lose(to.Instance), backend.StatusZoneUnreachable)
 		return
 	}
-	batch.From = f.self
+	s.Batch.From = f.self
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 	defer cancel()
 	answered := f.d.watchBatch(to, time.Now())
-	receipt, err := f.sender.Forward(ctx, to.Address, batch)
+	receipt, err := f.sender.Forward(ctx, to.Address, s.Batch)
 	answered()
-	f.forwards.Sent(to.Instance, len(batch.Results))
-	if err == nil && f.d.watches(to.Zone) {
-		f.d.zoneHeard(to.Zone)
-	}
 	now := time.Now()
-	switch {
-	case err != nil:
+	if err != nil {
 		f.owners.Avoid(to, now.Add(avoidFailed), now)
-	case receipt.Draining || receipt.Refused:
+		f.lose(f.forwards.Lose(to.Instance), backend.StatusOwnerLost)
+		f.forwards.Undelivered(s)
+		return
+	}
+	f.forwards.Sent(s)
+	if f.d.watches(to.Zone) {
+		f.d.zoneHeard(to.Zone)
+	}
+	if receipt.Draining || receipt.Refused {
 		f.owners.Avoid(to, now.Add(avoidDraining), now)
 	}
-	if err != nil || receipt.Refused {
+	if receipt.Refused {
 		f.lose(f.forwards.Lose(to.Instance), backend.StatusOwnerLost)
 	}
 }
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,6 +36,8 @@
 	peer       *node
 	cut        bool
 	draining   bool
+	// failing is the number of batches that fail from now on.
+	failing atomic.Int32
 	// received, unless nil, gets the batches that come here.
 	received chan forwarding.Batch
 	// gate, unless nil, holds up batches until it is closed.
@@ -47,7 +50,7 @@
 	if n.gate != nil {
 		<-n.gate
 	}
-	if n.cut {
+	if n.cut || n.failing.Add(-1) >= 0 {
 		return forwarding.Receipt{}, errors.New("cut off")
 	}
 	if n.peer.received != nil {
@@ -171,6 +174,17 @@
 		Expect(owner.connector.Queries(serverName)).To(BeZero())
 	})
 
+	It("delivers a result although the first batch that carried it failed", func() {
+		// Guards against a query that waits for its deadline because its daemon was paused when the result came.
+		asker, owner := newPair(fakebackend.Script{})
+		owner.failing.Store(1)
+		results := make(chan backend.QueryResult, 1)
+		asker.start(1, model.RankUrgent, func(r backend.QueryResult) { results <- r })
+		var r backend.QueryResult
+		Eventually(results).WithTimeout(5 * time.Second).Should(Receive(&r))
+		Expect(r.Status).To(Equal(backend.StatusOK))
+	})
+
 	It("gives a daemon that is stopping no further sub-requests, and serves those that it took", func() {
 		asker, owner := newPair(fakebackend.Script{})
 		owner.draining = true
--- a/internal/tables/forwards.go
+++ b/internal/tables/forwards.go
@@ -60,7 +60,9 @@
 	peer  model.Member
 	batch forwarding.Batch
 	// greet asks for a batch even if it is empty.
-	greet   bool
+	greet bool
+	// again holds results that could not be delivered, for their second and last try.
+	again   []forwarding.Result
 	sending int
 	queued  bool
 	// due tells that the content need not wait for more, and collecting that a call of Flush will follow.
@@ -135,6 +137,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	box := f.outbox[peer]
+	if box == nil {
+		return
+	}
 	box.collecting = false
 	f.offer(box)
 }
@@ -242,13 +247,21 @@
 	return lost
 }
 
+// Sending is a batch that a sender took. The sender ends it with Sent or Undelivered.
+type Sending struct {
+	To    model.Member
+	Batch forwarding.Batch
+	// retried is the number of results, the first ones of the batch, that could not be delivered before.
+	retried int
+}
+
 // Take waits for a batch to send. It returns false once the table is closed and nothing is left to send.
-func (f *Forwards) Take() (to model.Member, batch forwarding.Batch, ok bool) {
+func (f *Forwards) Take() (s Sending, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for len(f.ready) == 0 {
 		if f.closed {
-			return to, batch, false
+			return s, false
 		}
 		f.cond.Wait()
 	}
@@ -256,20 +269,40 @@
 	f.ready = f.ready[1:]
 	box.queued = false
 	box.sending++
-	batch = box.take()
+	s = box.take()
 	f.enqueue(box)
-	return box.peer, batch, true
+	return s, true
 }
 
-// Sent records that a batch to the peer was delivered or failed, with the number of results in it.
-func (f *Forwards) Sent(peer model.InstanceID, results int) {
+// Sent records that a batch was delivered, or that nothing of it is worth another try.
+func (f *Forwards) Sent(s Sending) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.endSending(s, len(s.Batch.Results))
+}
+
+// Undelivered records that a batch failed. Its results are queued once more: a daemon that was paused still waits for them,
+// although it lost what it had sent. Sub-requests and cancellations are not.
+func (f *Forwards) Undelivered(s Sending) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	box := f.outbox[s.To.Instance]
+	box.again = append(box.again, s.Batch.Results[s.retried:]...)
+	box.due = box.due || len(box.again) > 0
+	f.endSending(s, s.retried)
+}
+
+// endSending ends a batch of which the given number of results need no further try.
+func (f *Forwards) endSending(s Sending, results int) {
 	f.returning -= results
 	f.checkRetired()
-	box := f.outbox[peer]
+	box := f.outbox[s.To.Instance]
 	box.sending--
 	f.enqueue(box)
+	if box.sending == 0 && !box.queued && !box.collecting && box.empty() {
+		// Instances come and go under new names, thousands a day in a large fleet.
+		delete(f.outbox, s.To.Instance)
+	}
 }
 
 // Close lets the senders end once the outboxes are empty. Results that are held back go at once.
@@ -310,23 +343,28 @@
 }
 
 func (b *outbox) empty() bool {
-	return !b.greet && len(b.batch.Queries) == 0 && len(b.batch.Results) == 0 && len(b.batch.Cancels) == 0
+	return !b.greet && len(b.again) == 0 &&
+		len(b.batch.Queries) == 0 && len(b.batch.Results) == 0 && len(b.batch.Cancels) == 0
 }
 
 // take removes at most maxBatch entries of each kind.
-func (b *outbox) take() forwarding.Batch {
+func (b *outbox) take() Sending {
 	var out forwarding.Batch
 	b.greet = false
-	out.Queries, b.batch.Queries = cut(b.batch.Queries)
-	out.Results, b.batch.Results = cut(b.batch.Results)
-	out.Cancels, b.batch.Cancels = cut(b.batch.Cancels)
+	out.Queries, b.batch.Queries = cut(b.batch.Queries, maxBatch)
+	out.Cancels, b.batch.Cancels = cut(b.batch.Cancels, maxBatch)
+	out.Results, b.again = cut(b.again, maxBatch)
+	retried := len(out.Results)
+	var fresh []forwarding.Result
+	fresh, b.batch.Results = cut(b.batch.Results, maxBatch-retried)
+	out.Results = append(out.Results, fresh...)
 	b.due = !b.empty()
-	return out
+	return Sending{To: b.peer, Batch: out, retried: retried}
 }
 
-func cut[T any](list []T) (head, tail []T) {
-	if len(list) <= maxBatch {
+func cut[T any](list []T, size int) (head, tail []T) {
+	if len(list) <= size {
 		return list, nil
 	}
-	return list[:maxBatch:maxBatch], list[maxBatch:]
+	return list[:size:size], list[size:]
 }
--- a/internal/tables/forwards_test.go
+++ b/internal/tables/forwards_test.go
@@ -19,12 +19,14 @@
 		return forwarding.Result{ID: attempt(request, n)}
 	}
 	var t *tables.Forwards
+	var taken tables.Sending
 	// take returns the attempts whose results the table lets go.
 	take := func() []uint32 {
-		_, batch, ok := t.Take()
+		var ok bool
+		taken, ok = t.Take()
 		Expect(ok).To(BeTrue())
 		var out []uint32
-		for _, r := range batch.Results {
+		for _, r := range taken.Batch.Results {
 			out = append(out, r.ID.Attempt)
 		}
 		return out
@@ -57,7 +59,7 @@
 		Expect(take()).To(Equal([]uint32{0, 1, 2}))
 		retired := t.Retire()
 		Expect(retired).NotTo(BeClosed())
-		t.Sent(asker.Instance, 3)
+		t.Sent(taken)
 		Expect(retired).To(BeClosed())
 	})
 
@@ -69,12 +71,27 @@
 		Expect(take()).To(Equal([]uint32{0, 1, 2}))
 	})
 
+	It("queues the results of a failed batch once more, and no further", func() {
+		// Guards against a daemon that was paused for the time of one batch and waits in vain for its results, and against
+		// results that go round for ever when their daemon is lost.
+		t.Flush(asker.Instance)
+		Expect(take()).To(Equal([]uint32{0}))
+		t.Undelivered(taken)
+		t.Return(asker, result("p", 9), false)
+		Expect(take()).To(Equal([]uint32{0, 9}))
+		t.Undelivered(taken)
+		Expect(take()).To(Equal([]uint32{9}))
+		t.Undelivered(taken)
+		t.Return(member("other", 1), result("r", 7), false)
+		Expect(take()).To(Equal([]uint32{7}))
+	})
+
 	It("holds results back although a batch to their peer was delivered", func() {
 		// Guards against the end of each batch letting go what waits.
 		t.Return(asker, result("p", 9), true)
 		Expect(take()).To(Equal([]uint32{0, 9}))
 		t.Return(asker, result("q", 1), true)
-		t.Sent(asker.Instance, 2)
+		t.Sent(taken)
 		t.Return(member("other", 1), result("r", 7), false)
 		Expect(take()).To(Equal([]uint32{7}))
 	})
