Know the owners when the first configuration comes into force

Cause: the table of owners follows the members at each tick, up to a second after a new daemon is ready.

Change: taking the first configuration refreshes the table first; awaitPeer has heard of peers by then. The new spec finds one candidate for owner without the change and two with it.

--- a/internal/command/fleet/agent_test.go
+++ b/internal/command/fleet/agent_test.go
@@ -49,6 +49,23 @@
 	})
 })
 
+var _ = Describe("a first configuration", func() {
+	// Guards against a daemon that gets requests and holds itself to be the owner of all servers of its zone.
+	It("is in force with the owners that are known by then", func() {
+		members := tables.NewMembers(model.Member{Instance: "self", Zone: "z", Address: "a"})
+		members.List("z", []model.Member{{Instance: "peer", Zone: "z", Address: "b"}}, time.Now())
+		var joined []model.Member
+		a := New(Deps{
+			Members: members, Departures: tables.NewDepartures(), Owners: tables.NewOwners(), Config: tables.NewConfig(),
+			Servers: tables.NewServers(), Log: zerolog.Nop(), Adopt: func(*model.Topology, time.Time) {},
+			OwnersJoined: func(ms []model.Member) { joined = ms },
+		})
+		a.install(model.NewTopology(1, model.Inventory{}, model.Rules{}), tables.Document{Root: &configdoc.Root{Revision: 1}})
+		Expect(a.Owners.View().Zones["z"]).To(HaveLen(2))
+		Expect(joined).To(HaveLen(2))
+	})
+})
+
 var _ = Describe("the budget of store reads", func() {
 	It("refuses what exceeds a window and passes one large configuration", func() {
 		var b readBudget
--- a/internal/command/fleet/exchange.go
+++ b/internal/command/fleet/exchange.go
@@ -53,9 +53,7 @@
 func (a *Agent) tick(now time.Time) {
 	a.Members.Beat()
 	a.Members.Forget(now)
-	if joined := a.Owners.SetMembers(a.ownerCandidates(now), now); len(joined) > 0 && a.OwnersJoined != nil {
-		a.OwnersJoined(joined)
-	}
+	a.refreshOwners(now)
 	for _, name := range a.Departures.Expire(now) {
 		if r := a.Servers.Get(name); r != nil {
 			r.ClearLeaving(now)
@@ -64,6 +62,13 @@
 	}
 }
 
+// refreshOwners brings the table of owners in step with the members.
+func (a *Agent) refreshOwners(now time.Time) {
+	if joined := a.Owners.SetMembers(a.ownerCandidates(now), now); len(joined) > 0 && a.OwnersJoined != nil {
+		a.OwnersJoined(joined)
+	}
+}
+
 // ownerCandidates returns the daemons that are not held to be dead, this one included, by zone and sorted by instance.
 // Suspected ones stay: in a zone of hundreds, news of a live member may take longer than the time of suspicion, and views
 // that differ cost connections. An owner that is gone is noticed by the first batch that it does not take.
--- a/internal/command/fleet/take.go
+++ b/internal/command/fleet/take.go
@@ -142,6 +142,11 @@
 
 func (a *Agent) install(t *model.Topology, d tables.Document) {
 	now := time.Now()
+	if a.Config.Revision() == 0 {
+		// The daemon is ready from here on. Without the members known by now it would hold itself to be the owner of all
+		// servers of its zone until the next tick.
+		a.refreshOwners(now)
+	}
 	a.Adopt(t, now)
 	a.markRecords(now)
 	if !a.Config.InstallDocument(t, d) {
