Start at once when peers have no configuration either; wait longer for those that do not answer

Cause: a fleet that started together waited its whole second for a peer with a configuration (the suite of daemon/control took 25 s in place of 18 s), while under load a peer may need longer than a second to answer.

Change: two answers of peers without a configuration end the wait, and it lasts up to 3 s otherwise. The suite takes 18 s again.

--- a/internal/command/fleet/agent.go
+++ b/internal/command/fleet/agent.go
@@ -61,12 +61,14 @@
 // Agent is this daemon's part in the fleet. Create it with New.
 type Agent struct {
 	Deps
-	digests  *digest.Builder
-	offers   chan offer
-	sends    chan func(context.Context)
-	listed   chan struct{}
+	digests *digest.Builder
+	offers  chan offer
+	sends   chan func(context.Context)
+	listed  chan struct{}
+	// informed is closed once a peer has told of a revision in force, or peers without one have told so enoughAnswers times.
 	informed chan struct{}
 	inform   sync.Once
+	answers  atomic.Int32
 	started  time.Time
 	budget   readBudget
 	invalid  map[model.RootHash]struct{}
--- a/internal/command/fleet/take.go
+++ b/internal/command/fleet/take.go
@@ -33,11 +33,15 @@
 	done chan error
 }
 
-// hearInForce takes what a peer has in force as an offer, and notes that a peer has told of one. The offer is queued
-// first, so that it is processed before an offer of whoever waits for the note.
+// enoughAnswers is the number of answers of peers without a configuration after which a daemon that starts no longer waits
+// for one that has: the whole fleet starts.
+const enoughAnswers = 2
+
+// hearInForce takes what a peer has in force as an offer, and notes that peers have answered. The offer is queued first, so
+// that it is processed before an offer of whoever waits for the note.
 func (a *Agent) hearInForce(m model.Member, o model.Offer) {
 	a.offerFrom(m, o)
-	if o.Revision > 0 {
+	if o.Revision > 0 || a.answers.Add(1) >= enoughAnswers {
 		a.inform.Do(func() { close(a.informed) })
 	}
 }
--- a/internal/command/fleet/watch.go
+++ b/internal/command/fleet/watch.go
@@ -28,7 +28,7 @@
 	// coldReadAfter is when a daemon that is no relay and still has no configuration reads the store itself.
 	coldReadAfter = 5 * time.Second
 	// firstPeerWait is how long a daemon without a configuration waits for a peer's before it takes the store's.
-	firstPeerWait = time.Second
+	firstPeerWait = 3 * time.Second
 )
 
 // runWatch watches the head while this daemon is a relay, until ctx ends. It waits for the first list of members, so
@@ -62,8 +62,8 @@
 	}
 }
 
-// awaitPeer waits for a first peer to tell of a revision that is in force, for at most firstPeerWait, and not at all if no
-// peer is known. A daemon keeps nothing over a restart, so that a stale replica of the store could make it put an earlier
+// awaitPeer waits for a first peer to tell of a revision that is in force, or for peers that have none themselves, for at most
+// firstPeerWait, and not at all if no peer is known. A daemon keeps nothing over a restart, so that a stale replica of the store could make it put an earlier
 // revision in force than it had before.
 func (a *Agent) awaitPeer(ctx context.Context) {
 	if len(a.Seeds) == 0 && len(a.Members.Snapshot(nil)) == 0 {
