Rename what was named figuratively: connections opened ahead, fault table, results returned

No behaviour changes: Greet is Preconnect, giveBack returnResult, desk faultTable, partWithCallers closeWhileDraining, SpareColdServers AvoidColdServers, hearInForce learnRevision. Tests of the touched packages pass.

--- a/internal/command/fleet/agent.go
+++ b/internal/command/fleet/agent.go
@@ -123,21 +123,21 @@
 	if contact := time.UnixMilli(d.StoreContactMs); d.StoreContactMs > 0 && !contact.After(now) {
 		a.Config.StoreContacted(contact)
 	}
-	a.hearLeaving(d.Departures, now)
-	a.hearInForce(d.From, d.InForce)
+	a.learnLeaving(d.Departures, now)
+	a.learnRevision(d.From, d.InForce)
 }
 
 // ObserveNotice records a peer's notice of a new revision.
 func (a *Agent) ObserveNotice(n peer.Notice) {
 	a.Members.Contacted(n.From, time.Now())
-	a.hearInForce(n.From, n.InForce)
+	a.learnRevision(n.From, n.InForce)
 }
 
 // ObserveLeaving records a peer's notice of leaving servers.
 func (a *Agent) ObserveLeaving(l peer.Leaving) {
 	now := time.Now()
 	a.Members.Contacted(l.From, now)
-	a.hearLeaving(l.Departures, now)
+	a.learnLeaving(l.Departures, now)
 }
 
 // random returns a random source for one loop or call.
--- a/internal/command/fleet/leaving.go
+++ b/internal/command/fleet/leaving.go
@@ -83,8 +83,8 @@
 	a.spreadLeaving(first, now)
 }
 
-// hearLeaving records what a peer told of leaving servers.
-func (a *Agent) hearLeaving(told []model.Departure, now time.Time) {
+// learnLeaving records what a peer told of leaving servers.
+func (a *Agent) learnLeaving(told []model.Departure, now time.Time) {
 	a.spreadLeaving(a.Departures.Heard(told[:min(len(told), peer.MaxDepartures)], now), now)
 }
 
--- a/internal/command/fleet/take.go
+++ b/internal/command/fleet/take.go
@@ -37,9 +37,9 @@
 // for one that has: the whole fleet starts.
 const enoughAnswers = 2
 
-// hearInForce takes what a peer has in force as an offer, and notes that peers have answered. The offer is queued first, so
+// learnRevision takes what a peer has in force as an offer, and notes that peers have answered. The offer is queued first, so
 // that it is processed before an offer of whoever waits for the note.
-func (a *Agent) hearInForce(m model.Member, o model.Offer) {
+func (a *Agent) learnRevision(m model.Member, o model.Offer) {
 	a.offerFrom(m, o)
 	if o.Revision > 0 || a.answers.Add(1) >= enoughAnswers {
 		a.inform.Do(func() { close(a.informed) })
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -112,7 +112,7 @@
 	d.handleStatus(callers, operators)
 	operators.Handle("GET /metrics", d.metrics)
 	var err error
-	if d.callers, err = d.serve(d.settings.CallerAddress, d.partWithCallers(callers)); err != nil {
+	if d.callers, err = d.serve(d.settings.CallerAddress, d.closeWhileDraining(callers)); err != nil {
 		return err
 	}
 	d.operators, err = d.serve(d.settings.OperatorAddress, d.guard(operators))
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -30,9 +30,9 @@
 	})
 }
 
-// partWithCallers ends connections with their next response once a shutdown has begun. A connection that is kept could be
+// closeWhileDraining ends connections with their next response once a shutdown has begun. A connection that is kept could be
 // closed as idle just when its caller sends the next request.
-func (d *Daemon) partWithCallers(h http.Handler) http.Handler {
+func (d *Daemon) closeWhileDraining(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.drainer.Draining() {
 			w.Header().Set("Connection", "close")
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -33,7 +33,7 @@
 		Servers:      recorder.Servers,
 		Validate:     validate,
 		Adopt:        d.adopter(recorder),
-		OwnersJoined: d.dispatcher.Greet,
+		OwnersJoined: d.dispatcher.Preconnect,
 		Draining:     d.drainer.Draining,
 		Log:          d.log,
 	})
--- a/internal/decision/routing/ramp.go
+++ b/internal/decision/routing/ramp.go
@@ -17,9 +17,9 @@
 	return max(minAdmission, float64(age)/float64(RampUp))
 }
 
-// SpareColdServers makes servers that ramp up unusable while a warm replica is usable and has room. It is for urgent work:
+// AvoidColdServers makes servers that ramp up unusable while a warm replica is usable and has room. It is for urgent work:
 // each daemon learns how slow a new server is from attempts of its own, and these go to ranks that can wait.
-func SpareColdServers(cs []Candidate) {
+func AvoidColdServers(cs []Candidate) {
 	if !slices.ContainsFunc(cs, warmWithRoom) {
 		return
 	}
--- a/internal/decision/routing/routing_test.go
+++ b/internal/decision/routing/routing_test.go
@@ -69,7 +69,7 @@
 	})
 })
 
-var _ = Describe("SpareColdServers", func() {
+var _ = Describe("AvoidColdServers", func() {
 	warm, busy, cold, gone := usable(5*time.Millisecond), usable(5*time.Millisecond), usable(0), routing.Candidate{Admission: 1}
 	busy.Pending = busy.Limit + 1
 	cold.Admission = 0.9
@@ -77,7 +77,7 @@
 	// Guards against urgent queries that are the first to meet a cold server, at each daemon and each shard anew.
 	DescribeTable("leaves servers that ramp up to work that can wait",
 		func(cs []routing.Candidate, want []bool) {
-			routing.SpareColdServers(cs)
+			routing.AvoidColdServers(cs)
 			for i := range cs {
 				Expect(cs[i].Usable).To(Equal(want[i]))
 			}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -122,7 +122,7 @@
 		return routing.ChooseRandom(cs, rnd)
 	}
 	if rank == model.RankUrgent {
-		routing.SpareColdServers(cs)
+		routing.AvoidColdServers(cs)
 	}
 	return routing.Choose(cs, rnd)
 }
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -19,9 +19,9 @@
 	// same for one that is stopping.
 	avoidFailed   = 3 * time.Second
 	avoidDraining = 10 * time.Second
-	// maxGreetings bounds the connections that are opened ahead of use after one change of the members. A daemon of a large
+	// maxPreconnects bounds the connections that are opened ahead of use after one change of the members. A daemon of a large
 	// fleet opens the others when it first sends there.
-	maxGreetings = 64
+	maxPreconnects = 64
 	// forwardGrace is the time after its deadline for which the owner waits for an attempt.
 	forwardGrace = 50 * time.Millisecond
 	// collectTime is how long a result may wait for other results of its query. The query needs those too, so that its
@@ -185,16 +185,16 @@
 	}
 }
 
-// Greet opens connections to daemons that may own servers ahead of use. Without it the first query through an owner in
+// Preconnect opens connections to daemons that may own servers ahead of use. Without it the first query through an owner in
 // another region pays for the connections of both directions, about 100 ms at 10 ms one way.
-func (d *Dispatcher) Greet(owners []model.Member) {
+func (d *Dispatcher) Preconnect(owners []model.Member) {
 	f := d.forwarding
 	if f == nil {
 		return
 	}
-	for _, m := range owners[:min(len(owners), maxGreetings)] {
+	for _, m := range owners[:min(len(owners), maxPreconnects)] {
 		if m.Instance != f.self.Instance {
-			f.forwards.Greet(m)
+			f.forwards.Preconnect(m)
 		}
 	}
 }
@@ -240,7 +240,7 @@
 	q := &QueryAttempt{Server: s, Rank: sent.Rank, Request: request, BounceAfter: sent.BounceAfter}
 	q.Done = func(q *QueryAttempt, r backend.QueryResult) {
 		release()
-		f.giveBack(from, q, r)
+		f.returnResult(from, q, r)
 	}
 	accepted := f.forwards.Accept(from.Instance, request.ID, func() {
 		if q.Cancel() {
@@ -255,9 +255,9 @@
 	return true
 }
 
-// giveBack returns the result of an attempt that another daemon forwarded. Only a reply waits for other results: after any
+// returnResult returns the result of an attempt that another daemon forwarded. Only a reply waits for other results: after any
 // other end the asker may have to send the sub-request elsewhere.
-func (f *Forwarding) giveBack(to model.Member, q *QueryAttempt, r backend.QueryResult) {
+func (f *Forwarding) returnResult(to model.Member, q *QueryAttempt, r backend.QueryResult) {
 	now := time.Now()
 	mayWait := r.Status == backend.StatusOK && q.Request.Deadline.Sub(now) > collectMargin
 	result := forwarding.Result{ID: q.Request.ID, Result: r, Waited: q.waited}
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -204,7 +204,7 @@
 	It("reaches a daemon that may own servers before the first sub-request goes there", func() {
 		asker, owner := newPair(fakebackend.Script{})
 		owner.received = make(chan forwarding.Batch, 2)
-		asker.Greet([]model.Member{asker.self, owner.self})
+		asker.Preconnect([]model.Member{asker.self, owner.self})
 		Eventually(owner.received).WithTimeout(5 * time.Second).Should(Receive(Equal(forwarding.Batch{From: asker.self})))
 	})
 
--- a/internal/dispatch/zones.go
+++ b/internal/dispatch/zones.go
@@ -39,7 +39,7 @@
 
 func (d *Dispatcher) zoneHeard(zone model.AvailabilityZone) {
 	if d.zones.Heard(zone, time.Now()) {
-		d.tellZone(zone, false)
+		d.notifyZone(zone, false)
 	}
 }
 
@@ -55,7 +55,7 @@
 	if judgement.Verdict != reach.Unreachable {
 		return
 	}
-	d.tellZone(zone, true)
+	d.notifyZone(zone, true)
 	d.scheduleProbe(zone, judgement.Number, 0)
 	for _, move := range d.zones.Take(zone) {
 		move()
@@ -74,7 +74,7 @@
 	}
 }
 
-func (d *Dispatcher) tellZone(zone model.AvailabilityZone, unreachable bool) {
+func (d *Dispatcher) notifyZone(zone model.AvailabilityZone, unreachable bool) {
 	if d.cfg.OnZone != nil {
 		d.cfg.OnZone(zone, unreachable)
 	}
--- a/internal/query/scatter/hedge.go
+++ b/internal/query/scatter/hedge.go
@@ -78,7 +78,7 @@
 	c.candidates, c.records = c.searcher.Dispatcher.Candidates(c.candidates, c.records, sh.shard, now)
 	routing.Exclude(c.candidates, sh.tried)
 	if c.req.Rank == model.RankUrgent {
-		routing.SpareColdServers(c.candidates)
+		routing.AvoidColdServers(c.candidates)
 	}
 	target := idleCandidate(c.candidates, c.records)
 	if target == nil || !c.searcher.Dispatcher.Budgets.SpendHedge(c.req.Rank, now) {
--- a/internal/standin/platformserver/call.go
+++ b/internal/standin/platformserver/call.go
@@ -34,15 +34,15 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, kind Kind, h func(*call)) {
 	c := &call{r: r, status: http.StatusOK}
 	out := 0
-	within := s.desk.arrive(kind, s.now())
-	defer func() { s.desk.leave(kind, int64(len(c.body)), int64(out)) }()
+	within := s.table.arrive(kind, s.now())
+	defer func() { s.table.leave(kind, int64(len(c.body)), int64(out)) }()
 	var err error
 	// Reading the whole body lets net/http notice from then on when the client closes its connection.
 	if c.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes)); err != nil {
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
 		return
 	}
-	f := s.desk.current()
+	f := s.table.current()
 	ignored := s.ignores(r, &f)
 	if !ignored {
 		pool.Pause(r.Context(), f.Delay)
@@ -69,7 +69,7 @@
 
 // abandon leaves a call without an answer until its caller gives up.
 func (s *Server) abandon(r *http.Request, kind Kind) {
-	s.desk.abandon(kind)
+	s.table.abandon(kind)
 	<-r.Context().Done()
 	panic(http.ErrAbortHandler)
 }
@@ -77,10 +77,10 @@
 // cutAfter cuts the connection of a write that took effect and whose reply is to be lost, and leaves a call unanswered
 // whose caller was cut off while it waited.
 func (s *Server) cutAfter(c *call, kind Kind) {
-	if f := s.desk.current(); s.ignores(c.r, &f) {
+	if f := s.table.current(); s.ignores(c.r, &f) {
 		s.abandon(c.r, kind)
 	}
-	if kind.isWrite() && c.status == http.StatusOK && s.desk.loseReply() {
+	if kind.isWrite() && c.status == http.StatusOK && s.table.loseReply() {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/standin/platformserver/faults.go
+++ b/internal/standin/platformserver/faults.go
@@ -72,8 +72,8 @@
 	BytesOut int64
 }
 
-// desk is the table of the faults in force, the rate limits and the counters.
-type desk struct {
+// faultTable is the table of the faults in force, the rate limits and the counters.
+type faultTable struct {
 	mu     lockorder.Mutex
 	faults Faults
 	counts map[Kind]*Counts
@@ -82,35 +82,35 @@
 	rnd    *rand.Rand
 }
 
-func newDesk(seed uint64) *desk {
-	return &desk{
+func newFaultTable(seed uint64) *faultTable {
+	return &faultTable{
 		mu:     lockorder.New(standin.OrderPlatformFaults),
 		counts: map[Kind]*Counts{},
 		rnd:    rand.New(rand.NewPCG(seed, 1)), //nolint:gosec // fault draws need no secrecy
 	}
 }
 
-func (d *desk) set(f Faults) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.faults = f
+func (t *faultTable) set(f Faults) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = f
 }
 
-func (d *desk) current() Faults {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.faults
+func (t *faultTable) current() Faults {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.faults
 }
 
 // arrive counts a call and tells whether it is within the rate.
-func (d *desk) arrive(kind Kind, now time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	c := d.of(kind)
+func (t *faultTable) arrive(kind Kind, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.of(kind)
 	c.Calls++
-	limit, w := d.faults.ReadsPerSecond, &d.reads
+	limit, w := t.faults.ReadsPerSecond, &t.reads
 	if kind.isWrite() {
-		limit, w = d.faults.WritesPerSecond, &d.writes
+		limit, w = t.faults.WritesPerSecond, &t.writes
 	}
 	if w.take(limit, now) {
 		return true
@@ -120,43 +120,43 @@
 }
 
 // abandon counts a call that is never answered.
-func (d *desk) abandon(kind Kind) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.of(kind).Unanswered++
+func (t *faultTable) abandon(kind Kind) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.of(kind).Unanswered++
 }
 
 // leave counts the bytes of a call that has ended.
-func (d *desk) leave(kind Kind, in, out int64) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	c := d.of(kind)
+func (t *faultTable) leave(kind Kind, in, out int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.of(kind)
 	c.BytesIn += in
 	c.BytesOut += out
 }
 
-func (d *desk) of(kind Kind) *Counts {
-	if d.counts[kind] == nil {
-		d.counts[kind] = &Counts{}
+func (t *faultTable) of(kind Kind) *Counts {
+	if t.counts[kind] == nil {
+		t.counts[kind] = &Counts{}
 	}
-	return d.counts[kind]
+	return t.counts[kind]
 }
 
-func (d *desk) snapshot() map[Kind]Counts {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+func (t *faultTable) snapshot() map[Kind]Counts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	out := map[Kind]Counts{}
-	for kind, c := range d.counts {
+	for kind, c := range t.counts {
 		out[kind] = *c
 	}
 	return out
 }
 
 // loseReply draws whether the reply of a write is lost.
-func (d *desk) loseReply() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.rnd.Float64() < d.faults.LostReplies
+func (t *faultTable) loseReply() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rnd.Float64() < t.faults.LostReplies
 }
 
 // ignores tells whether the platform is silent to a caller.
--- a/internal/standin/platformserver/server.go
+++ b/internal/standin/platformserver/server.go
@@ -21,10 +21,10 @@
 
 // Server is the stand-in. Create it with New, serve it with Listen (or as an http.Handler).
 type Server struct {
-	mux  *http.ServeMux
-	desk *desk
-	data *memplatform.Platform
-	now  func() time.Time
+	mux   *http.ServeMux
+	table *faultTable
+	data  *memplatform.Platform
+	now   func() time.Time
 }
 
 // New returns an empty platform.
@@ -35,7 +35,7 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	s := &Server{mux: http.NewServeMux(), desk: newDesk(cfg.Seed), data: memplatform.New(cfg.Now), now: cfg.Now}
+	s := &Server{mux: http.NewServeMux(), table: newFaultTable(cfg.Seed), data: memplatform.New(cfg.Now), now: cfg.Now}
 	s.handle("GET "+platformhttp.PathKV+"/{key}", KindGet, s.get)
 	s.handle("GET "+platformhttp.PathKV, KindList, s.list)
 	s.handle("GET "+platformhttp.PathWatch+"{key}", KindWatch, s.watch)
@@ -72,7 +72,7 @@
 
 // SetFaults replaces the faults in force.
 func (s *Server) SetFaults(f Faults) {
-	s.desk.set(f)
+	s.table.set(f)
 	// This also wakes the watches, which then see the new faults.
 	s.data.SetFaults(memplatform.Faults{Down: f.Down, StaleBy: f.StaleBy, ListLag: f.ListLag})
 }
@@ -81,10 +81,10 @@
 func (s *Server) SetInstances(list []platform.Instance) { s.data.SetInstances(list) }
 
 // Faults returns the faults in force.
-func (s *Server) Faults() Faults { return s.desk.current() }
+func (s *Server) Faults() Faults { return s.table.current() }
 
 // Counts returns the counters by kind of call.
-func (s *Server) Counts() map[Kind]Counts { return s.desk.snapshot() }
+func (s *Server) Counts() map[Kind]Counts { return s.table.snapshot() }
 
 // Data returns the platform's data, on which a test may act without the faults of the wire.
 func (s *Server) Data() *memplatform.Platform { return s.data }
--- a/internal/tables/forwards.go
+++ b/internal/tables/forwards.go
@@ -59,8 +59,8 @@
 type outbox struct {
 	peer  model.Member
 	batch forwarding.Batch
-	// greet asks for a batch even if it is empty.
-	greet bool
+	// preconnect asks for a batch even if it is empty.
+	preconnect bool
 	// again holds results that could not be delivered, for their second and last try.
 	again   []forwarding.Result
 	sending int
@@ -103,12 +103,12 @@
 	}
 }
 
-// Greet queues a batch for the peer, an empty one if nothing else goes there.
-func (f *Forwards) Greet(peer model.Member) {
+// Preconnect queues a batch for the peer, an empty one if nothing else goes there.
+func (f *Forwards) Preconnect(peer model.Member) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	box := f.box(peer)
-	box.greet = true
+	box.preconnect = true
 	f.offer(box)
 }
 
@@ -343,14 +343,14 @@
 }
 
 func (b *outbox) empty() bool {
-	return !b.greet && len(b.again) == 0 &&
+	return !b.preconnect && len(b.again) == 0 &&
 		len(b.batch.Queries) == 0 && len(b.batch.Results) == 0 && len(b.batch.Cancels) == 0
 }
 
 // take removes at most maxBatch entries of each kind.
 func (b *outbox) take() Sending {
 	var out forwarding.Batch
-	b.greet = false
+	b.preconnect = false
 	out.Queries, b.batch.Queries = cut(b.batch.Queries, maxBatch)
 	out.Cancels, b.batch.Cancels = cut(b.batch.Cancels, maxBatch)
 	out.Results, b.again = cut(b.again, maxBatch)
