Narrow the candidates of an attempt in one place

Cause: reading the whole change. First attempts, hedges and commands each excluded the servers that were tried, and the rule that urgent work avoids cold servers stood in Choose and again in the hedge.

Change: Dispatcher.Candidates takes a Selection of shard, rank and tried servers and applies all three exclusions: lost zones, tried servers, cold servers for urgent work.

--- a/internal/command/execute/send.go
+++ b/internal/command/execute/send.go
@@ -6,7 +6,6 @@
 
 	"oleandersill.example/oleandersill/internal/backend"
 	"oleandersill.example/oleandersill/internal/decision/lease"
-	"oleandersill.example/oleandersill/internal/decision/routing"
 	"oleandersill.example/oleandersill/internal/dispatch"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/tables"
@@ -21,9 +20,9 @@
 	refusal := notRun(ReasonNoServer, 0)
 	d.Budgets.OnRequest(time.Now())
 	for attempt := uint32(1); int(attempt) <= max(1, c.Topology.Rules.Retry.MaxAttempts); attempt++ {
-		cs, records := d.Candidates(nil, nil, c.shard, time.Now())
-		routing.Exclude(cs, tried)
-		i, ok := d.Choose(cs, c.Rank, rnd)
+		sel := dispatch.Selection{Shard: c.shard, Rank: c.Rank, Tried: tried}
+		cs, records := d.Candidates(nil, nil, sel, time.Now())
+		i, ok := d.Choose(cs, rnd)
 		if !ok || (attempt > 1 && !d.Budgets.SpendRetry(time.Now())) {
 			return refusal
 		}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -116,23 +116,28 @@
 // Policy returns the dispatcher's policy.
 func (d *Dispatcher) Policy() model.Policy { return d.cfg.Policy }
 
-// Choose returns the index of the candidate that should get the next attempt of the rank, or false if none is usable.
-func (d *Dispatcher) Choose(cs []routing.Candidate, rank model.Rank, rnd *rand.Rand) (int, bool) {
+// Choose returns the index of the candidate that should get the next attempt, or false if none is usable.
+func (d *Dispatcher) Choose(cs []routing.Candidate, rnd *rand.Rand) (int, bool) {
 	if d.cfg.Policy == model.PolicyBaseline {
 		return routing.ChooseRandom(cs, rnd)
 	}
-	if rank == model.RankUrgent {
-		routing.AvoidColdServers(cs)
-	}
 	return routing.Choose(cs, rnd)
 }
 
-// Candidates fills cs with the replicas of a shard; len(cs) must be at least the number of its servers. Records are in
-// the same order.
-func (d *Dispatcher) Candidates(cs []routing.Candidate, records []*tables.Server, sh *model.Shard, now time.Time) (
+// Selection says for what a replica is to be chosen.
+type Selection struct {
+	Shard *model.Shard
+	Rank  model.Rank
+	// Tried are the servers that are not to be chosen again.
+	Tried []model.ServerName
+}
+
+// Candidates fills cs with the replicas of a shard, of which those that must not be chosen are not usable. Records are in
+// the same order. Both slices are reused.
+func (d *Dispatcher) Candidates(cs []routing.Candidate, records []*tables.Server, sel Selection, now time.Time) (
 	[]routing.Candidate, []*tables.Server,
 ) {
-	records = d.Servers.Shard(records[:0], sh)
+	records = d.Servers.Shard(records[:0], sel.Shard)
 	cs = cs[:0]
 	for _, r := range records {
 		var c routing.Candidate
@@ -141,6 +146,10 @@
 		cs = append(cs, c)
 	}
 	d.zones.Exclude(cs)
+	routing.Exclude(cs, sel.Tried)
+	if sel.Rank == model.RankUrgent && d.cfg.Policy != model.PolicyBaseline {
+		routing.AvoidColdServers(cs)
+	}
 	return cs, records
 }
 
--- a/internal/dispatch/zones_test.go
+++ b/internal/dispatch/zones_test.go
@@ -137,7 +137,7 @@
 
 func (z *farZone) usable() int {
 	shard := z.Config.Current().Service("search").Shards[0]
-	candidates, _ := z.Candidates(nil, nil, shard, time.Now())
+	candidates, _ := z.Candidates(nil, nil, dispatch.Selection{Shard: shard}, time.Now())
 	n := 0
 	for i := range candidates {
 		if candidates[i].Usable || candidates[i].Probe {
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -127,9 +127,8 @@
 // attempt starts with startChosen.
 func (c *call) sendTo(i int, now time.Time) bool {
 	sh := &c.shards[i]
-	c.candidates, c.records = c.searcher.Dispatcher.Candidates(c.candidates, c.records, sh.shard, now)
-	routing.Exclude(c.candidates, sh.tried)
-	j, ok := c.searcher.Dispatcher.Choose(c.candidates, c.req.Rank, c.rnd)
+	c.loadCandidates(sh, now)
+	j, ok := c.searcher.Dispatcher.Choose(c.candidates, c.rnd)
 	if !ok {
 		return false
 	}
@@ -141,6 +140,12 @@
 	return true
 }
 
+// loadCandidates sets candidates and records to the replicas of a shard.
+func (c *call) loadCandidates(sh *shardState, now time.Time) {
+	sel := dispatch.Selection{Shard: sh.shard, Rank: c.req.Rank, Tried: sh.tried}
+	c.candidates, c.records = c.searcher.Dispatcher.Candidates(c.candidates, c.records, sel, now)
+}
+
 func anyUsable(cs []routing.Candidate) bool {
 	return slices.ContainsFunc(cs, func(c routing.Candidate) bool { return c.Usable })
 }
--- a/internal/query/scatter/hedge.go
+++ b/internal/query/scatter/hedge.go
@@ -75,11 +75,7 @@
 // hedgeShard chooses a second attempt to a replica that has headroom now, so that hedges add nothing under overload.
 func (c *call) hedgeShard(i int, now time.Time) {
 	sh := &c.shards[i]
-	c.candidates, c.records = c.searcher.Dispatcher.Candidates(c.candidates, c.records, sh.shard, now)
-	routing.Exclude(c.candidates, sh.tried)
-	if c.req.Rank == model.RankUrgent {
-		routing.AvoidColdServers(c.candidates)
-	}
+	c.loadCandidates(sh, now)
 	target := idleCandidate(c.candidates, c.records)
 	if target == nil || !c.searcher.Dispatcher.Budgets.SpendHedge(c.req.Rank, now) {
 		return
