Add the platform's adapter: settings, store, servers and callers (thin path)

The users' platform keeps the configuration and the servers' entries in its store; docs/decisions/platform.md says which programs run there. Routes and opaque messages go through the scatter and the dispatcher of the product's own queries.

--- /dev/null
+++ b/cmd/oleandersill-platform/main.go
@@ -0,0 +1,85 @@
+// Command oleandersill-platform is the query tier's daemon on the users' platform.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"oleandersill.example/oleandersill/internal/telemetry"
+	"oleandersill.example/oleandersill/platform/daemon"
+	"oleandersill.example/oleandersill/platform/settings"
+)
+
+// Exit codes other than 0.
+const (
+	exitUsage = 2
+	// exitCutOff: a second signal ended the process before its requests had ended.
+	exitCutOff = 3
+)
+
+// gcPercent makes the heap small rather than collections rare: the daemon keeps little, and memory is what instances lack.
+const gcPercent = 60
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	path := flag.String("settings", "", "path of the settings file (TOML); the platform names it in the environment")
+	flag.Parse()
+	file := settings.Path(*path)
+	s, err := settings.Load(file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	debug.SetGCPercent(gcPercent)
+	out := telemetry.NewBoundedWriter(os.Stdout)
+	defer out.Close()
+	log := telemetry.NewLogger(out, zerolog.InfoLevel)
+	daemon.RedirectStandardLog(log)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	d, err := daemon.Start(s, log)
+	if err != nil {
+		log.Error().Err(err).Msg("start_failed")
+		return exitUsage
+	}
+	return serve(d, signals, file, log)
+}
+
+// serve runs the daemon until it has drained on a signal. A second signal to stop ends the process at once.
+func serve(d *daemon.Daemon, signals <-chan os.Signal, file string, log zerolog.Logger) int {
+	draining := false
+	for {
+		select {
+		case s := <-signals:
+			switch {
+			case s == syscall.SIGHUP:
+				reload(file, log)
+			case draining:
+				return exitCutOff
+			default:
+				draining = true
+				d.BeginDrain(s.String())
+			}
+		case <-d.Drained():
+			d.Stop()
+			return 0
+		}
+	}
+}
+
+// reload checks the settings file and logs what it found. Addresses and bounds are those of the start.
+func reload(file string, log zerolog.Logger) {
+	s, err := settings.Load(file)
+	if err != nil {
+		log.Warn().Err(err).Msg("settings_not_reloaded")
+		return
+	}
+	log.Info().Str("instance", string(s.Instance)).Msg("settings_reloaded")
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -51,12 +51,14 @@
 	// StatusZoneUnreachable: the server's availability zone was judged unreachable while the attempt was pending; it may
 	// have run. It occurs for idempotent requests only.
 	StatusZoneUnreachable
+	// StatusReplaced: another server has the address and did not run the request.
+	StatusReplaced
 )
 
 var statusNames = [...]string{
 	"ok", "unreachable", "shed", "draining", "deadline_passed", "version_not_held", "lost", "mismatched", "failed",
 	"cancelled", "owner_lost", "busy",
-	"zone_unreachable",
+	"zone_unreachable", "replaced",
 }
 
 // String returns the status's name as used in logs and metrics.
@@ -65,7 +67,8 @@
 // ProvablyNotRun tells whether the status proves that the server did not run the request.
 func (s Status) ProvablyNotRun() bool {
 	switch s {
-	case StatusUnreachable, StatusShed, StatusDraining, StatusDeadlinePassed, StatusVersionNotHeld, StatusBusy:
+	case StatusUnreachable, StatusShed, StatusDraining, StatusDeadlinePassed, StatusVersionNotHeld, StatusBusy,
+		StatusReplaced:
 		return true
 	case StatusOK, StatusLost, StatusMismatched, StatusFailed, StatusCancelled, StatusOwnerLost,
 		StatusZoneUnreachable:
@@ -93,6 +96,8 @@
 	// Limit is the largest number of items to return.
 	Limit    int
 	Deadline time.Time
+	// Message is passed on in place of Text, WantVersion and Limit; nil for a query of the product's own interface.
+	Message *Message
 }
 
 // QueryReply is a server's answer for one shard.
@@ -104,9 +109,12 @@
 	Retained []model.IndexVersion
 	Items    []model.Item
 	Load     Load
+	// Message is the server's answer to a request's Message.
+	Message *MessageReply
 }
 
-// QueryResult is the end of a query attempt; Reply is set for StatusOK only.
+// QueryResult is the end of a query attempt; Reply is set for StatusOK only, but for a server's failure to answer a Message,
+// whose MessageReply comes with StatusFailed.
 type QueryResult struct {
 	Status Status
 	Reply  QueryReply
@@ -124,13 +132,17 @@
 	Key      string
 	Body     string
 	Deadline time.Time
+	// Message is passed on in place of Key and Body; nil for a request of the product's own interface.
+	Message *Message
 }
 
-// ExecuteResult is the end of a non-idempotent attempt; Result is set for StatusOK only.
+// ExecuteResult is the end of a non-idempotent attempt; Result is set for StatusOK only, and Message where the server
+// answered a request's Message, with StatusOK or StatusFailed.
 type ExecuteResult struct {
 	Status     Status
 	Result     string
 	RetryAfter time.Duration
+	Message    *MessageReply
 }
 
 // Health is a server's own statement of its health, which may lag or mislead.
--- a/internal/backend/backendhttp/client.go
+++ b/internal/backend/backendhttp/client.go
@@ -96,7 +96,10 @@
 	if status != backend.StatusOK {
 		return backend.QueryResult{Status: status, RetryAfter: refusal.retryAfter(), Retained: refusal.Retained}
 	}
-	return backend.QueryResult{Status: backend.StatusOK, Reply: backend.QueryReply(reply)}
+	return backend.QueryResult{Status: backend.StatusOK, Reply: backend.QueryReply{
+		ID: reply.ID, Shard: reply.Shard, Epoch: reply.Epoch, Version: reply.Version, Retained: reply.Retained,
+		Items: reply.Items, Load: reply.Load,
+	}}
 }
 
 // Execute implements backend.Server.
--- a/internal/command/report/adopt.go
+++ b/internal/command/report/adopt.go
@@ -137,7 +137,8 @@
 }
 
 func sameEndpoint(a, b *model.Server) bool {
-	return a.Address == b.Address && a.Connections == b.Connections && a.Service == b.Service && a.Shard == b.Shard
+	return a.Address == b.Address && a.Connections == b.Connections && a.Service == b.Service && a.Shard == b.Shard &&
+		a.Started == b.Started
 }
 
 func (r *Recorder) adoptRules(t *model.Topology, capacity map[model.ServiceName]*serviceCapacity, now time.Time) {
--- /dev/null
+++ b/internal/decision/budget/fleet.go
@@ -0,0 +1,51 @@
+package budget
+
+import "time"
+
+const (
+	// usedRatio and usedSlack are the parts of what the fleet may send extra that its daemons use. The rest covers attempts
+	// whose arrival at the server is uncertain and daemons that are not known yet.
+	usedRatio = 0.8
+	usedSlack = 0.75
+)
+
+// FleetRule bounds the extra attempts of all daemons together to one service: in any Span, Ratio for each request and Slack
+// besides.
+type FleetRule struct {
+	Ratio float64
+	Slack float64
+	Span  time.Duration
+}
+
+// Fleet is one daemon's part of a FleetRule. Requests are counted where they arrive, so that the ratio's part needs no
+// exchange between daemons; the slack is divided evenly. Create it with NewFleet. It is not safe for concurrent use.
+type Fleet struct {
+	rule    FleetRule
+	window  Window
+	began   time.Time
+	daemons int
+}
+
+// NewFleet returns the part of one of daemons daemons.
+func NewFleet(rule FleetRule, daemons int, now time.Time) Fleet {
+	return Fleet{rule: rule, window: NewWindow(0, 0, rule.Span, now), began: now, daemons: max(1, daemons)}
+}
+
+// SetDaemons changes the number of daemons that share the slack.
+func (f *Fleet) SetDaemons(n int) { f.daemons = max(1, n) }
+
+// OnRequest counts one request.
+func (f *Fleet) OnRequest(now time.Time) { f.window.OnRequest(now) }
+
+// Spend counts one extra attempt if the daemon's part allows it, and tells whether it does. part, in (0, 1], is the share of
+// it that the attempt may use, so that some is left for more important ones.
+func (f *Fleet) Spend(part float64, now time.Time) bool {
+	f.window.advance(now)
+	return f.window.spend(part * (f.rule.Ratio*usedRatio*float64(f.window.baseN) + f.slack(now)))
+}
+
+// slack grows over the first span, since the daemon may have spent its part before it was restarted.
+func (f *Fleet) slack(now time.Time) float64 {
+	grown := min(1, float64(now.Sub(f.began))/float64(max(1, f.rule.Span)))
+	return f.rule.Slack * usedSlack * grown / float64(f.daemons)
+}
--- a/internal/decision/budget/window.go
+++ b/internal/decision/budget/window.go
@@ -41,7 +41,12 @@
 // budget that the attempt may use, so that some is left for more important ones.
 func (w *Window) Spend(part float64, now time.Time) bool {
 	w.advance(now)
-	if allowed := max(float64(w.floor), part*w.ratio*float64(w.baseN)); float64(w.extraN+1) > allowed {
+	return w.spend(max(float64(w.floor), part*w.ratio*float64(w.baseN)))
+}
+
+// spend counts one extra attempt unless there would be more than allowed.
+func (w *Window) spend(allowed float64) bool {
+	if float64(w.extraN+1) > allowed {
 		return false
 	}
 	w.extra[w.slot%extraBuckets]++
--- /dev/null
+++ b/internal/decision/directory/directory.go
@@ -0,0 +1,126 @@
+package directory
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+const (
+	// vanishedUse is how long a server is used whose entry vanished without notice: it may have lapsed although the server
+	// lives. It lies below the time that a server which leaves without notice goes on serving.
+	vanishedUse = 1800 * time.Millisecond
+	// restoredUse is how long after the store's return entries that lapsed while it was away are waited for.
+	restoredUse = 2300 * time.Millisecond
+)
+
+// Revision orders what the store said; a higher one is newer.
+type Revision uint64
+
+// Directory holds the entries. Create it with New. It is not safe for concurrent use.
+type Directory struct {
+	entries map[model.ServerName]*entry
+	// restored is when the store last answered again after it had not.
+	restored time.Time
+}
+
+type entry struct {
+	registration model.Registration
+	revision     Revision
+	// until is zero while the entry is in the store, and then the time up to which the server is used.
+	until time.Time
+}
+
+// New returns an empty directory.
+func New() *Directory { return &Directory{entries: map[model.ServerName]*entry{}} }
+
+// Put takes an entry, and tells whether it changed anything. An entry that is not newer than the one known is dropped.
+func (d *Directory) Put(r model.Registration, revision Revision) bool {
+	e := d.entries[r.Name]
+	if e == nil {
+		d.entries[r.Name] = &entry{registration: r, revision: revision}
+		return true
+	}
+	if revision < e.revision || (revision == e.revision && e.until.IsZero()) {
+		return false
+	}
+	changed := e.registration != r
+	e.registration, e.revision, e.until = r, revision, time.Time{}
+	return changed
+}
+
+// Drop takes the news that a key holds no entry that names a server. It tells whether a server was dropped.
+func (d *Directory) Drop(name model.ServerName) bool {
+	if d.entries[name] == nil {
+		return false
+	}
+	delete(d.entries, name)
+	return true
+}
+
+// Vanish takes the news that an entry is gone, and tells whether a server was dropped at once. One that had said that it
+// leaves is; another one is used for a while.
+func (d *Directory) Vanish(name model.ServerName, now time.Time) bool {
+	e := d.entries[name]
+	if e == nil || !e.until.IsZero() {
+		return false
+	}
+	if e.registration.Leaving {
+		delete(d.entries, name)
+		return true
+	}
+	e.until = now.Add(vanishedUse)
+	if byReturn := d.restored.Add(restoredUse); byReturn.After(e.until) {
+		e.until = byReturn
+	}
+	return false
+}
+
+// Restored takes the news that the store answers again after it did not.
+func (d *Directory) Restored(now time.Time) { d.restored = now }
+
+// Names returns the names of all servers whose entries were in the store when last heard of.
+func (d *Directory) Names() []model.ServerName {
+	var out []model.ServerName
+	for name, e := range d.entries {
+		if e.until.IsZero() {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// Expire drops the servers that are not to be used any longer, and returns their names.
+func (d *Directory) Expire(now time.Time) []model.ServerName {
+	var dropped []model.ServerName
+	for name, e := range d.entries {
+		if !e.until.IsZero() && !now.Before(e.until) {
+			delete(d.entries, name)
+			dropped = append(dropped, name)
+		}
+	}
+	return dropped
+}
+
+// NextExpiry returns when Expire has something to drop next; zero if nothing vanished.
+func (d *Directory) NextExpiry() time.Time {
+	var next time.Time
+	for _, e := range d.entries {
+		if !e.until.IsZero() && (next.IsZero() || e.until.Before(next)) {
+			next = e.until
+		}
+	}
+	return next
+}
+
+// Servers returns the servers to use, by name.
+func (d *Directory) Servers() []model.Registration {
+	out := make([]model.Registration, 0, len(d.entries))
+	for _, e := range d.entries {
+		out = append(out, e.registration)
+	}
+	slices.SortFunc(out, func(a, b model.Registration) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
--- /dev/null
+++ b/internal/decision/gather/gather.go
@@ -0,0 +1,82 @@
+package gather
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// targetMargin is the part of the latency target that is left for the way back to the caller, and minMargin the least
+	// time left for it.
+	targetMargin = 0.08
+	minMargin    = 8 * time.Millisecond
+
+	// earliestHedge and latestHedge bound the time before a shard is asked a second time, as parts of the latency target.
+	// An earlier one costs servers work for little; a later one leaves the second server too little time.
+	earliestHedge = 0.15
+	latestHedge   = 0.4
+	// coverageTolerance absorbs the rounding of a required coverage that is a fraction of the shards.
+	coverageTolerance = 1e-9
+)
+
+// State is what is known about an answer while it is gathered.
+type State struct {
+	Shards   int
+	Answered int
+	// Open counts the shards without a reply that an attempt under way may still bring.
+	Open int
+	// MinCoverage is the share of the shards that an answer needs, in [0, 1].
+	MinCoverage float64
+	// Due is when an answer that covers enough is given although shards are open.
+	Due time.Time
+}
+
+// Verdict says what becomes of an answer.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Wait: a reply that is still to come is worth waiting for.
+	Wait Verdict = iota
+	// Answer: what is in hand is the answer.
+	Answer
+	// Fail: no reply that may still come makes the answer cover enough.
+	Fail
+)
+
+// Decide returns the verdict at now. Within the latency target an answer does not gain by being early, so that every open
+// shard is waited for until the answer is due; after it, the least coverage is enough.
+func Decide(s State, now time.Time) Verdict {
+	needed := Needed(s.Shards, s.MinCoverage)
+	switch {
+	case s.Answered == s.Shards:
+		return Answer
+	case s.Answered+s.Open < needed:
+		return Fail
+	case s.Answered >= needed && (s.Open == 0 || !now.Before(s.Due)):
+		return Answer
+	}
+	return Wait
+}
+
+// Needed returns the least number of shards whose replies make up the coverage; at least 1.
+func Needed(shards int, minCoverage float64) int {
+	return max(1, int(math.Ceil(minCoverage*float64(shards)-coverageTolerance)))
+}
+
+// Due returns when an answer to a request that arrived at arrived is due to meet the target.
+func Due(arrived time.Time, target time.Duration) time.Time {
+	margin := max(minMargin, time.Duration(float64(target)*targetMargin))
+	return arrived.Add(max(0, target-margin))
+}
+
+// HedgeDelay returns the time after which a shard that has not answered is asked a second time. observed is a high quantile
+// of the shard's latency, 0 if none was observed.
+func HedgeDelay(observed, target time.Duration) time.Duration {
+	latest := time.Duration(float64(target) * latestHedge)
+	if observed == 0 {
+		return latest
+	}
+	earliest := time.Duration(float64(target) * earliestHedge)
+	return min(latest, max(earliest, observed))
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -46,6 +46,8 @@
 	Metrics *telemetry.Metrics
 	// OnZone, if set, is called when a zone becomes unreachable and when it is reachable again. It must not block.
 	OnZone func(zone model.AvailabilityZone, unreachable bool)
+	// Budgets bound the extra attempts of routes; nil where there are no routes.
+	Budgets *tables.ServiceBudgets
 	// Seed makes the replica draws reproducible.
 	Seed uint64
 }
@@ -57,7 +59,10 @@
 	Servers    *tables.Servers
 	Budgets    *tables.Budgets
 	Admissions *tables.Admissions
-	Timer      *pool.Timer
+	// ServiceBudgets bound the extra attempts of routes, and Splits divide the requests of weighted routes.
+	ServiceBudgets *tables.ServiceBudgets
+	Splits         *tables.Splits
+	Timer          *pool.Timer
 
 	ready    *tables.Ready
 	pools    []*pool.Pool
@@ -77,11 +82,14 @@
 		Servers:    servers,
 		Budgets:    tables.NewBudgets(model.Rules{}, time.Now()),
 		Admissions: tables.NewAdmissions(),
-		Timer:      pool.NewTimer(tables.OrderTimer),
-		ready:      tables.NewReady(),
-		rollouts:   tables.NewRollouts(),
-		zones:      tables.NewZones(time.Now()),
-		observer:   observer,
+
+		ServiceBudgets: cfg.Budgets,
+		Splits:         tables.NewSplits(),
+		Timer:          pool.NewTimer(tables.OrderTimer),
+		ready:          tables.NewReady(),
+		rollouts:       tables.NewRollouts(),
+		zones:          tables.NewZones(time.Now()),
+		observer:       observer,
 	}
 	for r := range model.RankCount {
 		rank := model.Rank(r)
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -103,8 +103,9 @@
 			return
 		}
 		q.d.cfg.Metrics.Cancellation(q.Request.Service)
-		if q.sent.Load() && q.d.sendCancel(q.Server, q.Rank, q.Request.ID) {
-			// A server that does not act on the cancellation loses the connection.
+		if q.sent.Load() && (q.Request.Message != nil || q.d.sendCancel(q.Server, q.Rank, q.Request.ID)) {
+			// A server that does not act on the cancellation loses the connection. There is no cancellation of a message; its
+			// reply is on the way in most cases, and the connection can be used again after it.
 			q.d.Timer.Schedule(time.Now().Add(cancelTimeout), q.stop)
 			return
 		}
--- /dev/null
+++ b/internal/dispatch/route.go
@@ -0,0 +1,30 @@
+package dispatch
+
+import (
+	"oleandersill.example/oleandersill/internal/decision/split"
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+// RouteShards returns the shards that a request of the route goes to: those of the index, or the one of the service whose
+// turn it is by the weights. A service without servers gives a shard without servers.
+func (d *Dispatcher) RouteShards(t *model.Topology, route *model.Route) []*model.Shard {
+	if route.Index == nil {
+		part := 0
+		if len(route.Parts) > 1 {
+			part = max(0, split.Part(route.Parts, d.Splits.Next(route.Name)))
+		}
+		return []*model.Shard{shardOf(t, route.Parts[part].Service)}
+	}
+	shards := make([]*model.Shard, len(route.Index.Services))
+	for i, service := range route.Index.Services {
+		shards[i] = shardOf(t, service)
+	}
+	return shards
+}
+
+func shardOf(t *model.Topology, service model.ServiceName) *model.Shard {
+	if s := t.Service(service); s != nil {
+		return s.Shards[0]
+	}
+	return &model.Shard{Name: model.ShardName(service)}
+}
--- a/internal/dispatch/zones.go
+++ b/internal/dispatch/zones.go
@@ -26,7 +26,7 @@
 	}
 	switch status {
 	case backend.StatusOK, backend.StatusShed, backend.StatusDraining, backend.StatusDeadlinePassed,
-		backend.StatusVersionNotHeld, backend.StatusMismatched, backend.StatusFailed:
+		backend.StatusVersionNotHeld, backend.StatusMismatched, backend.StatusFailed, backend.StatusReplaced:
 		d.zoneHeard(spec.Zone)
 	case backend.StatusUnreachable:
 		d.zoneSilent(spec.Zone, reach.Silence{
--- a/internal/model/inventory.go
+++ b/internal/model/inventory.go
@@ -57,6 +57,8 @@
 	ConnectionCostMs float64 `yaml:"connection_cost_ms" json:"connection_cost_ms"`
 	// Leaving servers get no new work.
 	Leaving bool `yaml:"leaving,omitempty" json:"leaving,omitempty"`
+	// Started distinguishes the lives of a server that registers itself; 0 for servers that operators list.
+	Started int64 `yaml:"-" json:"-"`
 }
 
 // Rules say how work is ranked and limited, as operators write them.
--- a/internal/model/topology.go
+++ b/internal/model/topology.go
@@ -11,6 +11,9 @@
 	Revision  Revision
 	Inventory Inventory
 	Rules     Rules
+	// Routing is the version of the routing configuration that the inventory was made for; nil where operators write the
+	// inventory themselves.
+	Routing *Routing
 
 	services map[ServiceName]*Service
 	servers  int
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -39,8 +39,10 @@
 	release  context.CancelFunc
 	shards   []shardState
 	attempts uint32
-	rounds   int
-	ended    bool
+	// route is set for a request that is passed on; nil for a query of the product's own interface.
+	route  *routeState
+	rounds int
+	ended  bool
 	// slowdowns are those of the replies so far.
 	slowdowns []float64
 	deadline  *pool.Entry
@@ -57,8 +59,10 @@
 
 // shardState is what a call knows about one shard.
 type shardState struct {
-	shard    *model.Shard
-	replies  []shardReply
+	shard   *model.Shard
+	replies []shardReply
+	// message is the server's answer to a message that is passed on.
+	message  *backend.MessageReply
 	held     []model.IndexVersion
 	pending  []*dispatch.QueryAttempt
 	tried    []model.ServerName
@@ -77,16 +81,20 @@
 }
 
 func newCall(s *Searcher, id model.RequestID, req Request) *call {
+	return newCallOver(s, id, req, req.Service.Shards)
+}
+
+func newCallOver(s *Searcher, id model.RequestID, req Request, shards []*model.Shard) *call {
 	c := &call{
 		searcher: s,
 		id:       id,
 		req:      req,
 		rnd:      s.Dispatcher.Rand(),
 		mu:       lockorder.New(tables.OrderCall),
-		shards:   make([]shardState, len(req.Service.Shards)),
+		shards:   make([]shardState, len(shards)),
 		done:     make(chan struct{}),
 	}
-	for i, sh := range req.Service.Shards {
+	for i, sh := range shards {
 		c.shards[i].shard = sh
 	}
 	return c
@@ -94,6 +102,12 @@
 
 // run starts the attempts and waits for the end of the call, the deadline, or the caller's cancellation.
 func (c *call) run(ctx context.Context) Answer {
+	c.runUntilEnd(ctx)
+	return c.finish()
+}
+
+// runUntilEnd returns when the call has ended or the caller has left.
+func (c *call) runUntilEnd(ctx context.Context) {
 	// Attempts outlive the caller's context, so that they are cancelled on the server by message and not by closing
 	// their connections; the deadline bounds them.
 	attempts, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.req.Deadline.Add(cancelGrace))
@@ -102,7 +116,6 @@
 	case <-c.done:
 	case <-ctx.Done():
 	}
-	return c.finish()
 }
 
 func (c *call) start(ctx context.Context, release context.CancelFunc) {
@@ -110,15 +123,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ctx, c.release = ctx, release
-	want := c.searcher.Dispatcher.PreferredVersion(c.req.Service, now)
+	want := c.wantedVersion(now)
 	for i := range c.shards {
 		c.shards[i].want = want
-		c.searcher.Dispatcher.Budgets.OnRequest(now)
+		c.countRequest(i, now)
 		c.sendTo(i, now)
 	}
 	c.startChosen(now)
 	timer := c.searcher.Dispatcher.Timer
 	c.deadline = timer.Schedule(c.req.Deadline.Add(-answerMargin), c.end)
+	c.scheduleDue()
 	c.scheduleHedge()
 	c.evaluate(now)
 }
@@ -156,20 +170,11 @@
 	sh.attempts++
 	sh.tried = append(sh.tried, server.Name())
 	q := &dispatch.QueryAttempt{
-		Server: server,
-		Rank:   c.req.Rank,
-		Probe:  probe,
-		Request: backend.QueryRequest{
-			ID:          backend.AttemptID{Request: c.id, Incarnation: c.searcher.Incarnation, Attempt: c.attempts},
-			Service:     c.req.Service.Name,
-			Shard:       sh.shard.Name,
-			Epoch:       c.req.Service.Epoch,
-			WantVersion: sh.want,
-			Text:        c.req.Text,
-			Limit:       c.req.Limit,
-			Deadline:    c.req.Deadline,
-		},
-		Done: func(q *dispatch.QueryAttempt, r backend.QueryResult) { c.onEnd(i, q, r) },
+		Server:  server,
+		Rank:    c.req.Rank,
+		Probe:   probe,
+		Request: c.request(sh),
+		Done:    func(q *dispatch.QueryAttempt, r backend.QueryResult) { c.onEnd(i, q, r) },
 	}
 	sh.hedgeAt = c.hedgeTime(now)
 	if sh.attempts == 1 && c.req.Rank != model.RankDeferred && !sh.hedgeAt.IsZero() && len(c.records) > 1 {
@@ -180,6 +185,25 @@
 	c.chosen = append(c.chosen, q)
 }
 
+func (c *call) request(sh *shardState) backend.QueryRequest {
+	r := backend.QueryRequest{
+		ID:       backend.AttemptID{Request: c.id, Incarnation: c.searcher.Incarnation, Attempt: c.attempts},
+		Shard:    sh.shard.Name,
+		Deadline: c.req.Deadline,
+	}
+	if c.route != nil {
+		r.Service = model.ServiceName(sh.shard.Name)
+		r.Message = c.route.message
+		return r
+	}
+	r.Service = c.req.Service.Name
+	r.Epoch = c.req.Service.Epoch
+	r.WantVersion = sh.want
+	r.Text = c.req.Text
+	r.Limit = c.req.Limit
+	return r
+}
+
 // startChosen starts what send and sendTo chose, together, so that attempts with the same owner share batches.
 func (c *call) startChosen(now time.Time) {
 	c.searcher.Dispatcher.StartQueries(c.ctx, c.chosen, now)
@@ -198,6 +222,10 @@
 		c.releaseIfIdle()
 		return
 	}
+	if c.route != nil {
+		c.onRouteEnd(i, q, r, now)
+		return
+	}
 	switch r.Status {
 	case backend.StatusOK:
 		c.slowdowns = append(c.slowdowns, q.Slowdown)
@@ -211,7 +239,7 @@
 		// The server spent nothing on the attempt, or its owner is lost, so that another one needs no budget.
 		c.resend(i, now)
 	case backend.StatusShed, backend.StatusLost, backend.StatusMismatched, backend.StatusFailed,
-		backend.StatusZoneUnreachable:
+		backend.StatusZoneUnreachable, backend.StatusReplaced:
 		c.retry(i, now)
 	}
 	c.evaluate(now)
@@ -231,8 +259,8 @@
 
 // retry sends a failed sub-request to another replica if the rules and the budget allow it.
 func (c *call) retry(i int, now time.Time) {
-	if c.mayResend(i) && c.searcher.spendRetry(now) {
-		c.searcher.Dispatcher.Metrics().Retry(c.req.Service.Name)
+	if c.mayResend(i) && c.spendRetry(i, now) {
+		c.searcher.Dispatcher.Metrics().Retry(c.serviceOf(i))
 		c.sendAgain(i, now)
 	}
 }
@@ -258,11 +286,15 @@
 	if len(sh.pending) > 0 || sh.answers(sh.want) {
 		return false
 	}
-	return sh.attempts < c.req.Topology.Rules.Retry.MaxAttempts
+	return sh.attempts < c.maxAttempts()
 }
 
 // evaluate ends the call, or asks shards again for the chosen version, once no attempt is pending.
 func (c *call) evaluate(now time.Time) {
+	if c.route != nil {
+		c.evaluateRoute(now)
+		return
+	}
 	if c.waitsFor(func(sh *shardState) bool { return !sh.optional }) {
 		return
 	}
@@ -377,6 +409,9 @@
 
 // answers tells whether a reply of the version is in hand; 0 stands for any.
 func (s *shardState) answers(v model.IndexVersion) bool {
+	if s.message != nil {
+		return true
+	}
 	for _, r := range s.replies {
 		if v == 0 || r.version == v {
 			return true
--- a/internal/query/scatter/hedge.go
+++ b/internal/query/scatter/hedge.go
@@ -11,22 +11,32 @@
 // hedgeTime returns when a hedge of an attempt started now is worth sending: after the quantile of the shard's fastest
 // replica, whose records the call's scratch slices hold. It returns zero if hedging is off or nothing was observed.
 func (c *call) hedgeTime(now time.Time) time.Time {
+	if c.route != nil {
+		return c.routeHedgeTime(now)
+	}
 	rule := c.req.Topology.Rules.Hedge
 	if rule.MaxRatio <= 0 || c.searcher.Dispatcher.Policy() == model.PolicyBaseline {
 		return time.Time{}
 	}
-	delay := time.Duration(0)
-	for _, r := range c.records {
-		if d := r.HedgeDelay(); d > 0 && (delay == 0 || d < delay) {
-			delay = d
-		}
-	}
+	delay := c.fastestQuantile()
 	if delay == 0 {
 		return time.Time{}
 	}
 	return now.Add(max(delay, time.Duration(rule.MinDelayMs)*time.Millisecond))
 }
 
+// fastestQuantile returns the latency quantile of the fastest replica of the shard whose records the scratch slice holds,
+// or 0 if none was observed.
+func (c *call) fastestQuantile() time.Duration {
+	fastest := time.Duration(0)
+	for _, r := range c.records {
+		if d := r.HedgeDelay(); d > 0 && (fastest == 0 || d < fastest) {
+			fastest = d
+		}
+	}
+	return fastest
+}
+
 // scheduleHedge sets the timer for the earliest hedge that is due, replacing an earlier one.
 func (c *call) scheduleHedge() {
 	timer := c.searcher.Dispatcher.Timer
@@ -77,10 +87,10 @@
 	sh := &c.shards[i]
 	c.loadCandidates(sh, now)
 	target := idleCandidate(c.candidates, c.records)
-	if target == nil || !c.searcher.Dispatcher.Budgets.SpendHedge(c.req.Rank, now) {
+	if target == nil || !c.spendHedge(i, now) {
 		return
 	}
-	c.searcher.Dispatcher.Metrics().Hedge(c.req.Service.Name)
+	c.searcher.Dispatcher.Metrics().Hedge(c.serviceOf(i))
 	c.send(i, target, false, now)
 	sh.hedgeAt = time.Time{}
 }
--- a/internal/query/scatter/searcher.go
+++ b/internal/query/scatter/searcher.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"oleandersill.example/oleandersill/internal/decision/admission"
 	"oleandersill.example/oleandersill/internal/dispatch"
 	"oleandersill.example/oleandersill/internal/model"
@@ -43,6 +45,8 @@
 	Dispatcher  *dispatch.Dispatcher
 	Instance    model.InstanceID
 	Incarnation model.Incarnation
+	// Log takes the decisions about requests of routes.
+	Log zerolog.Logger
 
 	sequence atomic.Uint64
 }
@@ -81,8 +85,3 @@
 	}
 	return a
 }
-
-// spendRetry tells whether the budget allows a retry; the baseline policy bounds retries by their number alone.
-func (s *Searcher) spendRetry(now time.Time) bool {
-	return s.Dispatcher.Policy() == model.PolicyBaseline || s.Dispatcher.Budgets.SpendRetry(now)
-}
--- a/internal/tables/doc.go
+++ b/internal/tables/doc.go
@@ -5,6 +5,7 @@
 //
 // A goroutine acquires locks in strictly increasing order and holds none across I/O, channel sends or callbacks:
 //
+//	OrderRegistry    Registry      what the platform's store was last heard to say
 //	OrderConfig      Config        the Topology in force
 //	OrderMembers     Members       known daemons
 //	OrderDepartures  Departures    backend servers that are leaving
@@ -18,6 +19,8 @@
 //	OrderReady       Ready         attempts that hold headroom, by rank
 //	OrderForwards    Forwards      sub-requests on their way to and from owners
 //	OrderBudgets     Budgets       hedge and retry windows
+//	OrderServiceBudgets ServiceBudgets  extra attempts of this daemon, by service
+//	OrderSplits      Splits        requests of weighted routes
 //	OrderRollouts    Rollouts      services whose index version is changing
 //	OrderZones       Zones         availability zones held unreachable
 //	OrderTimer       (pool.Timer)  the shared deadline heap
--- a/internal/tables/order.go
+++ b/internal/tables/order.go
@@ -4,7 +4,8 @@
 
 // The lock order, as the package documentation gives it.
 const (
-	OrderConfig lockorder.Order = iota + 1
+	OrderRegistry lockorder.Order = iota + 1
+	OrderConfig
 	OrderMembers
 	OrderDepartures
 	OrderOwners
@@ -17,6 +18,8 @@
 	OrderReady
 	OrderForwards
 	OrderBudgets
+	OrderServiceBudgets
+	OrderSplits
 	OrderRollouts
 	OrderZones
 	OrderTimer
--- a/internal/tables/server.go
+++ b/internal/tables/server.go
@@ -321,7 +321,7 @@
 			s.limit.OnOverload()
 		}
 		s.health.EndProbe()
-	case backend.StatusDraining:
+	case backend.StatusDraining, backend.StatusReplaced:
 		s.markLeaving(now)
 		s.health.EndProbe()
 	case backend.StatusUnreachable, backend.StatusLost, backend.StatusMismatched, backend.StatusFailed:
--- /dev/null
+++ b/internal/tables/servicebudgets.go
@@ -0,0 +1,60 @@
+package tables
+
+import (
+	"time"
+
+	"oleandersill.example/oleandersill/internal/decision/budget"
+	"oleandersill.example/oleandersill/internal/lockorder"
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+// ServiceBudgets holds this daemon's part of what all daemons together may send to each service beyond the first attempts.
+// Owner: dispatch. A service keeps its window while configurations come and go.
+type ServiceBudgets struct {
+	mu       lockorder.Mutex
+	rule     budget.FleetRule
+	daemons  int
+	services map[model.ServiceName]*budget.Fleet
+}
+
+// NewServiceBudgets returns a table for a fleet of the given number of daemons.
+func NewServiceBudgets(rule budget.FleetRule, daemons int) *ServiceBudgets {
+	return &ServiceBudgets{
+		mu: lockorder.New(OrderServiceBudgets), rule: rule, daemons: daemons,
+		services: map[model.ServiceName]*budget.Fleet{},
+	}
+}
+
+// SetDaemons changes the number of daemons that share the budgets.
+func (t *ServiceBudgets) SetDaemons(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.daemons = n
+	for _, f := range t.services {
+		f.SetDaemons(n)
+	}
+}
+
+// OnRequest counts one request for the service.
+func (t *ServiceBudgets) OnRequest(service model.ServiceName, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.of(service, now).OnRequest(now)
+}
+
+// Spend counts one extra attempt to the service if the budget allows it; part is the share of the budget that it may use.
+func (t *ServiceBudgets) Spend(service model.ServiceName, part float64, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.of(service, now).Spend(part, now)
+}
+
+func (t *ServiceBudgets) of(service model.ServiceName, now time.Time) *budget.Fleet {
+	f := t.services[service]
+	if f == nil {
+		made := budget.NewFleet(t.rule, t.daemons, now)
+		f = &made
+		t.services[service] = f
+	}
+	return f
+}
