--- a/internal/query/scatter/budget.go
+++ b/internal/query/scatter/budget.go
@@ -64,6 +64,12 @@
 	return c.req.Topology.Rules.Retry.MaxAttempts
 }
 
+// mayHedge tells whether a shard may get another attempt beside the one under way. The product's own queries are bounded by
+// the budget alone.
+func (c *call) mayHedge(sh *shardState) bool {
+	return c.route == nil || sh.attempts < c.maxAttempts()
+}
+
 // wantedVersion is the index version to ask for from the start; 0 means the current one.
 func (c *call) wantedVersion(now time.Time) model.IndexVersion {
 	if c.route != nil {
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -66,7 +66,9 @@
 	held     []model.IndexVersion
 	pending  []*dispatch.QueryAttempt
 	tried    []model.ServerName
+	// attempts counts those that were or may have been sent, and unsent those that ended before they were.
 	attempts int
+	unsent   int
 	// want is the version asked for; 0 means the current one.
 	want model.IndexVersion
 	// optional marks a shard whose only replicas are ejected: its attempt is a probe that the answer need not wait for.
--- a/internal/query/scatter/hedge.go
+++ b/internal/query/scatter/hedge.go
@@ -72,7 +72,7 @@
 			continue
 		}
 		sh.hedgeAt = time.Time{}
-		if len(sh.pending) == 1 && !sh.answers(sh.want) {
+		if len(sh.pending) == 1 && !sh.answers(sh.want) && c.mayHedge(sh) {
 			q := sh.pending[0]
 			q.Server.ObserveOverdue(now.Sub(q.Started), now)
 			c.hedgeShard(i, now)
--- a/internal/query/scatter/route.go
+++ b/internal/query/scatter/route.go
@@ -87,6 +87,9 @@
 	}
 }
 
+// maxUnsent bounds the attempts of a shard that end before they are sent.
+const maxUnsent = 3
+
 // evaluateRoute ends the call unless a reply that is still to come is worth waiting for.
 func (c *call) evaluateRoute(now time.Time) {
 	if gather.Decide(c.gathered(), now) != gather.Wait {
@@ -132,8 +135,12 @@
 	c.route.noteFailure(r)
 	c.logAttempt(i, q, r.Status, now)
 	switch r.Status {
-	case backend.StatusUnreachable, backend.StatusBusy, backend.StatusOwnerLost:
-		// Nothing arrived at a server, so that another attempt needs no budget.
+	case backend.StatusUnreachable, backend.StatusBusy:
+		// Nothing arrived at a server, so that another attempt needs no budget and the route allows as many as before.
+		if sh.unsent < maxUnsent {
+			sh.attempts--
+			sh.unsent++
+		}
 		c.resend(i, now)
 	case backend.StatusCancelled, backend.StatusDeadlinePassed:
 	default:
--- a/internal/testing/fakebackend/fake.go
+++ b/internal/testing/fakebackend/fake.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-
+	"net/http"
 	"time"
 
 	"oleandersill.example/oleandersill/internal/backend"
@@ -26,6 +26,10 @@
 	Epoch model.ShardMapEpoch
 	// Items is the number of items in a reply; 0 means one.
 	Items int
+	// Body is the body of a reply to a message, and Code its status; 0 means 200. Unsigned leaves the signature out.
+	Body     string
+	Code     int
+	Unsigned bool
 }
 
 var errUnreachable = errors.New("fakebackend: unreachable")
@@ -100,9 +104,24 @@
 	if script.Status != backend.StatusOK && (script.Times == 0 || n <= script.Times) {
 		return backend.QueryResult{Status: script.Status}
 	}
+	if req.Message != nil {
+		return backend.QueryResult{Reply: backend.QueryReply{ID: req.ID, Shard: req.Shard, Message: script.message(s.name)}}
+	}
 	return script.answer(req)
 }
 
+// message is the reply to a message; its signature is the server's name.
+func (s *Script) message(name model.ServerName) *backend.MessageReply {
+	m := &backend.MessageReply{StatusCode: http.StatusOK, Signature: string(name), Body: []byte(s.Body)}
+	if s.Code != 0 {
+		m.StatusCode = s.Code
+	}
+	if s.Unsigned {
+		m.Signature = ""
+	}
+	return m
+}
+
 func (s *Script) answer(req backend.QueryRequest) backend.QueryResult {
 	version := max(1, s.Version)
 	if want := req.WantVersion; want != 0 && want != version {
@@ -134,8 +153,13 @@
 	}
 }
 
-func (s *server) Execute(context.Context, backend.ExecuteRequest) backend.ExecuteResult {
-	return backend.ExecuteResult{Status: backend.StatusUnreachable}
+// Execute answers a message as a query does; requests without one find no server.
+func (s *server) Execute(ctx context.Context, req backend.ExecuteRequest) backend.ExecuteResult {
+	if req.Message == nil {
+		return backend.ExecuteResult{Status: backend.StatusUnreachable}
+	}
+	r := s.Query(ctx, backend.QueryRequest{ID: req.ID, Shard: req.Shard, Message: req.Message})
+	return backend.ExecuteResult{Status: r.Status, Message: r.Reply.Message}
 }
 
 func (s *server) Cancel(context.Context, backend.AttemptID) bool {
