Let the slack of the extra-attempt budget grow from the daemon's start

Cause: a service's window was made with its first request, so that the first 10 s of traffic had no slack for hedges (budget_refused=12 hedges=0 at 0.2 s).

--- a/internal/decision/budget/budget_test.go
+++ b/internal/decision/budget/budget_test.go
@@ -54,6 +54,51 @@
 	})
 })
 
+var _ = Describe("Fleet", func() {
+	rule := budget.FleetRule{Ratio: 0.2, Slack: 56, Span: 10 * time.Second}
+
+	It("keeps the extras of all daemons within the rule, whatever part of the requests each one gets", func() {
+		// Guards against daemons that each spend the fleet's slack, and against restarts that spend it again.
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			const daemons = 8
+			fleet := make([]budget.Fleet, daemons)
+			for i := range fleet {
+				fleet[i] = budget.NewFleet(rule, daemons, start)
+			}
+			now := start
+			var base, extra []time.Time
+			for range rapid.IntRange(1, 600).Draw(t, "steps") {
+				now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+				i := rapid.IntRange(0, daemons-1).Draw(t, "daemon")
+				if rapid.IntRange(0, 99).Draw(t, "restart") == 0 {
+					fleet[i] = budget.NewFleet(rule, daemons, now)
+				}
+				for range rapid.IntRange(0, 5).Draw(t, "requests") {
+					fleet[i].OnRequest(now)
+					base = append(base, now)
+				}
+				for range rapid.IntRange(0, 20).Draw(t, "extras") {
+					if fleet[i].Spend(1, now) {
+						extra = append(extra, now)
+					}
+				}
+				from := now.Add(-rule.Span)
+				// The rule counts the requests of this window or the one before it, whichever has more.
+				requests := max(since(base, from), since(base, from.Add(-rule.Span))-since(base, from))
+				if n := since(extra, from); float64(n) > rule.Ratio*float64(requests)+rule.Slack {
+					t.Fatalf("%d extras for %d requests", n, requests)
+				}
+			}
+		})
+	})
+
+	It("has the slack of a daemon that is old enough without any request", func() {
+		// Guards against the first seconds of traffic without hedges.
+		f := budget.NewFleet(rule, 8, start.Add(-time.Minute))
+		Expect(f.Spend(1, start)).To(BeTrue())
+	})
+})
+
 func since(times []time.Time, from time.Time) int {
 	n := 0
 	for _, t := range times {
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -62,10 +62,10 @@
 	shard   *model.Shard
 	replies []shardReply
 	// message is the server's answer to a message that is passed on.
-	message  *backend.MessageReply
-	held     []model.IndexVersion
-	pending  []*dispatch.QueryAttempt
-	tried    []model.ServerName
+	message *backend.MessageReply
+	held    []model.IndexVersion
+	pending []*dispatch.QueryAttempt
+	tried   []model.ServerName
 	// attempts counts those that were or may have been sent, and unsent those that ended before they were.
 	attempts int
 	unsent   int
--- a/internal/query/scatter/route_test.go
+++ b/internal/query/scatter/route_test.go
@@ -53,17 +53,15 @@
 	recorder := &report.Recorder{Config: config, Servers: tables.NewServers(), Connector: b.connector}
 	rule := budget.FleetRule{Ratio: 0.2, Slack: 1000, Span: time.Millisecond}
 	d := dispatch.New(dispatch.Config{
-		Zone: "z", Region: "r", Workers: 16, Seed: 1, Policy: model.PolicyDirect, Budgets: tables.NewServiceBudgets(rule, 1),
+		Zone: "z", Region: "r", Workers: 16, Seed: 1, Policy: model.PolicyDirect,
+		// The slack grows with the daemon's age.
+		Budgets: tables.NewServiceBudgets(rule, 1, time.Now().Add(-time.Hour)),
 	}, config, recorder.Servers, recorder)
 	recorder.Admissions, recorder.Budgets = d.Admissions, d.Budgets
 	recorder.Adopt(b.topology, time.Now())
 	config.Install(b.topology)
 	b.searcher = &scatter.Searcher{Dispatcher: d, Instance: "i", Incarnation: 1}
 	DeferCleanup(d.Close)
-	// The budget's slack grows with the age of a service's window.
-	for _, s := range index.Services {
-		d.ServiceBudgets.OnRequest(s, time.Now().Add(-time.Hour))
-	}
 	return b
 }
 
--- a/internal/tables/servicebudgets.go
+++ b/internal/tables/servicebudgets.go
@@ -11,16 +11,18 @@
 // ServiceBudgets holds this daemon's part of what all daemons together may send to each service beyond the first attempts.
 // Owner: dispatch. A service keeps its window while configurations come and go.
 type ServiceBudgets struct {
-	mu       lockorder.Mutex
-	rule     budget.FleetRule
-	daemons  int
+	mu      lockorder.Mutex
+	rule    budget.FleetRule
+	daemons int
+	// began is when the daemon started: what it may have spent in an earlier life is forgotten by then.
+	began    time.Time
 	services map[model.ServiceName]*budget.Fleet
 }
 
-// NewServiceBudgets returns a table for a fleet of the given number of daemons.
-func NewServiceBudgets(rule budget.FleetRule, daemons int) *ServiceBudgets {
+// NewServiceBudgets returns a table of a daemon that started at began, for a fleet of the given number of daemons.
+func NewServiceBudgets(rule budget.FleetRule, daemons int, began time.Time) *ServiceBudgets {
 	return &ServiceBudgets{
-		mu: lockorder.New(OrderServiceBudgets), rule: rule, daemons: daemons,
+		mu: lockorder.New(OrderServiceBudgets), rule: rule, daemons: daemons, began: began,
 		services: map[model.ServiceName]*budget.Fleet{},
 	}
 }
@@ -39,20 +41,20 @@
 func (t *ServiceBudgets) OnRequest(service model.ServiceName, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.of(service, now).OnRequest(now)
+	t.of(service).OnRequest(now)
 }
 
 // Spend counts one extra attempt to the service if the budget allows it; part is the share of the budget that it may use.
 func (t *ServiceBudgets) Spend(service model.ServiceName, part float64, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.of(service, now).Spend(part, now)
+	return t.of(service).Spend(part, now)
 }
 
-func (t *ServiceBudgets) of(service model.ServiceName, now time.Time) *budget.Fleet {
+func (t *ServiceBudgets) of(service model.ServiceName) *budget.Fleet {
 	f := t.services[service]
 	if f == nil {
-		made := budget.NewFleet(t.rule, t.daemons, now)
+		made := budget.NewFleet(t.rule, t.daemons, t.began)
 		f = &made
 		t.services[service] = f
 	}
