Count attempts that are cancelled unanswered as failures of their server

Cause: the attempts at a silent server always ended as cancelled, since hedges answered in its place, so that it was never ejected. The observer that logs ejections is shared by both daemons now.

--- /dev/null
+++ b/internal/command/report/observer.go
@@ -0,0 +1,45 @@
+package report
+
+import (
+	"github.com/rs/zerolog"
+
+	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/dispatch"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/tables"
+	"oleandersill.example/oleandersill/internal/telemetry"
+)
+
+// Observer counts attempts and logs ejections after it passed the attempts on to Next.
+type Observer struct {
+	Next    dispatch.Observer
+	Metrics *telemetry.Metrics
+	Log     zerolog.Logger
+}
+
+// ObserveAttempt implements dispatch.Observer.
+func (o *Observer) ObserveAttempt(s *tables.Server, a dispatch.Attempt) float64 {
+	slowdown := o.Next.ObserveAttempt(s, a)
+	spec := s.Spec()
+	if !a.Forwarded || a.Status == backend.StatusOwnerLost || a.Status == backend.StatusZoneUnreachable {
+		// The owner that sent the attempt counts it.
+		o.Metrics.Attempt(spec.Service, a.Status.String())
+	}
+	if a.Status == backend.StatusMismatched {
+		o.Metrics.DroppedReply(spec.Service)
+	}
+	switch s.TakeEjectionChange() {
+	case tables.EjectionBegan:
+		o.Metrics.Ejection(spec.Service, spec.Zone)
+		o.event(spec).Str("status", a.Status.String()).Dur("latency", a.Latency).Msg("server_ejected")
+	case tables.EjectionEnded:
+		o.event(spec).Msg("server_in_use")
+	case tables.EjectionSame:
+	}
+	return slowdown
+}
+
+func (o *Observer) event(spec *model.Server) *zerolog.Event {
+	return o.Log.Info().Str("service", string(spec.Service)).Str("shard", string(spec.Shard)).
+		Str("server", string(spec.Name)).Str("zone", string(spec.Zone))
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -77,7 +77,7 @@
 		Metrics: d.metrics,
 		OnZone:  d.observeZone,
 		Seed:    uint64(time.Now().UnixNano()),
-	}, d.config, recorder.Servers, &attemptObserver{next: recorder, metrics: d.metrics, log: d.log})
+	}, d.config, recorder.Servers, &report.Observer{Next: recorder, Metrics: d.metrics, Log: d.log})
 	recorder.Admissions, recorder.Budgets = d.dispatcher.Admissions, d.dispatcher.Budgets
 	recorder.OnJoin = d.dispatcher.Warm
 	d.drainer = d.newDrainer()
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -5,10 +5,6 @@
 	"strconv"
 	"time"
 
-	"github.com/rs/zerolog"
-
-	"oleandersill.example/oleandersill/internal/backend"
-	"oleandersill.example/oleandersill/internal/dispatch"
 	"oleandersill.example/oleandersill/internal/httpapi"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/tables"
@@ -70,35 +66,6 @@
 	})
 }
 
-// attemptObserver counts attempts and logs ejections after it passed the attempts on.
-type attemptObserver struct {
-	next    dispatch.Observer
-	metrics *telemetry.Metrics
-	log     zerolog.Logger
-}
-
-// ObserveAttempt implements dispatch.Observer.
-func (o *attemptObserver) ObserveAttempt(s *tables.Server, a dispatch.Attempt) float64 {
-	slowdown := o.next.ObserveAttempt(s, a)
-	spec := s.Spec()
-	if !a.Forwarded || a.Status == backend.StatusOwnerLost || a.Status == backend.StatusZoneUnreachable {
-		// The owner that sent the attempt counts it.
-		o.metrics.Attempt(spec.Service, a.Status.String())
-	}
-	if a.Status == backend.StatusMismatched {
-		o.metrics.DroppedReply(spec.Service)
-	}
-	switch s.TakeEjectionChange() {
-	case tables.EjectionBegan:
-		o.metrics.Ejection(spec.Service, spec.Zone)
-		o.event(spec).Msg("server_ejected")
-	case tables.EjectionEnded:
-		o.event(spec).Msg("server_in_use")
-	case tables.EjectionSame:
-	}
-	return slowdown
-}
-
 // observeZone logs that a zone became unreachable or is reachable again.
 func (d *Daemon) observeZone(zone model.AvailabilityZone, unreachable bool) {
 	if unreachable {
@@ -107,8 +74,3 @@
 	}
 	d.log.Info().Str("zone", string(zone)).Msg("zone_reachable")
 }
-
-func (o *attemptObserver) event(spec *model.Server) *zerolog.Event {
-	return o.log.Info().Str("service", string(spec.Service)).Str("shard", string(spec.Shard)).
-		Str("server", string(spec.Name)).Str("zone", string(spec.Zone))
-}
--- a/internal/tables/server.go
+++ b/internal/tables/server.go
@@ -19,6 +19,10 @@
 	fasterWeight = 0.1
 	// failureWeight is the weight of one attempt in a server's failure rate.
 	failureWeight = 0.05
+	// unansweredAfter and unansweredFactor, times the uncongested latency, are the least time after which a cancelled attempt
+	// counts as unanswered; a server that pauses answers sooner.
+	unansweredAfter  = 150 * time.Millisecond
+	unansweredFactor = 4
 )
 
 var noMinimums share.Minimums
@@ -328,11 +332,7 @@
 		s.health.OnFailure(now, o.MayEject)
 		s.observeFailure(1, now)
 	case backend.StatusCancelled:
-		// A cancelled attempt took at least this long, which is evidence of a slow server.
-		if o.Latency > s.latency {
-			s.observeLatency(o.Latency, now)
-		}
-		s.health.EndProbe()
+		s.observeCancelled(o, now)
 	case backend.StatusDeadlinePassed, backend.StatusVersionNotHeld, backend.StatusOwnerLost,
 		backend.StatusBusy, backend.StatusZoneUnreachable:
 		s.health.EndProbe()
@@ -340,6 +340,20 @@
 	return slowdown
 }
 
+// observeCancelled takes an attempt that was cancelled before its reply came: it took at least as long as it did, and one
+// that took much longer than a pause is evidence of a server that does not answer at all.
+func (s *Server) observeCancelled(o Observation, now time.Time) {
+	if o.Latency > s.latency {
+		s.observeLatency(o.Latency, now)
+	}
+	if o.Latency < max(unansweredAfter, unansweredFactor*s.limit.Baseline()) {
+		s.health.EndProbe()
+		return
+	}
+	s.health.OnFailure(now, o.MayEject)
+	s.observeFailure(1, now)
+}
+
 func (s *Server) observeFailure(failed float64, now time.Time) {
 	s.failures += (failed - s.failures) * failureWeight
 	s.attempted = now
--- a/internal/tables/state_test.go
+++ b/internal/tables/state_test.go
@@ -34,4 +34,26 @@
 		}
 		Expect(steps).To(Equal([]tables.EjectionChange{tables.EjectionBegan, tables.EjectionEnded}))
 	})
+
+	It("ejects a server that answers nothing although each attempt is cancelled", func() {
+		// Guards against a silent server that is asked for ever, since hedges answer in its place.
+		s := tables.NewServer(&model.Server{ServerSpec: &model.ServerSpec{}}, nil, 4, time.Time{})
+		for range 3 {
+			s.Observe(tables.Observation{
+				Status: backend.StatusCancelled, Latency: 250 * time.Millisecond, MayEject: true,
+			}, time.Now())
+		}
+		Expect(s.Status().State).To(Equal(tables.ServerEjected))
+	})
+
+	It("keeps a server whose attempts were cancelled soon", func() {
+		// Guards against callers who leave, or hedges that were faster, counting against a server.
+		s := tables.NewServer(&model.Server{ServerSpec: &model.ServerSpec{}}, nil, 4, time.Time{})
+		for range 10 {
+			s.Observe(tables.Observation{
+				Status: backend.StatusCancelled, Latency: 60 * time.Millisecond, MayEject: true,
+			}, time.Now())
+		}
+		Expect(s.Status().State).To(Equal(tables.ServerOrdinary))
+	})
 })
