Send attempts for another region through one daemon there, which merges the replies

The forwarding that sent single sub-requests through owners now carries messages, once a batch, and merges the replies to one query; parts come back as they are ready, and hedges and retries go directly. It stays the one mechanism for forwarding.

--- a/internal/backend/message.go
+++ b/internal/backend/message.go
@@ -1,6 +1,10 @@
 package backend
 
-import "net/http"
+import (
+	"net/http"
+
+	"oleandersill.example/oleandersill/internal/model"
+)
 
 // Message is a caller's request that is passed on to servers unchanged. It is not changed once it is made, so that several
 // attempts can share it.
@@ -22,11 +26,14 @@
 	// Header holds the headers that are meant for the caller.
 	Header http.Header
 	Body   []byte
-	// Signature is the server's proof that the reply is its own; empty if it gave none.
-	Signature string
+	// Signatures are the servers' proofs that the reply is their own: one for a server's reply, none if it gave none, and one
+	// for each shard of a merged reply.
+	Signatures []string
+	// Shards names the shards of a merged reply, whose body cannot be taken apart; nil for the reply of one server.
+	Shards []model.ShardName
 }
 
 // Successful tells whether the server answered with success and signed the answer.
 func (r *MessageReply) Successful() bool {
-	return r != nil && r.StatusCode >= 200 && r.StatusCode < 300 && r.Signature != ""
+	return r != nil && r.StatusCode >= 200 && r.StatusCode < 300 && len(r.Signatures) > 0
 }
--- a/internal/command/follow/adopt.go
+++ b/internal/command/follow/adopt.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -40,9 +41,9 @@
 	if v.Routing == nil {
 		return
 	}
-	if b.setDaemons(len(v.Members)) {
-		f.deps.DaemonsChanged(b.daemons)
-		f.deps.Log.Info().Int("daemons", b.daemons).Msg("daemons_changed")
+	if b.setDaemons(v.Members) {
+		f.deps.DaemonsChanged(b.members)
+		f.deps.Log.Info().Int("daemons", b.daemons()).Msg("daemons_changed")
 	}
 	t := b.build(&v, f.deps.Config.Current())
 	f.deps.Adopt(t, now)
@@ -63,21 +64,26 @@
 	zones    []model.ZoneSpec
 	rules    model.Rules
 	revision model.Revision
-	daemons  int
+	members  []model.Member
 	services map[model.ServiceName]model.ServiceSpec
 }
 
-// setDaemons tells whether the number of daemons changed.
-func (b *builder) setDaemons(members int) bool {
-	n := max(1, members)
-	changed := n != b.daemons
-	b.daemons = n
-	return changed
+// setDaemons tells whether the daemons changed.
+func (b *builder) setDaemons(members []model.Member) bool {
+	slices.SortFunc(members, func(a, b model.Member) int { return cmp.Compare(a.Instance, b.Instance) })
+	if b.members != nil && slices.Equal(b.members, members) {
+		return false
+	}
+	b.members = members
+	return true
 }
 
+// daemons is the number of daemons; this one runs although its entry may be missing.
+func (b *builder) daemons() int { return max(1, len(b.members)) }
+
 func (b *builder) build(v *tables.RegistryView, base *model.Topology) *model.Topology {
 	b.revision++
-	dividing := max(assumedDaemons, b.daemons)
+	dividing := max(assumedDaemons, b.daemons())
 	inv := model.Inventory{
 		MaxInstances: (dividing + connectionStep - 1) / connectionStep * connectionStep,
 		Zones:        b.zones,
--- a/internal/command/follow/follower.go
+++ b/internal/command/follow/follower.go
@@ -51,8 +51,8 @@
 	Config   *tables.Config
 	// Adopt is called with every Topology before it is put in force.
 	Adopt func(*model.Topology, time.Time)
-	// DaemonsChanged is called with the number of daemons that run.
-	DaemonsChanged func(int)
+	// DaemonsChanged is called with the daemons that run, by instance.
+	DaemonsChanged func([]model.Member)
 	Log            zerolog.Logger
 }
 
--- /dev/null
+++ b/internal/decision/gather/gather_test.go
@@ -0,0 +1,69 @@
+package gather_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"oleandersill.example/oleandersill/internal/decision/gather"
+	"oleandersill.example/oleandersill/internal/testing/suite"
+)
+
+func TestGather(t *testing.T) { suite.Run(t, "./internal/decision/gather") }
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var _ = DescribeTable("Decide",
+	func(answered, open int, minCoverage float64, late bool, want gather.Verdict) {
+		s := gather.State{Shards: 20, Answered: answered, Open: open, MinCoverage: minCoverage, Due: start}
+		now := start.Add(-time.Millisecond)
+		if late {
+			now = start
+		}
+		Expect(gather.Decide(s, now)).To(Equal(want))
+	},
+	Entry("all shards answered", 20, 0, 0.89, false, gather.Answer),
+	Entry("waits for open shards within the target", 19, 1, 0.89, false, gather.Wait),
+	Entry("answers with enough when due", 18, 2, 0.89, true, gather.Answer),
+	Entry("waits for the least coverage after the target", 17, 3, 0.89, true, gather.Wait),
+	Entry("answers at once when nothing else can come", 18, 0, 0.89, false, gather.Answer),
+	Entry("fails at once when the coverage cannot be reached", 10, 7, 0.89, false, gather.Fail),
+	Entry("needs a shard even without a least coverage", 0, 0, 0.0, true, gather.Fail),
+)
+
+var _ = It("HedgeDelay stays between its bounds and follows the latency in between", func() {
+	const target = 100 * time.Millisecond
+	Expect(gather.HedgeDelay(0, target)).To(Equal(40 * time.Millisecond))
+	Expect(gather.HedgeDelay(time.Millisecond, target)).To(Equal(15 * time.Millisecond))
+	Expect(gather.HedgeDelay(25*time.Millisecond, target)).To(Equal(25 * time.Millisecond))
+	Expect(gather.HedgeDelay(time.Second, target)).To(Equal(40 * time.Millisecond))
+})
+
+var _ = Describe("MergeRecords", func() {
+	It("takes the greatest records of all replies, with equal ones, and no rest", func() {
+		record := func(c byte) string { return string(slices.Repeat([]byte{c}, gather.RecordBytes)) }
+		replies := [][]byte{
+			[]byte(record('b') + record('d') + "short"), []byte(record('d') + record('a') + record('c')),
+		}
+		Expect(string(gather.MergeRecords(replies, 3))).To(Equal(record('d') + record('d') + record('c')))
+		Expect(string(gather.MergeRecords(replies, 9))).To(HaveLen(5 * gather.RecordBytes))
+		Expect(gather.MergeRecords(nil, 3)).To(BeEmpty())
+	})
+
+	It("gives the same when some replies were merged before", func() {
+		// Guards against an answer that differs by the way on which its parts came.
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			body := rapid.SliceOfN(rapid.ByteRange('a', 'c'), 0, 6*gather.RecordBytes)
+			bodies := rapid.SliceOfN(body, 1, 6).Draw(t, "bodies")
+			limit := rapid.IntRange(1, 5).Draw(t, "limit")
+			cut := rapid.IntRange(0, len(bodies)).Draw(t, "cut")
+			some := gather.MergeRecords(bodies[:cut], limit)
+			Expect(gather.MergeRecords(append([][]byte{some}, bodies[cut:]...), limit)).
+				To(Equal(gather.MergeRecords(bodies, limit)))
+		})
+	})
+})
--- a/internal/query/scatter/records.go
+++ b/internal/decision/gather/records.go
@@ -1,22 +1,20 @@
-package scatter
+package gather
 
 import (
 	"bytes"
 	"slices"
-
-	"oleandersill.example/oleandersill/internal/backend"
 )
 
 // RecordBytes is the size of a record in the replies of an index's shards. A shorter rest of a reply is no record.
 const RecordBytes = 16
 
-// MergeRecords returns the greatest limit records of all replies, greatest first, compared byte by byte. Equal records all
-// count.
-func MergeRecords(replies []*backend.MessageReply, limit int) []byte {
+// MergeRecords returns the greatest limit records of the bodies of several replies, greatest first, compared byte by byte.
+// Equal records all count. Merging merged bodies gives the same as merging all bodies at once.
+func MergeRecords(bodies [][]byte, limit int) []byte {
 	// greatest holds the records kept so far, greatest first.
 	greatest := make([][]byte, 0, limit+1)
-	for _, r := range replies {
-		for rest := r.Body; len(rest) >= RecordBytes; rest = rest[RecordBytes:] {
+	for _, body := range bodies {
+		for rest := body; len(rest) >= RecordBytes; rest = rest[RecordBytes:] {
 			greatest = keepRecord(greatest, rest[:RecordBytes], limit)
 		}
 	}
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/decision/ownership"
 	"oleandersill.example/oleandersill/internal/forwarding"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/pool"
@@ -27,6 +28,8 @@
 	// collectTime is how long a result may wait for other results of its query. The query needs those too, so that its
 	// answer is not later.
 	collectTime = 2 * time.Millisecond
+	// mergeTime is the same for replies that are merged: each one that comes along saves most of its bytes.
+	mergeTime = 6 * time.Millisecond
 	// collectMargin is the time before its deadline from which a result does not wait: one between regions takes 10 ms, and
 	// the asker answers 5 ms before the deadline.
 	collectMargin = 50 * time.Millisecond
@@ -73,16 +76,34 @@
 	return f
 }
 
-// route returns the daemon through which sub-requests for the server go, or false if this daemon sends them itself.
-func (d *Dispatcher) route(s *tables.Server) (model.Member, bool) {
+// route returns the daemon through which an attempt goes, or false if this daemon sends it itself.
+func (d *Dispatcher) route(q *QueryAttempt) (model.Member, bool) {
 	f := d.forwarding
-	if f == nil {
+	switch {
+	case f == nil:
 		return model.Member{}, false
+	case q.Request.Message != nil:
+		return f.gatherer(q)
 	}
-	owner, ok := s.Owner(f.owners.View())
+	owner, ok := q.Server.Owner(f.owners.View())
 	return owner, ok && owner.Instance != f.self.Instance
 }
 
+// gatherer returns the daemon in the zone of a server of another region that sends the attempts of one query there and
+// merges their replies. Queries are spread over the zone's daemons.
+func (f *Forwarding) gatherer(q *QueryAttempt) (model.Member, bool) {
+	spec := q.Server.Spec()
+	if !q.Gather || spec.Region == f.d.cfg.Region {
+		return model.Member{}, false
+	}
+	members := f.owners.View().Zones[spec.Zone]
+	i := ownership.Owner(model.ServerName(q.Request.ID.Request), members)
+	if i < 0 {
+		return model.Member{}, false
+	}
+	return members[i], true
+}
+
 // outgoing prepares an attempt for the owner of its server.
 func (f *Forwarding) outgoing(q *QueryAttempt, owner model.Member) tables.Outgoing {
 	q.forwarded = true
@@ -161,6 +182,7 @@
 		return
 	}
 	s.Batch.From = f.self
+	s.Batch.Compact()
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 	defer cancel()
 	answered := f.d.watchBatch(to, time.Now())
@@ -201,6 +223,7 @@
 
 // Receive takes a batch from another daemon. It only queues work and takes results, so it returns at once.
 func (f *Forwarding) Receive(b forwarding.Batch) forwarding.Receipt {
+	b.Expand()
 	if f.d.watches(b.From.Zone) {
 		// A daemon sends batches to zones that answer it. While this daemon held its zone unreachable, its results would
 		// be dropped.
@@ -261,8 +284,13 @@
 	now := time.Now()
 	mayWait := r.Status == backend.StatusOK && q.Request.Deadline.Sub(now) > collectMargin
 	result := forwarding.Result{ID: q.Request.ID, Result: r, Waited: q.waited}
+	wait := collectTime
+	if q.Request.Message != nil {
+		result.Limit = q.Request.Limit
+		wait = mergeTime
+	}
 	if f.forwards.Return(to, result, mayWait) {
-		f.d.Timer.Schedule(now.Add(collectTime), func() { f.forwards.Flush(to.Instance) })
+		f.d.Timer.Schedule(now.Add(wait), func() { f.forwards.Flush(to.Instance) })
 	}
 }
 
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -19,6 +19,9 @@
 	Request backend.QueryRequest
 	// Probe marks an attempt at an ejected server, of which one is under way at a time.
 	Probe bool
+	// Gather asks that the attempt go through a daemon of the server's region, which merges the replies to the query. It is
+	// for attempts of a message that goes to many shards.
+	Gather bool
 	// BounceAfter is how long the attempt may wait for its server before it ends with StatusBusy, so that it can go to
 	// another replica at no cost to this one; 0 means until the deadline.
 	BounceAfter time.Duration
@@ -47,7 +50,7 @@
 func (d *Dispatcher) StartQueries(ctx context.Context, qs []*QueryAttempt, now time.Time) {
 	var out []tables.Outgoing
 	for _, q := range qs {
-		owner, ok := d.route(q.Server)
+		owner, ok := d.route(q)
 		if !ok {
 			d.startHere(ctx, q, now)
 			continue
--- /dev/null
+++ b/internal/forwarding/compact.go
@@ -0,0 +1,116 @@
+package forwarding
+
+import (
+	"net/http"
+
+	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/decision/gather"
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+// Compact brings a batch into the form in which it is sent: a message that several queries carry is there once, and the
+// replies to one query are merged into one, so that records which cannot be in the answer do not cross regions.
+func (b *Batch) Compact() {
+	b.packMessages()
+	b.mergeReplies()
+}
+
+// Expand undoes what Compact left out. Each result whose reply was merged gets the merged reply, which names its shards.
+func (b *Batch) Expand() {
+	for i := range b.Queries {
+		q := &b.Queries[i]
+		if q.Message < 1 || q.Message > len(b.Messages) {
+			continue
+		}
+		m := &b.Messages[q.Message-1]
+		q.Request.Message = m
+		q.Request.ID.Request = model.RequestID(m.ID)
+		q.Request.Service = model.ServiceName(q.Request.Shard)
+		q.Message = 0
+	}
+	b.Messages = nil
+	replies := map[queryKey]*backend.MessageReply{}
+	for i := range b.Results {
+		r := &b.Results[i]
+		switch m := r.Result.Reply.Message; {
+		case m != nil && len(m.Shards) > 0:
+			replies[keyOf(r.ID)] = m
+		case r.Merged:
+			r.Result.Reply.Message = replies[keyOf(r.ID)]
+			if r.Result.Reply.Message == nil {
+				r.Result.Status = backend.StatusOwnerLost
+			}
+			r.Merged = false
+		}
+	}
+}
+
+// packMessages leaves out of the queries what their message tells.
+func (b *Batch) packMessages() {
+	places := map[*backend.Message]int{}
+	for i := range b.Queries {
+		q := &b.Queries[i]
+		m := q.Request.Message
+		if m == nil {
+			continue
+		}
+		if places[m] == 0 {
+			b.Messages = append(b.Messages, *m)
+			places[m] = len(b.Messages)
+		}
+		q.Message = places[m]
+		q.Request.Message = nil
+		q.Request.ID.Request = ""
+		q.Request.Service = ""
+	}
+}
+
+// queryKey names the query of an attempt.
+type queryKey struct {
+	request     model.RequestID
+	incarnation model.Incarnation
+}
+
+func keyOf(id backend.AttemptID) queryKey {
+	return queryKey{request: id.Request, incarnation: id.Incarnation}
+}
+
+// mergeReplies merges the successful replies of each query into its first one. Replies that were merged before, in a batch
+// that was not delivered, stay as they are.
+func (b *Batch) mergeReplies() {
+	groups := map[queryKey][]*Result{}
+	for i := range b.Results {
+		r := &b.Results[i]
+		m := r.Result.Reply.Message
+		if r.Limit == 0 || r.Result.Status != backend.StatusOK || !m.Successful() || len(m.Shards) > 0 {
+			continue
+		}
+		groups[keyOf(r.ID)] = append(groups[keyOf(r.ID)], r)
+	}
+	for _, group := range groups {
+		mergeGroup(group)
+	}
+	for i := range b.Results {
+		r := &b.Results[i]
+		if r.Result.Reply.Message != nil || r.Merged {
+			r.Result.Reply.ID, r.Result.Reply.Shard = backend.AttemptID{}, ""
+		}
+		r.Limit = 0
+	}
+}
+
+func mergeGroup(group []*Result) {
+	merged := &backend.MessageReply{StatusCode: http.StatusOK}
+	bodies := make([][]byte, 0, len(group))
+	for _, r := range group {
+		m := r.Result.Reply.Message
+		bodies = append(bodies, m.Body)
+		merged.Signatures = append(merged.Signatures, m.Signatures...)
+		merged.Shards = append(merged.Shards, r.Result.Reply.Shard)
+		r.Result.Reply.Message = nil
+		r.Merged = true
+	}
+	merged.Body = gather.MergeRecords(bodies, group[0].Limit)
+	group[0].Result.Reply.Message = merged
+	group[0].Merged = false
+}
--- a/internal/forwarding/messages.go
+++ b/internal/forwarding/messages.go
@@ -10,10 +10,12 @@
 // Batch is what one daemon has for another: sub-requests to send, results of sub-requests that the other one forwarded,
 // and attempts to cancel.
 type Batch struct {
-	From    model.Member
-	Queries []Query
-	Results []Result
-	Cancels []backend.AttemptID
+	From model.Member
+	// Messages are those that the queries carry, each once; Compact fills it and Expand empties it.
+	Messages []backend.Message
+	Queries  []Query
+	Results  []Result
+	Cancels  []backend.AttemptID
 }
 
 // Query is a sub-request for a server that the receiver owns. Request.Deadline is not used; Left replaces it, since
@@ -26,6 +28,8 @@
 	Left time.Duration
 	// BounceAfter is how long the attempt may wait before it is sent; 0 means until the deadline.
 	BounceAfter time.Duration
+	// Message is the place of the request's message in the batch, counted from 1, between Compact and Expand; otherwise 0.
+	Message int
 }
 
 // Result is the end of a forwarded sub-request.
@@ -34,6 +38,11 @@
 	Result backend.QueryResult
 	// Waited is the time that the attempt waited at the owner before it was sent.
 	Waited time.Duration
+	// Limit is the number of records that the reply to a message may hold, 0 if replies are not to be merged. It is not sent.
+	Limit int
+	// Merged tells that the reply is part of the one of an earlier result of the query in the batch, between Compact and
+	// Expand.
+	Merged bool
 }
 
 // Receipt acknowledges a batch.
--- a/internal/query/queryrpc/service.go
+++ b/internal/query/queryrpc/service.go
@@ -5,10 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"oleandersill.example/oleandersill/internal/digest"
-	"oleandersill.example/oleandersill/internal/forwarding"
 	"oleandersill.example/oleandersill/internal/peer"
 	"oleandersill.example/oleandersill/internal/query/status"
 	"oleandersill.example/oleandersill/internal/tables"
@@ -20,43 +17,22 @@
 	ObserveDigest(peer.Digest)
 }
 
-// Receiver takes batches of forwarded sub-requests.
-type Receiver interface {
-	// Receive queues a batch and returns at once.
-	Receive(forwarding.Batch) forwarding.Receipt
-}
-
-// Service answers peers. Its exported methods are the methods of PeerQueries.
+// Service answers peers. Its exported methods, with those of ForwardService, are the methods of PeerQueries.
 type Service struct {
+	ForwardService
 	digests  *digest.Builder
 	config   *tables.Config
 	status   *status.Reader
 	observer Observer
-	receiver Receiver
 	seed     uint64
 	draws    atomic.Uint64
 }
 
-// ErrNotForwarding means that this daemon takes no sub-requests of others.
-var ErrNotForwarding = errors.New("queryrpc: forwarding is off")
-
 // New returns the service.
 func New(d *digest.Builder, c *tables.Config, s *status.Reader, o Observer, seed uint64) *Service {
 	return &Service{digests: d, config: c, status: s, observer: o, seed: seed}
 }
 
-// SetReceiver sets what takes forwarded sub-requests. Call it before the service is used.
-func (s *Service) SetReceiver(r Receiver) { s.receiver = r }
-
-// Forward takes a batch of sub-requests, results and cancellations.
-func (s *Service) Forward(b forwarding.Batch, reply *forwarding.Receipt) error {
-	if s.receiver == nil {
-		return ErrNotForwarding
-	}
-	*reply = s.receiver.Receive(b)
-	return nil
-}
-
 // Digest answers a digest with this daemon's own.
 func (s *Service) Digest(sent peer.Digest, reply *peer.Digest) error {
 	s.observer.ObserveDigest(sent)
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -172,9 +172,11 @@
 	sh.attempts++
 	sh.tried = append(sh.tried, server.Name())
 	q := &dispatch.QueryAttempt{
-		Server:  server,
-		Rank:    c.req.Rank,
-		Probe:   probe,
+		Server: server,
+		Rank:   c.req.Rank,
+		Probe:  probe,
+		// Later attempts go directly, so that what holds the first ones up does not hold them up too.
+		Gather:  c.gathers() && sh.attempts == 1,
 		Request: c.request(sh),
 		Done:    func(q *dispatch.QueryAttempt, r backend.QueryResult) { c.onEnd(i, q, r) },
 	}
@@ -196,6 +198,9 @@
 	if c.route != nil {
 		r.Service = model.ServiceName(sh.shard.Name)
 		r.Message = c.route.message
+		if index := c.route.route.Index; index != nil {
+			r.Limit = index.Results
+		}
 		return r
 	}
 	r.Service = c.req.Service.Name
--- a/internal/query/scatter/route.go
+++ b/internal/query/scatter/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -31,7 +32,7 @@
 type RouteAnswer struct {
 	// Outcome is OutcomeComplete, OutcomePartial, OutcomeNotRun (no server ran it, and none will), or OutcomeFailed.
 	Outcome model.Outcome
-	// Replies are the servers' successful answers, one for each shard that is covered.
+	// Replies are the servers' successful answers: one for each shard that is covered, or one for several.
 	Replies []*backend.MessageReply
 	// Failure is an answer with which a server failed, set only if the outcome is OutcomeFailed and there was one.
 	Failure *backend.MessageReply
@@ -111,6 +112,9 @@
 	return s
 }
 
+// gathers tells whether the call is for a route over an index.
+func (c *call) gathers() bool { return c.route != nil && c.route.route.Index != nil }
+
 // minCoverage is the share of the shards that an answer needs; a route to one service needs it.
 func (r *routeState) minCoverage() float64 {
 	if r.route.Index == nil {
@@ -155,7 +159,33 @@
 	if c.route.route.Index != nil && !m.Successful() {
 		return false
 	}
-	sh.message = m
+	if len(m.Shards) > 0 {
+		return c.acceptMerged(m)
+	}
+	if sh.message == nil {
+		sh.message = m
+	}
+	return true
+}
+
+// acceptMerged takes a reply that was merged from those of several shards. It cannot be taken apart, so that it takes the
+// place of their single replies, and is dropped if one of them is part of another merged reply.
+func (c *call) acceptMerged(m *backend.MessageReply) bool {
+	covered := make([]*shardState, 0, len(m.Shards))
+	for _, name := range m.Shards {
+		i := slices.IndexFunc(c.shards, func(s shardState) bool { return s.shard.Name == name })
+		if i < 0 {
+			return false
+		}
+		held := c.shards[i].message
+		if held != nil && held != m && len(held.Shards) > 0 {
+			return false
+		}
+		covered = append(covered, &c.shards[i])
+	}
+	for _, s := range covered {
+		s.message = m
+	}
 	return true
 }
 
@@ -174,18 +204,25 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var a RouteAnswer
+	covered := 0
 	for i := range c.shards {
-		if m := c.shards[i].message; m != nil {
+		m := c.shards[i].message
+		if m == nil {
+			continue
+		}
+		covered++
+		// A merged reply covers several shards.
+		if !slices.Contains(a.Replies, m) {
 			a.Replies = append(a.Replies, m)
 		}
 	}
-	a.Missing = len(c.shards) - len(a.Replies)
+	a.Missing = len(c.shards) - covered
 	switch {
 	case a.Missing == 0:
 		a.Outcome = model.OutcomeComplete
-	case len(a.Replies) >= gather.Needed(len(c.shards), c.route.minCoverage()):
+	case covered >= gather.Needed(len(c.shards), c.route.minCoverage()):
 		a.Outcome = model.OutcomePartial
-	case len(a.Replies) == 0 && !pending && !c.route.mayHaveRun:
+	case covered == 0 && !pending && !c.route.mayHaveRun:
 		a.Outcome = model.OutcomeNotRun
 	default:
 		a.Outcome = model.OutcomeFailed
--- a/internal/query/scatter/route_test.go
+++ b/internal/query/scatter/route_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -164,15 +163,3 @@
 		Expect(took).To(BeNumerically("<", 100*time.Millisecond))
 	})
 })
-
-var _ = Describe("MergeRecords", func() {
-	It("takes the greatest records of all replies, with equal ones, and no rest", func() {
-		record := func(c byte) string { return string(slices.Repeat([]byte{c}, scatter.RecordBytes)) }
-		replies := []*backend.MessageReply{
-			{Body: []byte(record('b') + record('d') + "short")}, {Body: []byte(record('d') + record('a') + record('c'))},
-		}
-		Expect(string(scatter.MergeRecords(replies, 3))).To(Equal(record('d') + record('d') + record('c')))
-		Expect(string(scatter.MergeRecords(replies, 9))).To(HaveLen(5 * scatter.RecordBytes))
-		Expect(scatter.MergeRecords(nil, 3)).To(BeEmpty())
-	})
-})
--- a/internal/testing/fakebackend/fake.go
+++ b/internal/testing/fakebackend/fake.go
@@ -112,12 +112,12 @@
 
 // message is the reply to a message; its signature is the server's name.
 func (s *Script) message(name model.ServerName) *backend.MessageReply {
-	m := &backend.MessageReply{StatusCode: http.StatusOK, Signature: string(name), Body: []byte(s.Body)}
+	m := &backend.MessageReply{StatusCode: http.StatusOK, Signatures: []string{string(name)}, Body: []byte(s.Body)}
 	if s.Code != 0 {
 		m.StatusCode = s.Code
 	}
 	if s.Unsigned {
-		m.Signature = ""
+		m.Signatures = nil
 	}
 	return m
 }
