--- /dev/null
+++ b/internal/forwarding/compact_test.go
@@ -0,0 +1,100 @@
+package forwarding_test
+
+import (
+	"bytes"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/decision/gather"
+	"oleandersill.example/oleandersill/internal/forwarding"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/testing/suite"
+)
+
+func TestForwarding(t *testing.T) { suite.Run(t, "./internal/forwarding") }
+
+func attemptID(request model.RequestID, attempt uint32) backend.AttemptID {
+	return backend.AttemptID{Request: request, Incarnation: 1, Attempt: attempt}
+}
+
+func reply(request model.RequestID, attempt uint32, shard model.ShardName, record byte) forwarding.Result {
+	return forwarding.Result{
+		ID: attemptID(request, attempt), Limit: 2,
+		Result: backend.QueryResult{Reply: backend.QueryReply{
+			ID: attemptID(request, attempt), Shard: shard, Message: &backend.MessageReply{
+				StatusCode: 200, Signatures: []string{"signed " + string(shard)},
+				Body: bytes.Repeat([]byte{record}, gather.RecordBytes),
+			},
+		}},
+	}
+}
+
+var _ = Describe("a batch", func() {
+	It("carries a message of several queries once and gives it back to all of them", func() {
+		m := &backend.Message{ID: "q1", Target: "/x"}
+		b := forwarding.Batch{}
+		for i, shard := range []model.ShardName{"s0", "s1"} {
+			b.Queries = append(b.Queries, forwarding.Query{Request: backend.QueryRequest{
+				ID: attemptID("q1", uint32(i)), Service: model.ServiceName(shard), Shard: shard, Message: m,
+			}})
+		}
+		b.Compact()
+		Expect(b.Messages).To(HaveLen(1))
+		Expect(b.Queries[1].Request.Message).To(BeNil())
+		b.Expand()
+		for i, shard := range []model.ServiceName{"s0", "s1"} {
+			Expect(b.Queries[i].Request.Message).To(HaveValue(Equal(*m)))
+			Expect(b.Queries[i].Request.ID).To(Equal(attemptID("q1", uint32(i))))
+			Expect(b.Queries[i].Request.Service).To(Equal(shard))
+		}
+	})
+
+	It("merges the replies to one query, and only those", func() {
+		// Guards against an answer with the records or the signatures of another request.
+		b := forwarding.Batch{Results: []forwarding.Result{
+			reply("q1", 1, "s0", 'a'), reply("q2", 1, "s0", 'z'), reply("q1", 2, "s1", 'c'), reply("q1", 3, "s2", 'b'),
+		}}
+		b.Compact()
+		b.Expand()
+		m := b.Results[0].Result.Reply.Message
+		Expect(m.Shards).To(Equal([]model.ShardName{"s0", "s1", "s2"}))
+		Expect(m.Signatures).To(Equal([]string{"signed s0", "signed s1", "signed s2"}))
+		Expect(string(m.Body)).To(Equal("cccccccccccccccc" + "bbbbbbbbbbbbbbbb"))
+		Expect(b.Results[2].Result.Reply.Message).To(BeIdenticalTo(m))
+		Expect(b.Results[1].Result.Reply.Message.Shards).To(Equal([]model.ShardName{"s0"}))
+	})
+
+	It("keeps what it merged when it is sent once more", func() {
+		// Guards against a second merge of a batch that was not delivered, which would list shards twice.
+		b := forwarding.Batch{Results: []forwarding.Result{reply("q1", 1, "s0", 'a'), reply("q1", 2, "s1", 'c')}}
+		b.Compact()
+		b.Results = append(b.Results, reply("q1", 3, "s2", 'b'))
+		b.Compact()
+		b.Expand()
+		Expect(b.Results[0].Result.Reply.Message.Shards).To(Equal([]model.ShardName{"s0", "s1"}))
+		Expect(b.Results[1].Result.Reply.Message).To(BeIdenticalTo(b.Results[0].Result.Reply.Message))
+		Expect(b.Results[2].Result.Reply.Message.Shards).To(Equal([]model.ShardName{"s2"}))
+	})
+
+	It("loses a result whose merged reply is in another batch", func() {
+		b := forwarding.Batch{Results: []forwarding.Result{reply("q1", 1, "s0", 'a'), reply("q1", 2, "s1", 'c')}}
+		b.Compact()
+		b.Results = b.Results[1:]
+		b.Expand()
+		Expect(b.Results[0].Result.Status).To(Equal(backend.StatusOwnerLost))
+	})
+
+	It("leaves failures and the product's own replies alone", func() {
+		failed := forwarding.Result{ID: attemptID("q1", 1), Limit: 2, Result: backend.QueryResult{Status: backend.StatusShed}}
+		own := forwarding.Result{ID: attemptID("q1", 2), Result: backend.QueryResult{Reply: backend.QueryReply{Version: 3}}}
+		b := forwarding.Batch{Results: []forwarding.Result{failed, own}}
+		b.Compact()
+		b.Expand()
+		Expect(b.Results[0].Result.Status).To(Equal(backend.StatusShed))
+		Expect(b.Results[1].Result.Reply.Version).To(BeEquivalentTo(3))
+		Expect(b.Results[1].Merged).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/internal/query/scatter/region_test.go
@@ -0,0 +1,97 @@
+package scatter_test
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/dispatch"
+	"oleandersill.example/oleandersill/internal/forwarding"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/tables"
+	"oleandersill.example/oleandersill/internal/testing/fakebackend"
+)
+
+// region is one daemon of two that forward to each other.
+type region struct {
+	*routeBench
+	self       model.Member
+	forwarding *dispatch.Forwarding
+	other      *region
+	cut        bool
+	batches    int
+}
+
+// Forward implements dispatch.Sender.
+func (r *region) Forward(_ context.Context, _ string, b forwarding.Batch) (forwarding.Receipt, error) {
+	if r.cut {
+		return forwarding.Receipt{}, errors.New("cut off")
+	}
+	if len(b.Queries) > 0 {
+		r.batches++
+	}
+	return r.other.forwarding.Receive(b), nil
+}
+
+// newRegions returns the daemon of a region without servers, and the one of the region of the servers sN-a; sN-b are in a
+// third region without a daemon. near and far script the servers as each daemon meets them.
+func newRegions(near, far map[model.ServerName]fakebackend.Script) (asker, helper *region) {
+	asker = &region{self: model.Member{Instance: "asker", Zone: "z1", Address: "asker"}}
+	helper = &region{self: model.Member{Instance: "helper", Zone: "z2", Address: "helper"}}
+	asker.other, helper.other = helper, asker
+	asker.routeBench = newRouteBenchIn("z1", near)
+	helper.routeBench = newRouteBenchIn("z2", far)
+	for _, r := range []*region{asker, helper} {
+		owners := tables.NewOwners()
+		r.forwarding = r.searcher.Dispatcher.EnableForwarding(dispatch.ForwardingConfig{
+			Sender: r, Self: r.self, Owners: owners, Workers: 4, Draining: func() bool { return false },
+		})
+		owners.SetMembers(map[model.AvailabilityZone][]model.Member{r.other.self.Zone: {r.other.self}}, time.Now())
+	}
+	return asker, helper
+}
+
+// shardsOf returns the number of shards that replies cover, each counted once.
+func shardsOf(replies []*backend.MessageReply) (signatures int) {
+	for _, r := range replies {
+		signatures += len(r.Signatures)
+	}
+	return signatures
+}
+
+func body(s string) fakebackend.Script { return fakebackend.Script{Body: s} }
+
+var _ = Describe("a request for shards of another region", func() {
+	It("is answered with merged replies that cover each shard once", func() {
+		asker, helper := newRegions(nil, map[model.ServerName]fakebackend.Script{"s0-a": body("aaaaaaaaaaaaaaaa")})
+		a, _ := asker.pass(context.Background())
+		Expect(a.Outcome).To(Equal(model.OutcomeComplete))
+		Expect(shardsOf(a.Replies)).To(Equal(4))
+		Expect(asker.batches).To(Equal(1))
+		Expect(helper.connector.Total()).To(BeNumerically(">", 0))
+	})
+
+	It("does not wait for a shard that pauses there, and covers no shard twice", func() {
+		// Guards against one slow server that holds the replies of all others of its region back.
+		asker, _ := newRegions(nil, map[model.ServerName]fakebackend.Script{"s0-a": slow, "s1-a": slow})
+		for range 4 {
+			a, took := asker.pass(context.Background())
+			Expect(a.Outcome).To(Equal(model.OutcomeComplete))
+			Expect(shardsOf(a.Replies)).To(Equal(4))
+			Expect(took).To(BeNumerically("<", routeTarget))
+		}
+	})
+
+	It("is answered directly when the other daemon cannot be reached", func() {
+		// Guards against a lost daemon that takes the shards of its region along.
+		asker, _ := newRegions(nil, nil)
+		asker.cut = true
+		a, took := asker.pass(context.Background())
+		Expect(a.Outcome).To(Equal(model.OutcomeComplete))
+		Expect(took).To(BeNumerically("<", routeTarget))
+	})
+})
--- a/internal/query/scatter/route_test.go
+++ b/internal/query/scatter/route_test.go
@@ -32,16 +32,23 @@
 }
 
 func newRouteBench(scripts map[model.ServerName]fakebackend.Script) *routeBench {
+	return newRouteBenchIn("z2", scripts)
+}
+
+// newRouteBenchIn places the daemon; sN-a are in the zone z2 and sN-b in z3, each zone in a region of its own.
+func newRouteBenchIn(zone model.AvailabilityZone, scripts map[model.ServerName]fakebackend.Script) *routeBench {
 	index := &model.RouteIndex{Results: 3, MinCoverage: 0.75}
 	b := &routeBench{connector: fakebackend.New(scripts), route: model.Route{
 		Name: "r", Idempotent: true, MaxAttempts: 2, Timeout: routeDeadline, Target: routeTarget, Index: index,
 	}}
-	inv := model.Inventory{MaxInstances: 1, Zones: []model.ZoneSpec{{Name: "z", Region: "r"}}}
+	inv := model.Inventory{MaxInstances: 1, Zones: []model.ZoneSpec{
+		{Name: "z1", Region: "r1"}, {Name: "z2", Region: "r2"}, {Name: "z3", Region: "r3"},
+	}}
 	for i := range 4 {
 		name := fmt.Sprintf("s%d", i)
 		shard := model.ShardSpec{Name: model.ShardName(name), KeyTo: model.KeySpace, Servers: []model.ServerSpec{
-			{Name: model.ServerName(name + "-a"), Zone: "z", Slots: 2, Connections: 4, Address: "-"},
-			{Name: model.ServerName(name + "-b"), Zone: "z", Slots: 2, Connections: 4, Address: "-"},
+			{Name: model.ServerName(name + "-a"), Zone: "z2", Slots: 2, Connections: 4, Address: "-"},
+			{Name: model.ServerName(name + "-b"), Zone: "z3", Slots: 2, Connections: 4, Address: "-"},
 		}}
 		inv.Services = append(inv.Services, model.ServiceSpec{Name: model.ServiceName(name), Shards: []model.ShardSpec{shard}})
 		index.Services = append(index.Services, model.ServiceName(name))
@@ -52,7 +59,7 @@
 	recorder := &report.Recorder{Config: config, Servers: tables.NewServers(), Connector: b.connector}
 	rule := budget.FleetRule{Ratio: 0.2, Slack: 1000, Span: time.Millisecond}
 	d := dispatch.New(dispatch.Config{
-		Zone: "z", Region: "r", Workers: 16, Seed: 1, Policy: model.PolicyDirect,
+		Zone: zone, Region: model.Region("r" + zone[1:]), Workers: 16, Seed: 1, Policy: model.PolicyDirect,
 		// The slack grows with the daemon's age.
 		Budgets: tables.NewServiceBudgets(rule, 1, time.Now().Add(-time.Hour)),
 	}, config, recorder.Servers, recorder)
