Hedge by the quantile of the server that was asked

Cause: the time before a hedge followed the fastest replica, so that 17 % of the shards were due a hedge and 5 % were refused by the budget.

--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -180,7 +180,7 @@
 		Request: c.request(sh),
 		Done:    func(q *dispatch.QueryAttempt, r backend.QueryResult) { c.onEnd(i, q, r) },
 	}
-	sh.hedgeAt = c.hedgeTime(now)
+	sh.hedgeAt = c.hedgeTime(server, now)
 	if sh.attempts == 1 && c.req.Rank != model.RankDeferred && !sh.hedgeAt.IsZero() && len(c.records) > 1 {
 		// A first attempt that waits for longer than a hedge would moves to another replica; later ones stay.
 		q.BounceAfter = sh.hedgeAt.Sub(now)
--- a/internal/query/scatter/hedge.go
+++ b/internal/query/scatter/hedge.go
@@ -3,40 +3,35 @@
 import (
 	"time"
 
+	"oleandersill.example/oleandersill/internal/decision/gather"
 	"oleandersill.example/oleandersill/internal/decision/routing"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/tables"
 )
 
-// hedgeTime returns when a hedge of an attempt started now is worth sending: after the quantile of the shard's fastest
+// hedgeTime returns when a hedge of an attempt started now at the server is worth sending. For a route that is when the server
+// is later than it usually is; for the product's own queries after the quantile of the shard's fastest
 // replica, whose records the call's scratch slices hold. It returns zero if hedging is off or nothing was observed.
-func (c *call) hedgeTime(now time.Time) time.Time {
+func (c *call) hedgeTime(server *tables.Server, now time.Time) time.Time {
 	if c.route != nil {
-		return c.routeHedgeTime(now)
+		return now.Add(gather.HedgeDelay(server.HedgeDelay(), c.route.route.Target))
 	}
 	rule := c.req.Topology.Rules.Hedge
 	if rule.MaxRatio <= 0 || c.searcher.Dispatcher.Policy() == model.PolicyBaseline {
 		return time.Time{}
 	}
-	delay := c.fastestQuantile()
+	delay := time.Duration(0)
+	for _, r := range c.records {
+		if d := r.HedgeDelay(); d > 0 && (delay == 0 || d < delay) {
+			delay = d
+		}
+	}
 	if delay == 0 {
 		return time.Time{}
 	}
 	return now.Add(max(delay, time.Duration(rule.MinDelayMs)*time.Millisecond))
 }
 
-// fastestQuantile returns the latency quantile of the fastest replica of the shard whose records the scratch slice holds,
-// or 0 if none was observed.
-func (c *call) fastestQuantile() time.Duration {
-	fastest := time.Duration(0)
-	for _, r := range c.records {
-		if d := r.HedgeDelay(); d > 0 && (fastest == 0 || d < fastest) {
-			fastest = d
-		}
-	}
-	return fastest
-}
-
 // scheduleHedge sets the timer for the earliest hedge that is due, replacing an earlier one.
 func (c *call) scheduleHedge() {
 	timer := c.searcher.Dispatcher.Timer
--- a/internal/query/scatter/route.go
+++ b/internal/query/scatter/route.go
@@ -123,11 +123,6 @@
 	return r.route.Index.MinCoverage
 }
 
-// routeHedgeTime returns when a hedge of an attempt that starts now is worth sending.
-func (c *call) routeHedgeTime(now time.Time) time.Time {
-	return now.Add(gather.HedgeDelay(c.fastestQuantile(), c.route.route.Target))
-}
-
 // onRouteEnd takes the result of one attempt of a message.
 func (c *call) onRouteEnd(i int, q *dispatch.QueryAttempt, r backend.QueryResult, now time.Time) {
 	sh := &c.shards[i]
