--- a/cmd/oleandersill-platform/main.go
+++ b/cmd/oleandersill-platform/main.go
@@ -4,6 +4,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -30,7 +31,12 @@
 
 func run() int {
 	path := flag.String("settings", "", "path of the settings file (TOML); the platform names it in the environment")
+	metricsPort := flag.Uint("metrics-port", 0, "port of the metrics at the instance's own address, 0 for none")
 	flag.Parse()
+	if *metricsPort > math.MaxUint16 || flag.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "-metrics-port: allowed is 0 to %d; further arguments: allowed are none\n", math.MaxUint16)
+		return exitUsage
+	}
 	file := settings.Path(*path)
 	s, err := settings.Load(file)
 	if err != nil {
@@ -44,7 +50,7 @@
 	daemon.RedirectStandardLog(log)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	d, err := daemon.Start(s, log)
+	d, err := daemon.Start(s, uint16(*metricsPort), log)
 	if err != nil {
 		log.Error().Err(err).Msg("start_failed")
 		return exitUsage
--- a/internal/command/follow/follower.go
+++ b/internal/command/follow/follower.go
@@ -24,6 +24,8 @@
 	replyBound = 900 * time.Millisecond
 	// changePause is left after a change before the next watch, so that changes that come together cost one call.
 	changePause = 250 * time.Millisecond
+	// recoveryWait is the wait of the watch that follows calls that failed, which shows soon whether the store serves again.
+	recoveryWait = 100 * time.Millisecond
 	// firstPause and longestPause bound the time between calls that fail.
 	firstPause   = 60 * time.Millisecond
 	longestPause = 700 * time.Millisecond
@@ -118,9 +120,13 @@
 		defer cancel()
 		return f.deps.Reader.Load(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+replyBound)
+	wait := watchWait
+	if !r.lost.IsZero() {
+		wait = recoveryWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+replyBound)
 	defer cancel()
-	return f.deps.Reader.Watch(ctx, r.revision, watchWait)
+	return f.deps.Reader.Watch(ctx, r.revision, wait)
 }
 
 // failed records that a call failed and waits before the next one.
--- a/internal/command/relay/relay.go
+++ b/internal/command/relay/relay.go
@@ -59,6 +59,7 @@
 		Uint64("version", uint64(req.Topology.Routing.Version)).Uint64("topology", uint64(req.Topology.Revision)).
 		Str("outcome", string(a.Outcome)).Str("reason", string(a.Reason)).Int("attempts", len(run.tried)).
 		Dur("took", time.Since(req.Arrived)).Dur("left", time.Until(req.Deadline)).Msg("request_answered")
+	r.Dispatcher.Metrics().RouteRequest(req.Route.Name, a.Outcome, 0, time.Since(req.Arrived))
 	return a
 }
 
--- a/internal/query/scatter/route.go
+++ b/internal/query/scatter/route.go
@@ -70,6 +70,7 @@
 	left := ctx.Err() != nil
 	a := c.finishRoute()
 	c.logAnswer(&req, &a, left)
+	s.Dispatcher.Metrics().RouteRequest(req.Route.Name, a.Outcome, a.Missing, time.Since(req.Arrived))
 	return a
 }
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -36,6 +36,7 @@
 	requests      *family[requestLabels, tally.Counter]
 	latency       *family[rankLabels, tally.Histogram]
 	coverage      *family[model.ServiceName, tally.Histogram]
+	routes        *family[routeLabels, routeSeries]
 	attempts      *family[attemptLabels, tally.Counter]
 	hedges        *family[model.ServiceName, tally.Counter]
 	retries       *family[model.ServiceName, tally.Counter]
@@ -46,6 +47,16 @@
 }
 
 type (
+	// routeLabels come from the configuration in force and the fixed set of outcomes.
+	routeLabels struct {
+		route   model.RouteName
+		outcome model.Outcome
+	}
+	routeSeries struct {
+		requests tally.Counter
+		latency  tally.Histogram
+		missing  tally.Counter
+	}
 	requestLabels struct {
 		rankLabels
 		outcome model.Outcome
@@ -95,6 +106,15 @@
 	m.coverage = newFamily(func(s model.ServiceName) tally.Histogram {
 		return scope.Tagged(serviceTags(s)).Histogram(nameCoverage, coverageBuckets)
 	})
+	m.routes = newFamily(func(l routeLabels) routeSeries {
+		byRoute := scope.Tagged(map[string]string{labelRoute: string(l.route)})
+		byOutcome := scope.Tagged(map[string]string{labelRoute: string(l.route), labelOutcome: string(l.outcome)})
+		return routeSeries{
+			requests: byOutcome.Counter(nameRouteRequests),
+			latency:  byOutcome.Histogram(nameRouteLatency, latencyBuckets),
+			missing:  byRoute.Counter(nameRouteMissing),
+		}
+	})
 	m.attempts = newFamily(func(l attemptLabels) tally.Counter {
 		return scope.Tagged(map[string]string{labelService: string(l.service), labelStatus: l.status}).Counter(nameAttempts)
 	})
@@ -138,6 +158,17 @@
 	m.latency.of(l).RecordDuration(latency)
 }
 
+// RouteRequest counts the end of a request of a route, with the number of shards that its answer does not cover.
+func (m *Metrics) RouteRequest(route model.RouteName, outcome model.Outcome, missing int, latency time.Duration) {
+	if m == nil {
+		return
+	}
+	s := m.routes.of(routeLabels{route: route, outcome: outcome})
+	s.requests.Inc(1)
+	s.latency.RecordDuration(latency)
+	s.missing.Inc(int64(missing))
+}
+
 // Coverage records the coverage of an answer, in [0, 1].
 func (m *Metrics) Coverage(service model.ServiceName, fraction float64) {
 	if m != nil {
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -32,6 +32,7 @@
 	labelStatus  = "status"
 	labelReason  = "reason"
 	labelState   = "state"
+	labelRoute   = "route"
 )
 
 // The metrics, without the prefix.
@@ -39,6 +40,9 @@
 	nameRequests        = "requests_total"
 	nameLatency         = "request_latency_seconds"
 	nameCoverage        = "coverage_ratio"
+	nameRouteRequests   = "route_requests_total"
+	nameRouteLatency    = "route_latency_seconds"
+	nameRouteMissing    = "route_missing_shards_total"
 	nameAttempts        = "attempts_total"
 	nameHedges          = "hedges_total"
 	nameRetries         = "retries_total"
@@ -64,6 +68,9 @@
 		{nameRequests, Counter, []string{labelService, labelRank, labelOutcome}},
 		{nameLatency, Histogram, []string{labelService, labelRank}},
 		{nameCoverage, Histogram, []string{labelService}},
+		{nameRouteRequests, Counter, []string{labelRoute, labelOutcome}},
+		{nameRouteLatency, Histogram, []string{labelRoute, labelOutcome}},
+		{nameRouteMissing, Counter, []string{labelRoute}},
 		{nameAttempts, Counter, []string{labelService, labelStatus}},
 		{nameHedges, Counter, []string{labelService}},
 		{nameRetries, Counter, []string{labelService}},
