--- /dev/null
+++ b/cmd/oleandersill-platform/main_test.go
@@ -0,0 +1,233 @@
+package main_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oleandersill.example/oleandersill/internal/testing/suite"
+	"oleandersill.example/oleandersill/platform/standin"
+	"oleandersill.example/oleandersill/platform/wire"
+)
+
+func TestProgram(t *testing.T) { suite.Run(t, "./cmd/oleandersill-platform") }
+
+const (
+	daemons = 3
+	// dayLength is how long callers send requests.
+	dayLength = 6 * time.Second
+	pause     = 10 * time.Millisecond
+)
+
+var binary string
+
+var _ = BeforeSuite(func() {
+	dir, err := os.MkdirTemp("", "oleandersill-platform")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(os.RemoveAll, dir)
+	binary = filepath.Join(dir, "oleandersill-platform")
+	out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), string(out))
+})
+
+// logs collects what a process writes.
+type logs struct {
+	mu  sync.Mutex
+	all bytes.Buffer
+}
+
+func (l *logs) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all.Write(p)
+}
+
+func (l *logs) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all.String()
+}
+
+type process struct {
+	cmd    *exec.Cmd
+	logs   *logs
+	caller string
+	ready  string
+}
+
+func freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func start(n int, zone string, door *standin.Door) *process {
+	p := &process{logs: &logs{}, caller: freeAddress(), ready: freeAddress()}
+	settings := fmt.Sprintf(`node_name = "daemon-%d"
+ip_address = "127.0.0.1"
+zone = "%s"
+region = "%s"
+seed_nodes = []
+[zones]
+z1 = "z1"
+z2 = "z2"
+[listen_addresses]
+front = "%s"
+ready = "%s"
+control = "%s"
+[bounds]
+grace_s = 6
+retry_budget_ratio = 0.2
+budget_window_s = 10
+retry_budget_slack = 56
+[platform]
+address = "%s"
+`, n, zone, zone, p.caller, p.ready, freeAddress(), door.Address())
+	path := filepath.Join(GinkgoT().TempDir(), "boot.toml")
+	Expect(os.WriteFile(path, []byte(settings), 0o600)).To(Succeed())
+	p.cmd = exec.Command(binary)
+	p.cmd.Env = append(os.Environ(), wire.SettingsVariable+"="+path)
+	p.cmd.Stdout, p.cmd.Stderr = p.logs, p.logs
+	Expect(p.cmd.Start()).To(Succeed())
+	DeferCleanup(func() {
+		if p.cmd.ProcessState == nil {
+			Expect(p.cmd.Process.Kill()).To(Succeed())
+			_ = p.cmd.Wait()
+		}
+	})
+	return p
+}
+
+func (p *process) isReady() int {
+	resp, err := http.Get("http://" + p.ready + wire.PathReady)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// request sends one request and returns the status, the headers and the body.
+func (p *process) request(client *http.Client, id, method, path string) (int, http.Header, string, error) {
+	req, err := http.NewRequest(method, "http://"+p.caller+path, strings.NewReader(""))
+	if err != nil {
+		return 0, nil, "", err
+	}
+	req.Host = "search.example"
+	req.Header.Set(wire.HeaderRequestID, id)
+	req.Header.Set(wire.HeaderTimeRemaining, "1000")
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header, string(body), err
+}
+
+func configuration() standin.Config {
+	c := standin.Config{Version: 1, Limits: standin.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 1000, IdleTimeoutMs: 15000}}
+	index := standin.Route{
+		Name: "index", Host: "search.example", Prefix: "/index/", Kind: "safe", TimeoutMs: 1000, TargetLatencyMs: 300,
+		MaxAttempts: 2, TopK: 3, MinimumCoverage: 0.75,
+	}
+	for i := range 4 {
+		name := fmt.Sprintf("s%d", i)
+		index.FanOutServices = append(index.FanOutServices, name)
+		c.Services = append(c.Services, standin.Service{Name: name, HealthPath: "/health", MaxConnections: 26})
+	}
+	c.Services = append(c.Services, standin.Service{Name: "w", HealthPath: "/health", MaxConnections: 26})
+	c.Routes = []standin.Route{index, {
+		Name: "write", Host: "search.example", Prefix: "/write/", Kind: "unsafe", TimeoutMs: 1000, TargetLatencyMs: 300,
+		Priority: 2, MaxAttempts: 2, Service: "w",
+	}}
+	return c
+}
+
+var _ = Describe("a calm day", func() {
+	It("is served by separate processes, while one of them is stopped and started again", func() {
+		// Guards against what only separate processes show: settings, ports, messages between daemons, signals.
+		store := standin.NewStore()
+		store.Configure(configuration())
+		servers := map[string]*standin.Server{}
+		for _, s := range configuration().Services {
+			for replica, zone := range map[string]string{"a": "z1", "b": "z2"} {
+				server := standin.StartServer(s.Name+"-"+replica, s.Name, zone, strings.Repeat(s.Name[len(s.Name)-1:], 32))
+				server.Register(store, "ready")
+				servers[server.ID] = server
+				DeferCleanup(server.Close)
+			}
+		}
+		door := store.OpenDoor()
+		DeferCleanup(door.Close)
+		var all []*process
+		for n := range daemons {
+			all = append(all, start(n, fmt.Sprintf("z%d", 1+n%2), door))
+		}
+		for _, p := range all {
+			Eventually(p.isReady).WithTimeout(5 * time.Second).Should(Equal(http.StatusOK))
+		}
+		Eventually(func() []string { return store.Keys(wire.PrefixDaemons) }).WithTimeout(5 * time.Second).Should(HaveLen(daemons))
+
+		client := &http.Client{}
+		stopped := time.AfterFunc(dayLength/4, func() { _ = all[0].cmd.Process.Signal(syscall.SIGTERM) })
+		defer stopped.Stop()
+		failed, n := 0, 0
+		for end := time.Now().Add(dayLength); time.Now().Before(end); n++ {
+			p := all[n%daemons]
+			if p == all[0] && p.isReady() != http.StatusOK {
+				continue
+			}
+			id := fmt.Sprintf("r%d", n)
+			if n%4 == 3 {
+				status, _, _, err := p.request(client, id, http.MethodPost, "/write/x")
+				runs := servers["w-a"].Runs(id) + servers["w-b"].Runs(id)
+				Expect(runs).To(BeNumerically("<=", 1))
+				if err != nil || status != http.StatusOK {
+					failed++
+				}
+			} else {
+				status, header, body, err := p.request(client, id, http.MethodGet, "/index/x")
+				if err != nil || status != http.StatusOK || header.Get(wire.HeaderMissingParts) != "0" {
+					failed++
+				} else {
+					Expect(body).To(Equal(strings.Repeat("3", 32) + strings.Repeat("2", 16)))
+				}
+			}
+			time.Sleep(pause)
+		}
+		Expect(n).To(BeNumerically(">", 100))
+		Expect(failed).To(BeZero())
+		Expect(all[0].cmd.Wait()).To(Succeed())
+		Expect(all[0].logs.String()).To(ContainSubstring("event=stopped"))
+		Expect(all[1].logs.String()).To(MatchRegexp(`event=request_answered .*id=r\d+ `))
+	})
+})
+
+var _ = DescribeTable("a start that cannot succeed ends with code 2 and one line",
+	func(args ...string) {
+		cmd := exec.Command(binary, args...)
+		cmd.Env = []string{}
+		out, err := cmd.CombinedOutput()
+		Expect(err).To(HaveOccurred())
+		Expect(cmd.ProcessState.ExitCode()).To(Equal(2))
+		Expect(strings.Count(strings.TrimSpace(string(out)), "\n")).To(BeZero(), string(out))
+	},
+	Entry("without settings"),
+	Entry("with a file that is not there", "-settings", "/does/not/exist"),
+	Entry("with a port that is none", "-metrics-port", "70000"),
+)
--- a/internal/cli/query/commands.go
+++ b/internal/cli/query/commands.go
@@ -6,6 +6,7 @@
 func All() []cli.Command {
 	return []cli.Command{
 		validateCommand(), importCommand(), planCommand(), getCommand(), statusCommand(), auditCommand(), searchCommand(),
+		traceCommand(),
 		versionCommand(),
 	}
 }
--- /dev/null
+++ b/internal/decision/split/split_test.go
@@ -0,0 +1,50 @@
+package split_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"oleandersill.example/oleandersill/internal/decision/split"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/testing/suite"
+)
+
+func TestSplit(t *testing.T) { suite.Run(t, "./internal/decision/split") }
+
+var _ = Describe("Part", func() {
+	It("gives each part its share within a few requests", func() {
+		// Guards against a daemon with little traffic that sends all of it to one part.
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			weights := rapid.SliceOfN(rapid.IntRange(0, 9), 2, 4).Draw(t, "weights")
+			var parts []model.RoutePart
+			total := 0
+			for _, w := range weights {
+				parts = append(parts, model.RoutePart{Weight: float64(w)})
+				total += w
+			}
+			if total == 0 {
+				return
+			}
+			from := rapid.Uint64().Draw(t, "from")
+			const requests = 200
+			counts := make([]int, len(parts))
+			for n := range uint64(requests) {
+				counts[split.Part(parts, from+n)]++
+			}
+			for i, w := range weights {
+				share := float64(counts[i]) / requests
+				if want := float64(w) / float64(total); share < want-0.05 || share > want+0.05 {
+					t.Fatalf("part %d of %v has %.3f", i, weights, share)
+				}
+			}
+		})
+	})
+
+	It("knows no part without weights", func() {
+		Expect(split.Part([]model.RoutePart{{Weight: 0}}, 1)).To(Equal(-1))
+		Expect(split.Part(nil, 1)).To(Equal(-1))
+	})
+})
--- a/internal/settings/reference_test.go
+++ b/internal/settings/reference_test.go
@@ -42,6 +42,10 @@
 	for field := range t.Fields() {
 		tag, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
 		Expect(tag).NotTo(BeEmpty(), field.Name)
+		if tag == "-" {
+			// The field cannot be written in a document.
+			continue
+		}
 		path := prefix + tag
 		paths = append(paths, path)
 		switch {
--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -1,11 +1,12 @@
 package telemetry
 
 import (
-	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -50,6 +51,7 @@
 }
 
 func (w *BoundedWriter) run(out io.Writer) {
+	notice := NewLogger(out, zerolog.WarnLevel)
 	allowance, last := float64(lineBurst), time.Now()
 	for line := range w.lines {
 		now := time.Now()
@@ -61,8 +63,7 @@
 		}
 		allowance--
 		if n := w.dropped.Swap(0); n > 0 {
-			line = append(line, fmt.Sprintf("time=%s level=warn event=log_lines_dropped lines=%d\n",
-				now.UTC().Format(time.RFC3339Nano), n)...)
+			notice.Warn().Uint64("lines", n).Msg("log_lines_dropped")
 		}
 		// There is nowhere to report that a log line cannot be written.
 		_, _ = out.Write(line)
--- a/internal/telemetry/metrics_test.go
+++ b/internal/telemetry/metrics_test.go
@@ -99,6 +99,7 @@
 		(*telemetry.Metrics)(nil).Hedge("phrases")
 		m.Request("phrases", model.RankUrgent, model.OutcomeComplete, time.Millisecond)
 		m.Coverage("phrases", 1)
+		m.RouteRequest("r1", model.OutcomePartial, 2, time.Millisecond)
 		m.Attempt("phrases", "ok")
 		m.DroppedReply("phrases")
 		m.Hedge("phrases")
