Spread a query's shards over several daemons of a zone, and hold hedges back while most shards are open

Cause: on the grown site (90 shards, 0.2 to 0.8 of a core) one daemon asked all shards of its zone, so that its processor was the straggler, and all 90 shards were hedged at once.

--- a/internal/decision/gather/gather.go
+++ b/internal/decision/gather/gather.go
@@ -80,3 +80,20 @@
 	earliest := time.Duration(float64(target) * earliestHedge)
 	return min(latest, max(earliest, observed))
 }
+
+// Postpone returns a later time for second attempts that are due now, or zero if they are to be sent. While many shards are
+// open it is not single servers that are late but this daemon, its network or its processor, which second attempts load
+// further; they wait for the latest time at which they are of use.
+func Postpone(shards, open int, arrived time.Time, target time.Duration, now time.Time) time.Time {
+	latest := arrived.Add(time.Duration(float64(target) * latestHedge))
+	if open <= max(fewOpen, shards/openDivisor) || !now.Before(latest) {
+		return time.Time{}
+	}
+	return latest
+}
+
+const (
+	// fewOpen and openDivisor, of the shards, are the number of open shards up to which single servers are late.
+	fewOpen     = 4
+	openDivisor = 3
+)
--- a/internal/decision/gather/gather_test.go
+++ b/internal/decision/gather/gather_test.go
@@ -43,6 +43,16 @@
 	Expect(gather.HedgeDelay(time.Second, target)).To(Equal(40 * time.Millisecond))
 })
 
+var _ = It("Postpone holds second attempts back while most shards are open, up to the latest useful time", func() {
+	// Guards against a daemon that is short of processor time and doubles its own load.
+	const target = 100 * time.Millisecond
+	soon, latest := start.Add(20*time.Millisecond), start.Add(40*time.Millisecond)
+	Expect(gather.Postpone(90, 60, start, target, soon)).To(Equal(latest))
+	Expect(gather.Postpone(90, 60, start, target, latest)).To(BeZero())
+	Expect(gather.Postpone(90, 20, start, target, soon)).To(BeZero())
+	Expect(gather.Postpone(4, 4, start, target, soon)).To(BeZero())
+})
+
 var _ = Describe("MergeRecords", func() {
 	It("takes the greatest records of all replies, with equal ones, and no rest", func() {
 		record := func(c byte) string { return string(slices.Repeat([]byte{c}, gather.RecordBytes)) }
--- a/internal/decision/ownership/owner.go
+++ b/internal/decision/ownership/owner.go
@@ -1,6 +1,9 @@
 package ownership
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"oleandersill.example/oleandersill/internal/model"
@@ -28,3 +31,20 @@
 	x *= 0xc4ceb9fe1a85ec53
 	return x ^ x>>33
 }
+
+// Gatherers returns the indices of at most k members that send the sub-requests of one query, by rendezvous hashing of the
+// query's key, so that queries spread over the members.
+func Gatherers(key string, members []model.Member, k int) []int {
+	if k <= 0 || len(members) == 0 {
+		return nil
+	}
+	seed := xxhash.Sum64String(key)
+	chosen := make([]int, len(members))
+	weights := make([]uint64, len(members))
+	for i := range members {
+		chosen[i] = i
+		weights[i] = mix(seed ^ xxhash.Sum64String(string(members[i].Instance)))
+	}
+	slices.SortFunc(chosen, func(a, b int) int { return cmp.Compare(weights[b], weights[a]) })
+	return chosen[:min(k, len(chosen))]
+}
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"oleandersill.example/oleandersill/internal/backend"
-	"oleandersill.example/oleandersill/internal/decision/ownership"
 	"oleandersill.example/oleandersill/internal/forwarding"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/pool"
@@ -77,33 +76,18 @@
 }
 
 // route returns the daemon through which an attempt goes, or false if this daemon sends it itself.
-func (d *Dispatcher) route(q *QueryAttempt) (model.Member, bool) {
+func (d *Dispatcher) route(q *QueryAttempt, plan *gatherPlan) (model.Member, bool) {
 	f := d.forwarding
 	switch {
 	case f == nil:
 		return model.Member{}, false
 	case q.Request.Message != nil:
-		return f.gatherer(q)
+		return plan.next(q)
 	}
 	owner, ok := q.Server.Owner(f.owners.View())
 	return owner, ok && owner.Instance != f.self.Instance
 }
 
-// gatherer returns the daemon in the zone of a server of another region that sends the attempts of one query there and
-// merges their replies. Queries are spread over the zone's daemons.
-func (f *Forwarding) gatherer(q *QueryAttempt) (model.Member, bool) {
-	spec := q.Server.Spec()
-	if !q.Gather || spec.Region == f.d.cfg.Region {
-		return model.Member{}, false
-	}
-	members := f.owners.View().Zones[spec.Zone]
-	i := ownership.Owner(model.ServerName(q.Request.ID.Request), members)
-	if i < 0 {
-		return model.Member{}, false
-	}
-	return members[i], true
-}
-
 // outgoing prepares an attempt for the owner of its server.
 func (f *Forwarding) outgoing(q *QueryAttempt, owner model.Member) tables.Outgoing {
 	q.forwarded = true
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -49,8 +49,9 @@
 // have the same owner share batches. ctx must carry the requests' deadline.
 func (d *Dispatcher) StartQueries(ctx context.Context, qs []*QueryAttempt, now time.Time) {
 	var out []tables.Outgoing
+	plan := d.planGathering(qs)
 	for _, q := range qs {
-		owner, ok := d.route(q)
+		owner, ok := d.route(q, plan)
 		if !ok {
 			d.startHere(ctx, q, now)
 			continue
--- a/internal/query/scatter/hedge.go
+++ b/internal/query/scatter/hedge.go
@@ -66,7 +66,9 @@
 		if sh.hedgeAt.IsZero() || sh.hedgeAt.After(now) {
 			continue
 		}
-		sh.hedgeAt = time.Time{}
+		if sh.hedgeAt = c.postponed(now); !sh.hedgeAt.IsZero() {
+			continue
+		}
 		if len(sh.pending) == 1 && !sh.answers(sh.want) && c.mayHedge(sh) {
 			q := sh.pending[0]
 			q.Server.ObserveOverdue(now.Sub(q.Started), now)
--- a/internal/query/scatter/route.go
+++ b/internal/query/scatter/route.go
@@ -46,6 +46,7 @@
 type routeState struct {
 	route   *model.Route
 	message *backend.Message
+	arrived time.Time
 	// due is when an answer that covers enough is given although shards are open.
 	due      time.Time
 	dueTimer *pool.Entry
@@ -64,7 +65,7 @@
 		Rank: req.Route.Rank, Topology: req.Topology, Deadline: req.Deadline,
 	}, req.Shards)
 	c.route = &routeState{
-		route: req.Route, message: req.Message, due: gather.Due(req.Arrived, req.Route.Target),
+		route: req.Route, message: req.Message, arrived: req.Arrived, due: gather.Due(req.Arrived, req.Route.Target),
 	}
 	c.runUntilEnd(ctx)
 	left := ctx.Err() != nil
@@ -113,6 +114,15 @@
 	return s
 }
 
+// postponed returns a later time for hedges that are due now, or zero if they are to be sent.
+func (c *call) postponed(now time.Time) time.Time {
+	if c.route == nil {
+		return time.Time{}
+	}
+	g := c.gathered()
+	return gather.Postpone(g.Shards, g.Open, c.route.arrived, c.route.route.Target, now)
+}
+
 // gathers tells whether the call is for a route over an index.
 func (c *call) gathers() bool { return c.route != nil && c.route.route.Index != nil }
 
