--- a/internal/command/follow/follower.go
+++ b/internal/command/follow/follower.go
@@ -22,8 +22,12 @@
 	watchWait = 2500 * time.Millisecond
 	// replyBound is the time that the store may take to answer a call, beyond the wait of a watch.
 	replyBound = 900 * time.Millisecond
-	// changePause is left after a change before the next watch, so that changes that come together cost one call.
-	changePause = 250 * time.Millisecond
+	// shortestChangePause and longestChangePause bound the time between a change and the next watch. Changes that come
+	// together then cost one call; the longest leaves time for a change to be in force.
+	shortestChangePause = 250 * time.Millisecond
+	longestChangePause  = 700 * time.Millisecond
+	// changePausePerDaemon lets the pause grow with the fleet, whose calls the store's rates do not grow with.
+	changePausePerDaemon = 30 * time.Millisecond
 	// recoveryWait is the wait of the watch that follows calls that failed, which shows soon whether the store serves again.
 	recoveryWait = 100 * time.Millisecond
 	// firstPause and longestPause bound the time between calls that fail.
@@ -108,12 +112,17 @@
 		}
 		f.succeeded(&r)
 		if f.take(&u, sourceStore) {
-			pool.Pause(ctx, changePause)
+			pool.Pause(ctx, changePause(f.deps.Registry.Daemons()))
 		}
 		r.revision, r.synced = u.Revision, true
 	}
 }
 
+// changePause returns the time between a change and the next watch in a fleet of the given number of daemons.
+func changePause(daemons int) time.Duration {
+	return min(longestChangePause, max(shortestChangePause, time.Duration(daemons)*changePausePerDaemon))
+}
+
 func (f *Follower) readOnce(ctx context.Context, r *reading) (registry.Update, error) {
 	if !r.synced {
 		ctx, cancel := context.WithTimeout(ctx, replyBound)
--- a/internal/decision/directory/directory.go
+++ b/internal/decision/directory/directory.go
@@ -11,7 +11,7 @@
 const (
 	// vanishedUse is how long a server is used whose entry vanished without notice: it may have lapsed although the server
 	// lives. It lies below the time that a server which leaves without notice goes on serving.
-	vanishedUse = 1800 * time.Millisecond
+	vanishedUse = 1600 * time.Millisecond
 	// restoredUse is how long after the store's return entries that lapsed while it was away are waited for.
 	restoredUse = 2300 * time.Millisecond
 )
--- a/internal/dispatch/gathering.go
+++ b/internal/dispatch/gathering.go
@@ -7,7 +7,7 @@
 
 const (
 	// shardsPerDaemon is the number of a query's shards in a zone that one daemon asks: more would wait for its processor.
-	shardsPerDaemon = 6
+	shardsPerDaemon = 8
 	// shardsHere is the number of shards in its own zone up to which a daemon asks all of them itself.
 	shardsHere = 15
 )
--- a/internal/tables/registry.go
+++ b/internal/tables/registry.go
@@ -147,6 +147,13 @@
 	return t.servers.NextExpiry()
 }
 
+// Daemons returns the number of daemons with an entry.
+func (t *Registry) Daemons() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.members)
+}
+
 // RegistryView is the state of a Registry at one time.
 type RegistryView struct {
 	Revision directory.Revision
