--- a/internal/backend/backendhttp/exchange.go
+++ b/internal/backend/backendhttp/exchange.go
@@ -5,15 +5,13 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/backend/httpconn"
 )
 
 const (
@@ -32,8 +30,8 @@
 	id backend.AttemptID
 	// matches tells whether the decoded reply is for the attempt.
 	matches func() bool
-	// conn is the connection that the request was given to; nil while there is none.
-	conn net.Conn
+	// conn is the connection that the request was given to.
+	conn httpconn.Tracker
 }
 
 // post sends one request and decodes its reply. It never sets an Idempotency-Key header: net/http would then resend a
@@ -43,7 +41,7 @@
 	if err != nil {
 		panic("backendhttp: message cannot be encoded: " + err.Error())
 	}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, x.trace()), http.MethodPost, c.base+path,
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, x.conn.Trace()), http.MethodPost, c.base+path,
 		bytes.NewReader(encoded))
 	if err != nil {
 		return backend.StatusUnreachable, RefusalBody{}
@@ -51,51 +49,26 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
-		return x.failure(ctx), RefusalBody{}
+		return x.conn.Failure(ctx), RefusalBody{}
 	}
 	defer closeBody(resp.Body)
 	if resp.Header.Get(HeaderAttempt) != AttemptHeader(x.id) {
-		x.cut()
+		x.conn.Cut()
 		return backend.StatusMismatched, RefusalBody{}
 	}
 	if resp.StatusCode != http.StatusOK {
 		return x.refusal(ctx, resp)
 	}
 	if err := readJSON(resp.Body, into); err != nil {
-		return x.failure(ctx), RefusalBody{}
+		return x.conn.Failure(ctx), RefusalBody{}
 	}
 	if !x.matches() {
-		x.cut()
+		x.conn.Cut()
 		return backend.StatusMismatched, RefusalBody{}
 	}
 	return backend.StatusOK, RefusalBody{}
 }
 
-func (x *exchange) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{
-		// net/http asks for another connection only if nothing was written on the one before.
-		GetConn: func(string) { x.conn = nil },
-		GotConn: func(info httptrace.GotConnInfo) { x.conn = info.Conn },
-	}
-}
-
-// cut closes the connection of a reply that does not belong to the attempt: what else comes on it cannot be trusted.
-func (x *exchange) cut() {
-	// The connection may be closed already.
-	_ = x.conn.Close()
-}
-
-// failure tells what is known about a request without a whole reply.
-func (x *exchange) failure(ctx context.Context) backend.Status {
-	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
-		return backend.StatusCancelled
-	case x.conn == nil:
-		return backend.StatusUnreachable
-	}
-	return backend.StatusLost
-}
-
 // refusal decodes a reply that is not 200. Only an explicit "ran": false proves that the server did not run the request.
 func (x *exchange) refusal(ctx context.Context, resp *http.Response) (backend.Status, RefusalBody) {
 	var body struct {
@@ -103,7 +76,7 @@
 		Ran *bool `json:"ran"`
 	}
 	if err := readJSON(resp.Body, &body); err != nil {
-		return x.failure(ctx), RefusalBody{}
+		return x.conn.Failure(ctx), RefusalBody{}
 	}
 	body.RefusalBody.Ran = body.Ran == nil || *body.Ran
 	return refusalStatus(resp.StatusCode, body.RefusalBody), body.RefusalBody
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -14,7 +14,7 @@
 )
 
 // reportInterval is how often counters and histograms reach /metrics.
-const reportInterval = time.Second
+const reportInterval = 5 * time.Second
 
 // latencyBuckets are the upper bounds of the latency histogram. They are dense around the targets of ranks.
 var latencyBuckets = tally.DurationBuckets{
