--- a/cmd/oleandersill-platform/main.go
+++ b/cmd/oleandersill-platform/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -58,21 +59,30 @@
 	return serve(d, signals, file, log)
 }
 
-// serve runs the daemon until it has drained on a signal. A second signal to stop ends the process at once.
+// serve runs the daemon until it has drained on a signal. A second signal to stop ends the process at once. The settings file is
+// read again on SIGHUP, and when it changed without a signal.
 func serve(d *daemon.Daemon, signals <-chan os.Signal, file string, log zerolog.Logger) int {
+	watched := watchedFile{path: file}
+	watched.changed()
+	look := time.NewTicker(lookInterval)
+	defer look.Stop()
 	draining := false
 	for {
 		select {
 		case s := <-signals:
 			switch {
 			case s == syscall.SIGHUP:
-				reload(file, log)
+				reload(d, file, log)
 			case draining:
 				return exitCutOff
 			default:
 				draining = true
 				d.BeginDrain(s.String())
 			}
+		case <-look.C:
+			if watched.changed() {
+				reload(d, file, log)
+			}
 		case <-d.Drained():
 			d.Stop()
 			return 0
@@ -80,12 +90,33 @@
 	}
 }
 
-// reload checks the settings file and logs what it found. Addresses and bounds are those of the start.
-func reload(file string, log zerolog.Logger) {
+// lookInterval is the time between looks at the settings file.
+const lookInterval = 5 * time.Second
+
+// watchedFile tells whether a file changed since the last look.
+type watchedFile struct {
+	path     string
+	modified time.Time
+	size     int64
+}
+
+func (f *watchedFile) changed() bool {
+	info, err := os.Stat(f.path)
+	if err != nil {
+		// A file that is being replaced is there at the next look.
+		return false
+	}
+	changed := !info.ModTime().Equal(f.modified) || info.Size() != f.size
+	f.modified, f.size = info.ModTime(), info.Size()
+	return changed
+}
+
+// reload reads the settings file again; one that cannot be used changes nothing.
+func reload(d *daemon.Daemon, file string, log zerolog.Logger) {
 	s, err := settings.Load(file)
 	if err != nil {
 		log.Warn().Err(err).Msg("settings_not_reloaded")
 		return
 	}
-	log.Info().Str("instance", string(s.Instance)).Msg("settings_reloaded")
+	d.Reload(s)
 }
--- a/cmd/oleandersill-platform/main_test.go
+++ b/cmd/oleandersill-platform/main_test.go
@@ -63,6 +63,7 @@
 
 type process struct {
 	cmd    *exec.Cmd
+	file   string
 	logs   *logs
 	caller string
 	ready  string
@@ -99,6 +100,7 @@
 `, n, zone, zone, p.caller, p.ready, freeAddress(), door.Address())
 	path := filepath.Join(GinkgoT().TempDir(), "boot.toml")
 	Expect(os.WriteFile(path, []byte(settings), 0o600)).To(Succeed())
+	p.file = path
 	p.cmd = exec.Command(binary)
 	p.cmd.Env = append(os.Environ(), wire.SettingsVariable+"="+path)
 	p.cmd.Stdout, p.cmd.Stderr = p.logs, p.logs
@@ -218,6 +220,24 @@
 	})
 })
 
+var _ = It("the settings are read again on SIGHUP and when the file changed without a signal", func() {
+	// Guards against bounds that stay those of the start.
+	store := standin.NewStore()
+	door := store.OpenDoor()
+	DeferCleanup(door.Close)
+	p := start(0, "z1", door)
+	Eventually(p.isReady).WithTimeout(5 * time.Second).Should(Equal(http.StatusServiceUnavailable))
+	text, err := os.ReadFile(p.file)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(p.cmd.Process.Signal(syscall.SIGHUP)).To(Succeed())
+	Eventually(p.logs.String).WithTimeout(2 * time.Second).Should(ContainSubstring("extra_slack=56"))
+	changed := strings.Replace(string(text), "slack = 56", "slack = 78", 1)
+	Expect(os.WriteFile(p.file, []byte(changed), 0o600)).To(Succeed())
+	Eventually(p.logs.String).WithTimeout(8 * time.Second).Should(ContainSubstring("extra_slack=78"))
+	Expect(os.WriteFile(p.file, []byte("no settings"), 0o600)).To(Succeed())
+	Eventually(p.logs.String).WithTimeout(8 * time.Second).Should(ContainSubstring("settings_not_reloaded"))
+})
+
 var _ = DescribeTable("a start that cannot succeed ends with code 2 and one line",
 	func(args ...string) {
 		cmd := exec.Command(binary, args...)
--- a/internal/decision/budget/fleet.go
+++ b/internal/decision/budget/fleet.go
@@ -34,6 +34,9 @@
 // SetDaemons changes the number of daemons that share the slack.
 func (f *Fleet) SetDaemons(n int) { f.daemons = max(1, n) }
 
+// SetRule changes the rule. What was counted stays, in windows of the span before.
+func (f *Fleet) SetRule(rule FleetRule) { f.rule = rule }
+
 // OnRequest counts one request.
 func (f *Fleet) OnRequest(now time.Time) { f.window.OnRequest(now) }
 
--- a/internal/tables/servicebudgets.go
+++ b/internal/tables/servicebudgets.go
@@ -37,6 +37,16 @@
 	}
 }
 
+// SetRule changes the rule of all services.
+func (t *ServiceBudgets) SetRule(rule budget.FleetRule) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rule = rule
+	for _, f := range t.services {
+		f.SetRule(rule)
+	}
+}
+
 // OnRequest counts one request for the service.
 func (t *ServiceBudgets) OnRequest(service model.ServiceName, now time.Time) {
 	t.mu.Lock()
