--- a/cmd/oleandersill-platform/main_test.go
+++ b/cmd/oleandersill-platform/main_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,6 +17,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"oleandersill.example/oleandersill/internal/testing/freeport"
 	"oleandersill.example/oleandersill/internal/testing/suite"
 	"oleandersill.example/oleandersill/platform/standin"
 	"oleandersill.example/oleandersill/platform/wire"
@@ -69,12 +69,7 @@
 	ready  string
 }
 
-func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
+func freeAddress() string { return freeport.Next(freeport.PlatformProgram) }
 
 func start(n int, zone string, door *standin.Door) *process {
 	p := &process{logs: &logs{}, caller: freeAddress(), ready: freeAddress()}
