--- a/cmd/oleandersill-platform/main_test.go
+++ b/cmd/oleandersill-platform/main_test.go
@@ -71,7 +71,7 @@
 
 func freeAddress() string { return freeport.Next(freeport.PlatformProgram) }
 
-func start(n int, zone string, door *standin.Door) *process {
+func start(n int, zone string, endpoint *standin.Endpoint) *process {
 	p := &process{logs: &logs{}, caller: freeAddress(), ready: freeAddress()}
 	settings := fmt.Sprintf(`node_name = "daemon-%d"
 ip_address = "127.0.0.1"
@@ -92,7 +92,7 @@
 retry_budget_slack = 56
 [platform]
 address = "%s"
-`, n, zone, zone, p.caller, p.ready, freeAddress(), door.Address())
+`, n, zone, zone, p.caller, p.ready, freeAddress(), endpoint.Address())
 	path := filepath.Join(GinkgoT().TempDir(), "boot.toml")
 	Expect(os.WriteFile(path, []byte(settings), 0o600)).To(Succeed())
 	p.file = path
@@ -169,11 +169,11 @@
 				DeferCleanup(server.Close)
 			}
 		}
-		door := store.OpenDoor()
-		DeferCleanup(door.Close)
+		endpoint := store.OpenEndpoint()
+		DeferCleanup(endpoint.Close)
 		var all []*process
 		for n := range daemons {
-			all = append(all, start(n, fmt.Sprintf("z%d", 1+n%2), door))
+			all = append(all, start(n, fmt.Sprintf("z%d", 1+n%2), endpoint))
 		}
 		for _, p := range all {
 			Eventually(p.isReady).WithTimeout(5 * time.Second).Should(Equal(http.StatusOK))
@@ -218,9 +218,9 @@
 var _ = It("the settings are read again on SIGHUP and when the file changed without a signal", func() {
 	// Guards against bounds that stay those of the start.
 	store := standin.NewStore()
-	door := store.OpenDoor()
-	DeferCleanup(door.Close)
-	p := start(0, "z1", door)
+	endpoint := store.OpenEndpoint()
+	DeferCleanup(endpoint.Close)
+	p := start(0, "z1", endpoint)
 	Eventually(p.isReady).WithTimeout(5 * time.Second).Should(Equal(http.StatusServiceUnavailable))
 	text, err := os.ReadFile(p.file)
 	Expect(err).NotTo(HaveOccurred())
