--- a/internal/model/registration.go
+++ b/internal/model/registration.go
@@ -17,8 +17,3 @@
 	// Started distinguishes the lives of a server that starts again under its name; 0 if it did not say.
 	Started int64
 }
-
-// SameLife tells whether two registrations are of the same life of one server.
-func (r *Registration) SameLife(o *Registration) bool {
-	return r.Name == o.Name && r.Service == o.Service && r.Address == o.Address && r.Started == o.Started
-}
