Log what tells late answers from missing shards: when an answer is due, how far the caller is, where first attempts go, when hedges went out

Cause: the lines of a late answer did not say whether its time was lost on the way to the caller or by waiting for shards. Nothing is decided by them yet.

--- a/internal/decision/gather/gather.go
+++ b/internal/decision/gather/gather.go
@@ -31,6 +31,14 @@
 	Due time.Time
 }
 
+// CallerPath is what is known of the way between a caller and this daemon.
+type CallerPath struct {
+	// RoundTrip is the network's round trip time; 0 if it is not known.
+	RoundTrip time.Duration
+	// Connected tells that the caller opened the connection for this request, which took a round trip before it was sent.
+	Connected bool
+}
+
 // Verdict says what becomes of an answer.
 type Verdict uint8
 
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -35,6 +35,9 @@
 	release  context.CancelFunc
 	shards   []shardState
 	attempts uint32
+	// otherRegion counts the first attempts at servers in another region.
+	otherRegion int
+
 	ended    bool
 	deadline *pool.Entry
 	hedge    *pool.Entry
@@ -108,6 +111,9 @@
 		c.records[j].StartProbe()
 		sh.optional = !anyUsable(c.candidates)
 	}
+	if sh.attempts == 0 && c.candidates[j].Place == routing.OtherRegion {
+		c.otherRegion++
+	}
 	c.send(i, c.records[j], c.candidates[j].Probe, now)
 	return true
 }
--- a/internal/query/scatter/route.go
+++ b/internal/query/scatter/route.go
@@ -22,8 +22,9 @@
 	// Shards are those that the answer is gathered from.
 	Shards  []*model.Shard
 	Message *backend.Message
-	// Arrived is when the request was received.
+	// Arrived is when the request was received, and Path how it came.
 	Arrived time.Time
+	Path    gather.CallerPath
 	// Deadline is when the caller no longer waits.
 	Deadline time.Time
 }
@@ -56,6 +57,9 @@
 	mayHaveRun bool
 	hedges     int
 	retries    int
+	// firstHedge and lastHedge are when the first and the last hedge were sent; zero without one.
+	firstHedge time.Time
+	lastHedge  time.Time
 	// refusals counts the extra attempts that the budget did not allow.
 	refusals int
 }
@@ -259,12 +263,16 @@
 	if a.Outcome != model.OutcomeComplete {
 		c.logMissing(event)
 	}
+	if c.hedges > 0 {
+		event.Dur("hedge_first", c.firstHedge.Sub(req.Arrived)).Dur("hedge_last", c.lastHedge.Sub(req.Arrived))
+	}
 	event.Str("id", req.Message.ID).Str("route", string(req.Route.Name)).
 		Uint64("version", uint64(req.Topology.Routing.Version)).Uint64("topology", uint64(req.Topology.Revision)).
 		Str("outcome", string(a.Outcome)).Int("shards", len(req.Shards)).Int("missing", a.Missing).
 		Uint32("attempts", c.attempts).Int("hedges", c.hedges).Int("retries", c.retries).
-		Int("budget_refused", c.refusals).Bool("caller_left", left).
-		Dur("took", now.Sub(req.Arrived)).Dur("target", req.Route.Target).Dur("left", req.Deadline.Sub(now)).
+		Int("budget_refused", c.refusals).Int("other_region", c.otherRegion).Bool("caller_left", left).
+		Dur("took", now.Sub(req.Arrived)).Dur("due", c.due.Sub(req.Arrived)).Dur("target", req.Route.Target).
+		Dur("caller_rtt", req.Path.RoundTrip).Bool("caller_connected", req.Path.Connected).Dur("left", req.Deadline.Sub(now)).
 		Msg("request_answered")
 }
 
@@ -273,10 +281,18 @@
 
 func (c *routeCall) logMissing(event *zerolog.Event) {
 	var names []string
+	hedged := 0
 	for i := range c.shards {
-		if c.shards[i].message == nil && len(names) < maxLoggedShards {
-			names = append(names, string(c.shards[i].shard.Name))
+		sh := &c.shards[i]
+		if sh.message != nil {
+			continue
+		}
+		if len(names) < maxLoggedShards {
+			names = append(names, string(sh.shard.Name))
+		}
+		if sh.attempts > 1 {
+			hedged++
 		}
 	}
-	event.Strs("missing_services", names)
+	event.Strs("missing_services", names).Int("missing_hedged", hedged)
 }
--- a/internal/query/scatter/routeattempts.go
+++ b/internal/query/scatter/routeattempts.go
@@ -39,6 +39,10 @@
 		return false
 	}
 	c.hedges++
+	c.lastHedge = now
+	if c.firstHedge.IsZero() {
+		c.firstHedge = now
+	}
 	return true
 }
 
