Count the way to the caller when deciding when an answer is due

Cause: the margin before the target was 8 % of it, at least 8 ms, for everything between daemon and caller, which fits callers that are 1 ms away; these are 3 ms away, and one that opens a connection spends a round trip before its request arrives. Change: the kernel's round trip time of the caller's connection, twice if the caller opened it for this request, is subtracted from the target; the fixed margin is for building and writing the answer only.

--- a/internal/decision/gather/gather.go
+++ b/internal/decision/gather/gather.go
@@ -6,10 +6,12 @@
 )
 
 const (
-	// targetMargin is the part of the latency target that is left for the way back to the caller, and minMargin the least
-	// time left for it.
-	targetMargin = 0.08
-	minMargin    = 8 * time.Millisecond
+	// targetMargin is the part of the latency target that is left for building and writing the answer, and minMargin the
+	// least time left for it.
+	targetMargin = 0.04
+	minMargin    = 4 * time.Millisecond
+	// assumedRoundTrip stands for the way to a caller that is not known.
+	assumedRoundTrip = 4 * time.Millisecond
 
 	// earliestHedge and latestHedge bound the time before a shard is asked a second time, as parts of the latency target.
 	// An earlier one costs servers work for little; a later one leaves the second server too little time.
@@ -39,6 +41,18 @@
 	Connected bool
 }
 
+// travel is the part of the caller's time that the network takes: the connection, the request and the answer.
+func (p CallerPath) travel() time.Duration {
+	roundTrip := p.RoundTrip
+	if roundTrip == 0 {
+		roundTrip = assumedRoundTrip
+	}
+	if p.Connected {
+		return 2 * roundTrip
+	}
+	return roundTrip
+}
+
 // Verdict says what becomes of an answer.
 type Verdict uint8
 
@@ -72,10 +86,11 @@
 	return max(1, int(math.Ceil(minCoverage*float64(shards)-coverageTolerance)))
 }
 
-// Due returns when an answer to a request that arrived at arrived is due to meet the target.
-func Due(arrived time.Time, target time.Duration) time.Time {
+// Due returns when an answer to a request that arrived at arrived is due to meet the target, which counts from when the
+// caller began until it has the answer. An answer that misses the target by little is worth as little as a late one.
+func Due(arrived time.Time, target time.Duration, path CallerPath) time.Time {
 	margin := max(minMargin, time.Duration(float64(target)*targetMargin))
-	return arrived.Add(max(0, target-margin))
+	return arrived.Add(max(0, target-path.travel()-margin))
 }
 
 // HedgeDelay returns the time after which a shard that has not answered is asked a second time. observed is a high quantile
--- a/internal/decision/gather/gather_test.go
+++ b/internal/decision/gather/gather_test.go
@@ -35,6 +35,22 @@
 	Entry("needs a shard even without a least coverage", 0, 0, 0.0, true, gather.Fail),
 )
 
+var _ = DescribeTable("Due leaves a partial answer the time to reach its caller within the target",
+	func(path gather.CallerPath, target, travel time.Duration) {
+		// Guards against answers of distant callers that are given within the target and arrive after it.
+		due := gather.Due(start, target, path).Sub(start)
+		Expect(due + travel).To(BeNumerically("<=", target-4*time.Millisecond))
+		Expect(due + travel).To(BeNumerically(">=", target*9/10))
+	},
+	Entry("a near caller", gather.CallerPath{RoundTrip: 2 * time.Millisecond}, 100*time.Millisecond, 2*time.Millisecond),
+	Entry("a distant caller", gather.CallerPath{RoundTrip: 6 * time.Millisecond}, 100*time.Millisecond, 6*time.Millisecond),
+	Entry("a distant caller that connected first", gather.CallerPath{RoundTrip: 6 * time.Millisecond, Connected: true},
+		100*time.Millisecond, 12*time.Millisecond),
+	Entry("a caller in another region", gather.CallerPath{RoundTrip: 24 * time.Millisecond, Connected: true},
+		150*time.Millisecond, 48*time.Millisecond),
+	Entry("a caller whose way is not known", gather.CallerPath{}, 100*time.Millisecond, 4*time.Millisecond),
+)
+
 var _ = It("HedgeDelay stays between its bounds and follows the latency in between", func() {
 	const target = 100 * time.Millisecond
 	Expect(gather.HedgeDelay(0, target)).To(Equal(40 * time.Millisecond))
--- a/internal/query/scatter/route.go
+++ b/internal/query/scatter/route.go
@@ -70,7 +70,7 @@
 		call: newCall(s, model.RequestID(req.Message.ID), Request{
 			Rank: req.Route.Rank, Topology: req.Topology, Deadline: req.Deadline,
 		}, req.Shards),
-		route: req.Route, message: req.Message, arrived: req.Arrived, due: gather.Due(req.Arrived, req.Route.Target),
+		route: req.Route, message: req.Message, arrived: req.Arrived, due: gather.Due(req.Arrived, req.Route.Target, req.Path),
 	}
 	c.variant = c
 	c.runUntilEnd(ctx)
