Take the near replica however many distant ones there are

Cause: of the usable replicas two were drawn and the better one was taken. With two replicas that takes the better one; with three the near one is not drawn in a third of the cases. 41 of 90 first attempts crossed regions although each region has a server of each shard (other_region), and their replies were still open when hedges were due. Change: two are drawn among those that cost at most 1.5 times the best one.

--- a/internal/decision/routing/choose.go
+++ b/internal/decision/routing/choose.go
@@ -135,19 +135,54 @@
 	}
 }
 
+// comparableCost is the ratio of two expected times up to which the candidates count as equally good. Estimates differ by
+// less from one sample to the next; a server in another region costs several times as much as an idle one nearby.
+const comparableCost = 1.5
+
 // Choose returns the index of the candidate that should get the next attempt, or false if none is usable. A candidate
 // due a probe is taken first, so that an ejected server is tried once and its attempt can be hedged or retried elsewhere.
+// Of the candidates that are about as good as the best one, two are drawn and the better one is taken, so that daemons with
+// the same knowledge do not all turn to one server.
 func Choose(cs []Candidate, rnd *rand.Rand) (int, bool) {
 	assumeLatency(cs)
-	first, second, usable := -1, -1, 0
+	lowest, ok := lowestCost(cs)
 	for i := range cs {
 		if cs[i].Probe {
 			return i, true
 		}
+	}
+	if !ok {
+		return 0, false
+	}
+	first, second := drawTwo(cs, time.Duration(float64(lowest)*comparableCost), rnd)
+	if second < 0 {
+		return first, true
+	}
+	return cheaper(cs, first, second, rnd), true
+}
+
+// lowestCost returns the cost of the best usable candidate, or false if none is usable.
+func lowestCost(cs []Candidate) (lowest time.Duration, ok bool) {
+	for i := range cs {
 		if !cs[i].Usable {
 			continue
 		}
-		usable++
+		if cost := cs[i].Cost(); !ok || cost < lowest {
+			lowest, ok = cost, true
+		}
+	}
+	return lowest, ok
+}
+
+// drawTwo draws two of the usable candidates that cost at most the given time; second is -1 if there is only one.
+func drawTwo(cs []Candidate, most time.Duration, rnd *rand.Rand) (first, second int) {
+	first, second = -1, -1
+	drawn := 0
+	for i := range cs {
+		if !cs[i].Usable || cs[i].Cost() > most {
+			continue
+		}
+		drawn++
 		// Reservoir sampling of two keeps the draw uniform without a second slice.
 		switch {
 		case first < 0:
@@ -155,20 +190,14 @@
 		case second < 0:
 			second = i
 		default:
-			if j := rnd.IntN(usable); j == 0 {
+			if j := rnd.IntN(drawn); j == 0 {
 				first = i
 			} else if j == 1 {
 				second = i
 			}
 		}
 	}
-	switch {
-	case first < 0:
-		return 0, false
-	case second < 0:
-		return first, true
-	}
-	return cheaper(cs, first, second, rnd), true
+	return first, second
 }
 
 // assumeLatency gives replicas without observations the longest latency that was observed for another one. A new server
--- a/internal/decision/routing/routing_test.go
+++ b/internal/decision/routing/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -51,6 +52,33 @@
 		Entry("the near one before anything was observed", []routing.Candidate{far, near}, 1),
 	)
 
+	DescribeTable("takes the near replica, however many distant ones there are",
+		// Guards against attempts that cross regions since the near replica was not among two drawn at random.
+		func(distant int) {
+			here, there := usable(5*time.Millisecond), usable(29*time.Millisecond)
+			cs := slices.Repeat([]routing.Candidate{there}, distant)
+			cs = append(cs, here)
+			for range 50 {
+				i, _ := routing.Choose(cs, rnd)
+				Expect(i).To(Equal(distant))
+			}
+		},
+		Entry("one", 1), Entry("two", 2), Entry("five", 5),
+	)
+
+	It("spreads attempts over replicas that are about as good as the best", func() {
+		// Guards against daemons that all turn to the server that happens to look best.
+		cs := []routing.Candidate{usable(100), usable(120), usable(130), usable(400)}
+		counts := make([]int, len(cs))
+		for range 3000 {
+			i, _ := routing.Choose(cs, rnd)
+			counts[i]++
+		}
+		Expect(counts[0]).To(BeNumerically("~", 2000, 200))
+		Expect(counts[1]).To(BeNumerically("~", 1000, 200))
+		Expect(counts[3]).To(BeZero())
+	})
+
 	It("reports that no replica is usable", func() {
 		_, ok := routing.Choose([]routing.Candidate{ejected, ejected}, rnd)
 		Expect(ok).To(BeFalse())
