Believe that a server is late for about as long as it was seen to be late

Cause: one late reply raised a server's expected latency for 5 s, which fits a daemon that asks each server some times a second and learns soon that it is fast again. 83 daemons ask each server every 2 s: a pause of 200 ms kept a daemon away from the near server for 10 s, and pauses come each 4.5 s. Servers that were never asked were expected to take what the most distant one takes. Change: routing.Latency keeps timely and late samples apart; lateness fades with a half-life that is as long as the run of late samples was, 0.1 to 5 s. What is assumed of a server without samples is free of the distance of the observed ones.

--- a/internal/decision/routing/choose.go
+++ b/internal/decision/routing/choose.go
@@ -76,17 +76,21 @@
 
 const minAdmission = 0.05
 
-func unobservedLatency(p Place) time.Duration {
-	const service = 5 * time.Millisecond
+// unobservedService is the time at a server, without the way there, that is assumed before anything was observed.
+const unobservedService = 5 * time.Millisecond
+
+func unobservedLatency(p Place) time.Duration { return unobservedService + p.hop() }
+
+// hop is the round trip that a place adds.
+func (p Place) hop() time.Duration {
 	switch p {
-	case SameZone:
-		return service
 	case SameRegion:
-		return service + ZoneHop
+		return ZoneHop
 	case OtherRegion:
-		return service + RegionHop
+		return RegionHop
+	case SameZone:
 	}
-	return service
+	return 0
 }
 
 // ChooseRandom returns the index of a candidate drawn at random, whatever is known about it, or false if none is usable.
@@ -104,27 +108,16 @@
 	return chosen, chosen >= 0
 }
 
-// staleHalfLife is the time after which an observed latency that was not renewed counts half, so that a server that
-// was slow is tried again.
-const staleHalfLife = 5 * time.Second
-
-// FadeLatency returns an observed latency as it counts after age without a new sample, but at least floor.
-func FadeLatency(observed, floor, age time.Duration) time.Duration {
-	if observed <= floor {
-		return observed
-	}
-	return max(floor, time.Duration(float64(observed)*staleness(age)))
-}
-
 // FadeFailures returns an observed failure rate as it counts after age without a new sample.
 func FadeFailures(rate float64, age time.Duration) float64 {
 	if rate == 0 {
 		return 0
 	}
-	return rate * staleness(age)
+	return rate * fade(age, staleHalfLife)
 }
 
-func staleness(age time.Duration) float64 { return math.Exp2(-float64(age) / float64(staleHalfLife)) }
+// fade returns the part of an observation that counts after age without a new one.
+func fade(age, halfLife time.Duration) float64 { return math.Exp2(-float64(age) / float64(halfLife)) }
 
 // Exclude makes the servers that were tried neither usable nor due a probe.
 func Exclude(cs []Candidate, tried []model.ServerName) {
@@ -200,16 +193,17 @@
 	return first, second
 }
 
-// assumeLatency gives replicas without observations the longest latency that was observed for another one. A new server
-// may be cold, and a low guess would send it the work of all daemons at once.
+// assumeLatency gives replicas without observations the longest latency that was observed for another one, without the way
+// there and with the way to themselves. A new server may be cold, and a low guess would send it the work of all daemons at
+// once.
 func assumeLatency(cs []Candidate) {
 	longest := time.Duration(0)
 	for i := range cs {
-		longest = max(longest, cs[i].Latency)
+		longest = max(longest, cs[i].Latency-cs[i].Place.hop())
 	}
 	for i := range cs {
-		if cs[i].Latency == 0 {
-			cs[i].Latency = longest
+		if longest > 0 && cs[i].Latency == 0 {
+			cs[i].Latency = longest + cs[i].Place.hop()
 		}
 	}
 }
--- a/internal/decision/routing/routing_test.go
+++ b/internal/decision/routing/routing_test.go
@@ -66,6 +66,16 @@
 		Entry("one", 1), Entry("two", 2), Entry("five", 5),
 	)
 
+	It("expects of a replica that was not asked yet what others took, without their distance", func() {
+		// Guards against a near replica that is never tried since only distant ones were observed.
+		far := routing.Candidate{Usable: true, Place: routing.OtherRegion, Latency: 40 * time.Millisecond, Limit: 4, Slots: 2}
+		near := routing.Candidate{Usable: true, Place: routing.SameRegion, Limit: 4, Slots: 2}
+		for range 20 {
+			i, _ := routing.Choose([]routing.Candidate{far, near, far}, rnd)
+			Expect(i).To(Equal(1))
+		}
+	})
+
 	It("spreads attempts over replicas that are about as good as the best", func() {
 		// Guards against daemons that all turn to the server that happens to look best.
 		cs := []routing.Candidate{usable(100), usable(120), usable(130), usable(400)}
@@ -163,11 +173,60 @@
 	})
 })
 
-var _ = Describe("FadeLatency", func() {
-	It("lets a slow observation fade to the uncongested latency", func() {
-		// Guards against a server that was slow once and is never tried again.
-		Expect(routing.FadeLatency(100*time.Millisecond, 5*time.Millisecond, 0)).To(Equal(100 * time.Millisecond))
-		Expect(routing.FadeLatency(100*time.Millisecond, 5*time.Millisecond, 5*time.Second)).To(Equal(50 * time.Millisecond))
-		Expect(routing.FadeLatency(100*time.Millisecond, 5*time.Millisecond, time.Hour)).To(Equal(5 * time.Millisecond))
+var _ = Describe("Latency", func() {
+	const (
+		usual = 5 * time.Millisecond
+		slow  = 100 * time.Millisecond
+	)
+	var l routing.Latency
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	observe := func(sample time.Duration, at time.Duration) { l.Observe(sample, usual, start.Add(at)) }
+	value := func(at time.Duration) time.Duration { return l.Value(usual, start.Add(at)) }
+	BeforeEach(func() {
+		l = routing.Latency{}
+		observe(usual, 0)
+	})
+
+	It("rises at once with a late reply", func() {
+		observe(slow, time.Second)
+		Expect(value(time.Second)).To(Equal(slow))
+	})
+
+	It("forgets a pause soon, however rarely the server is asked", func() {
+		// Guards against requests that cross regions for seconds since the near server paused once.
+		observe(slow, time.Second)
+		Expect(value(2 * time.Second)).To(Equal(usual))
+	})
+
+	It("remembers a server that has been late for seconds, and tries it again in the end", func() {
+		// Guards against a straggler that is asked again and again, and one that is never tried again.
+		observe(slow, time.Second)
+		observe(slow, 3*time.Second)
+		observe(slow, 5*time.Second)
+		Expect(value(7 * time.Second)).To(BeNumerically(">", slow/2))
+		Expect(value(time.Minute)).To(Equal(usual))
+	})
+
+	It("is not cleared by one timely reply of a straggler", func() {
+		observe(slow, time.Second)
+		observe(slow, 3*time.Second)
+		observe(usual, 3100*time.Millisecond)
+		Expect(value(3200 * time.Millisecond)).To(BeNumerically(">", slow/2))
+		observe(slow, 4*time.Second)
+		Expect(value(6 * time.Second)).To(BeNumerically(">", slow/2))
+	})
+
+	It("takes pauses that are far apart for pauses", func() {
+		for i := range 5 {
+			at := time.Duration(i) * 10 * time.Second
+			observe(usual, at)
+			observe(slow, at+time.Second)
+			Expect(value(at + 2*time.Second)).To(Equal(usual))
+		}
+	})
+
+	It("ignores a request that is not overdue", func() {
+		l.ObserveOverdue(usual/2, usual, start)
+		Expect(value(0)).To(Equal(usual))
 	})
 })
--- a/internal/tables/server.go
+++ b/internal/tables/server.go
@@ -32,8 +32,7 @@
 	forwarded int
 	owner     ownerCache
 	health    routing.Health
-	latency   time.Duration
-	observed  time.Time
+	latency   routing.Latency
 	// failures is the mean rate of failed attempts, and attempted the time of the last one that counted.
 	failures float64
 	// held lists the index versions that the server last said it holds.
@@ -116,7 +115,7 @@
 	c.Pending = s.inFlight + s.queued + s.forwarded
 	c.Limit = s.limit.Limit()
 	c.Slots = s.spec.Slots
-	c.Latency = routing.FadeLatency(s.latency, s.limit.Baseline(), now.Sub(s.observed))
+	c.Latency = s.latency.Value(s.limit.Baseline(), now)
 	c.FailureRate = routing.FadeFailures(s.failures, now.Sub(s.attempted))
 	c.Admission = routing.Admission(s.joined, now)
 	open := s.leaving.IsZero() && !s.spec.Leaving && s.budget > 0
--- a/internal/tables/serverobserve.go
+++ b/internal/tables/serverobserve.go
@@ -8,10 +8,6 @@
 )
 
 const (
-	// slowerWeight and fasterWeight are the weights of a sample above and below a server's mean latency: a straggler is
-	// noticed within two replies, and one fast reply does not clear it.
-	slowerWeight = 0.5
-	fasterWeight = 0.1
 	// failureWeight is the weight of one attempt in a server's failure rate.
 	failureWeight = 0.05
 	// unansweredAfter and unansweredFactor, times the uncongested latency, are the least time after which a cancelled attempt
@@ -66,7 +62,7 @@
 		s.observeReply(o)
 		slowdown = s.limit.Slowdown(o.Total)
 		s.quantile.Observe(o.Latency, o.Quantile)
-		s.observeLatency(o.Latency, now)
+		s.latency.Observe(o.Latency, s.limit.Baseline(), now)
 		if o.Load.Draining {
 			s.markLeaving(now)
 		}
@@ -93,9 +89,7 @@
 // observeCancelled takes an attempt that was cancelled before its reply came: it took at least as long as it did, and one
 // that took much longer than a pause is evidence of a server that does not answer at all.
 func (s *Server) observeCancelled(o Observation, now time.Time) {
-	if o.Latency > s.latency {
-		s.observeLatency(o.Latency, now)
-	}
+	s.latency.ObserveOverdue(o.Latency, s.limit.Baseline(), now)
 	if o.Latency < max(unansweredAfter, unansweredFactor*s.limit.Baseline()) {
 		s.health.EndProbe()
 		return
@@ -117,24 +111,9 @@
 	s.limit.OnReply(o.Latency, s.inFlight)
 }
 
-func (s *Server) observeLatency(d time.Duration, now time.Time) {
-	s.observed = now
-	if s.latency == 0 {
-		s.latency = d
-		return
-	}
-	weight := fasterWeight
-	if d > s.latency {
-		weight = slowerWeight
-	}
-	s.latency += time.Duration(float64(d-s.latency) * weight)
-}
-
 // ObserveOverdue records that an attempt has been pending for longer than was expected, before it ends.
 func (s *Server) ObserveOverdue(elapsed time.Duration, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if elapsed > s.latency {
-		s.observeLatency(elapsed, now)
-	}
+	s.latency.ObserveOverdue(elapsed, s.limit.Baseline(), now)
 }
