Cut off replies of backend servers that do not end, and never take a part of one for the whole

Callers could see: the first 8 MiB of a body without end, passed on as a complete answer, and no answer at all from a daemon that was killed for its memory, since each such reply could hold 8 MiB and each head 10 MiB. Cause: the bound of a reply was an io.LimitReader, which ends like the body itself.

--- a/internal/backend/backendhttp/client.go
+++ b/internal/backend/backendhttp/client.go
@@ -14,11 +14,7 @@
 	"oleandersill.example/oleandersill/internal/model"
 )
 
-const (
-	// maxReplyBytes bounds a server's reply.
-	maxReplyBytes = 8 << 20
-	idleTimeout   = 90 * time.Second
-)
+const idleTimeout = 90 * time.Second
 
 // Connector makes clients. Servers with the same connection budget share a transport, which bounds the connections to
 // each of them. The zero value is ready to use.
@@ -28,11 +24,15 @@
 
 	// transports are by the number of connections.
 	transports httpconn.Transports[int]
+	replies    httpconn.Replies
 }
 
 // Connect implements backend.Connector.
 func (c *Connector) Connect(server *model.Server, connections int) backend.Server {
-	return &client{name: server.Name, transport: c.transports.Get(max(1, connections), c.openTransport), base: "http://" + server.Address}
+	return &client{
+		name: server.Name, transport: c.transports.Get(max(1, connections), c.openTransport), base: "http://" + server.Address,
+		replies: &c.replies,
+	}
 }
 
 // Close closes the idle connections of all clients.
@@ -45,6 +45,8 @@
 		MaxIdleConnsPerHost: connections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: httpconn.MaxHeadBytes,
 	}
 }
 
@@ -64,6 +66,7 @@
 	name      model.ServerName
 	transport http.RoundTripper
 	base      string
+	replies   *httpconn.Replies
 }
 
 // Query implements backend.Server.
@@ -148,7 +151,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Newf("backendhttp: %s %s: status %d", c.name, path, resp.StatusCode)
 	}
-	return errors.Wrap(readJSON(resp.Body, into), "backendhttp: decoding")
+	return errors.Wrap(c.readJSON(resp, into), "backendhttp: decoding")
 }
 
 func closeBody(b io.Closer) {
--- a/internal/backend/backendhttp/exchange.go
+++ b/internal/backend/backendhttp/exchange.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -57,9 +56,9 @@
 		return backend.StatusMismatched, RefusalBody{}
 	}
 	if resp.StatusCode != http.StatusOK {
-		return x.refusal(ctx, resp)
+		return c.refusal(ctx, x, resp)
 	}
-	if err := readJSON(resp.Body, into); err != nil {
+	if err := c.readJSON(resp, into); err != nil {
 		return x.conn.Failure(ctx), RefusalBody{}
 	}
 	if !x.matches() {
@@ -70,12 +69,12 @@
 }
 
 // refusal decodes a reply that is not 200. Only an explicit "ran": false proves that the server did not run the request.
-func (x *exchange) refusal(ctx context.Context, resp *http.Response) (backend.Status, RefusalBody) {
+func (c *client) refusal(ctx context.Context, x *exchange, resp *http.Response) (backend.Status, RefusalBody) {
 	var body struct {
 		RefusalBody
 		Ran *bool `json:"ran"`
 	}
-	if err := readJSON(resp.Body, &body); err != nil {
+	if err := c.readJSON(resp, &body); err != nil {
 		return x.conn.Failure(ctx), RefusalBody{}
 	}
 	body.RefusalBody.Ran = body.Ran == nil || *body.Ran
@@ -108,9 +107,11 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// readJSON reads a body to its end, so that net/http can reuse the connection, and decodes it.
-// readJSON decodes a body. The decoded value shares no memory with the buffer, which is used again.
-func readJSON(body io.Reader, into any) error {
+// readJSON reads a body to its end, so that net/http can reuse the connection, and decodes it. The decoded value shares no
+// memory with the buffer, which is used again.
+func (c *client) readJSON(resp *http.Response, into any) error {
+	bounded := c.replies.Bound(resp)
+	defer bounded.Release()
 	buf, _ := replyBuffers.Get().(*bytes.Buffer)
 	defer func() {
 		if buf.Cap() <= maxKeptBuffer {
@@ -118,7 +119,7 @@
 		}
 	}()
 	buf.Reset()
-	if _, err := buf.ReadFrom(io.LimitReader(body, maxReplyBytes)); err != nil {
+	if _, err := buf.ReadFrom(bounded); err != nil {
 		return err
 	}
 	return json.Unmarshal(buf.Bytes(), into)
--- a/internal/backend/backendhttp/fuzz_test.go
+++ b/internal/backend/backendhttp/fuzz_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/backend/httpconn"
 )
 
 // cannedReply gives the same bytes as the reply to every request, on a connection of its own.
@@ -77,6 +78,7 @@
 		c := &client{
 			transport: reply,
 			base:      "http://127.0.0.1:1",
+			replies:   &httpconn.Replies{},
 		}
 		id := backend.AttemptID{Request: "r", Incarnation: 1, Attempt: 2}
 		q := c.Query(context.Background(), backend.QueryRequest{ID: id, Shard: "s"})
