Tell a late server from one whose replies wait for those of others

Callers saw: more shards from other regions than needed, with their bytes and their distance. Cause: the latency of a near server held the time, up to 6 ms, that its reply waited at the daemon there for replies to merge with, and a sample was late at twice the least latency ever seen, which such replies often are; distant servers, asked by hedges, looked as near. Change: a result says how long it was delayed; routing does without that time, and hedges still allow for it. A sample is late at twice the usual latency.

--- a/internal/command/report/recorder.go
+++ b/internal/command/report/recorder.go
@@ -48,6 +48,7 @@
 		Status:    a.Status,
 		Latency:   a.Latency,
 		Total:     a.Total,
+		Delayed:   a.Delayed,
 		Forwarded: a.Forwarded,
 		Load:      a.Load,
 		Held:      a.Held,
--- a/internal/decision/routing/choose.go
+++ b/internal/decision/routing/choose.go
@@ -129,8 +129,8 @@
 }
 
 // comparableCost is the ratio of two expected times up to which the candidates count as equally good. Estimates differ by
-// less from one sample to the next; a server in another region costs several times as much as an idle one nearby.
-const comparableCost = 1.5
+// about that from one sample to the next, and servers of different regions by more.
+const comparableCost = 1.25
 
 // Choose returns the index of the candidate that should get the next attempt, or false if none is usable. A candidate
 // due a probe is taken first, so that an ejected server is tried once and its attempt can be hedged or retried elsewhere.
--- a/internal/decision/routing/latency.go
+++ b/internal/decision/routing/latency.go
@@ -7,8 +7,10 @@
 	// replies, and one fast reply does not clear it.
 	slowerWeight = 0.5
 	fasterWeight = 0.1
-	// lateFactor is the ratio to the uncongested latency above which a sample is late.
+	// lateFactor is the ratio to the usual latency above which a sample is late.
 	lateFactor = 2
+	// usualSpread is the ratio of the usual to the uncongested latency above which the usual one was learnt in a pause.
+	usualSpread = 4
 	// staleHalfLife is the longest time after which an observed lateness that was not renewed counts half, so that a server
 	// that was slow is tried again; shortestHalfLife is the least one.
 	staleHalfLife    = 5 * time.Second
@@ -36,16 +38,20 @@
 
 // Observe takes a sample; uncongested is the server's least latency so far, 0 if none is known.
 func (l *Latency) Observe(sample, uncongested time.Duration, now time.Time) {
-	if uncongested > 0 && sample > lateFactor*uncongested {
+	if l.timely > usualSpread*uncongested {
+		l.timely = 0
+	}
+	usual := max(l.timely, uncongested)
+	switch {
+	case usual > 0 && sample > lateFactor*usual:
 		l.late.observe(sample, now)
 		return
-	}
-	l.late.interrupted = true
-	if l.timely == 0 || l.timely > lateFactor*uncongested {
+	case l.timely == 0:
 		l.timely = sample
-		return
+	default:
+		l.timely = approach(l.timely, sample)
 	}
-	l.timely = approach(l.timely, sample)
+	l.late.interrupted = true
 }
 
 // ObserveOverdue takes the age of a request that has no reply yet, which tells something only if it exceeds the estimate.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -27,6 +27,8 @@
 	// Latency is the time from sending to the reply, and Total the time that the attempt waited before as well.
 	Latency time.Duration
 	Total   time.Duration
+	// Delayed is how long the reply then waited at the server's owner for others.
+	Delayed time.Duration
 	Load    backend.Load
 	// Held lists the index versions that the server said it holds; nil if it said nothing.
 	Held []model.IndexVersion
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -116,7 +116,8 @@
 	}
 	q.Slowdown = f.d.observer.ObserveAttempt(q.Server, Attempt{
 		Status:    r.Result.Status,
-		Latency:   latency,
+		Latency:   max(0, latency-r.Delayed),
+		Delayed:   r.Delayed,
 		Total:     total,
 		Load:      r.Result.Reply.Load,
 		Held:      heldVersions(r.Result),
@@ -166,6 +167,7 @@
 		return
 	}
 	s.Batch.From = f.self
+	s.Batch.StampDelays(time.Now())
 	s.Batch.Compact()
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 	defer cancel()
@@ -267,11 +269,12 @@
 func (f *Forwarding) returnResult(to model.Member, q *QueryAttempt, r backend.QueryResult) {
 	now := time.Now()
 	mayWait := r.Status == backend.StatusOK && q.Request.Deadline.Sub(now) > collectMargin
-	result := forwarding.Result{ID: q.Request.ID, Result: r, Waited: q.waited}
+	result := forwarding.Result{ID: q.Request.ID, Result: r, Waited: q.waited, Returned: now}
 	wait := collectTime
 	if q.Request.Message != nil {
 		result.Limit = q.Request.Limit
 		wait = mergeTime
+		mayWait = mayWait && result.Limit > 0
 	}
 	if f.forwards.Return(to, result, mayWait) {
 		f.d.Timer.Schedule(now.Add(wait), func() { f.forwards.Flush(to.Instance) })
--- a/internal/forwarding/compact.go
+++ b/internal/forwarding/compact.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"oleandersill.example/oleandersill/internal/backend"
 	"oleandersill.example/oleandersill/internal/decision/gather"
@@ -15,6 +16,16 @@
 	b.mergeReplies()
 }
 
+// StampDelays records in the results how long they have waited to be sent.
+func (b *Batch) StampDelays(now time.Time) {
+	for i := range b.Results {
+		r := &b.Results[i]
+		if !r.Returned.IsZero() {
+			r.Delayed, r.Returned = now.Sub(r.Returned), time.Time{}
+		}
+	}
+}
+
 // Expand undoes what Compact left out. Each result whose reply was merged gets the merged reply, which names its shards.
 func (b *Batch) Expand() {
 	for i := range b.Queries {
--- a/internal/forwarding/compact_test.go
+++ b/internal/forwarding/compact_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -87,6 +88,18 @@
 		Expect(b.Results[0].Result.Status).To(Equal(backend.StatusOwnerLost))
 	})
 
+	It("says how long results waited to be sent, once", func() {
+		// Guards against servers that seem slow since their replies wait for those of others.
+		b := forwarding.Batch{Results: []forwarding.Result{reply("q1", 1, "s0", 'a'), {}}}
+		now := time.Now()
+		b.Results[0].Returned = now
+		b.StampDelays(now.Add(6 * time.Millisecond))
+		b.StampDelays(now.Add(time.Second))
+		Expect(b.Results[0].Delayed).To(Equal(6 * time.Millisecond))
+		Expect(b.Results[0].Returned).To(BeZero())
+		Expect(b.Results[1].Delayed).To(BeZero())
+	})
+
 	It("leaves failures and the product's own replies alone", func() {
 		failed := forwarding.Result{ID: attemptID("q1", 1), Limit: 2, Result: backend.QueryResult{Status: backend.StatusShed}}
 		own := forwarding.Result{ID: attemptID("q1", 2), Result: backend.QueryResult{Reply: backend.QueryReply{Version: 3}}}
--- a/internal/forwarding/messages.go
+++ b/internal/forwarding/messages.go
@@ -38,6 +38,10 @@
 	Result backend.QueryResult
 	// Waited is the time that the attempt waited at the owner before it was sent.
 	Waited time.Duration
+	// Returned is when the result was there, and Delayed how long it then waited for others before it was sent. Returned is not
+	// sent.
+	Returned time.Time
+	Delayed  time.Duration
 	// Limit is the number of records that the reply to a message may hold, 0 if replies are not to be merged. It is not sent.
 	Limit int
 	// Merged tells that the reply is part of the one of an earlier result of the query in the batch, between Compact and
--- a/internal/tables/serverobserve.go
+++ b/internal/tables/serverobserve.go
@@ -22,6 +22,8 @@
 	// Latency is the time from sending to the reply, and Total the time that the attempt waited before as well.
 	Latency time.Duration
 	Total   time.Duration
+	// Delayed is how long the reply then waited at the server's owner for others, for which a hedge waits as well.
+	Delayed time.Duration
 	// Forwarded tells that the server's owner sent the attempt, so that its end says nothing about this daemon's limit.
 	Forwarded bool
 	Load      backend.Load
@@ -61,7 +63,7 @@
 		s.observeFailure(0, now)
 		s.observeReply(o)
 		slowdown = s.limit.Slowdown(o.Total)
-		s.quantile.Observe(o.Latency, o.Quantile)
+		s.quantile.Observe(o.Latency+o.Delayed, o.Quantile)
 		s.latency.Observe(o.Latency, s.limit.Baseline(), now)
 		if o.Load.Draining {
 			s.markLeaving(now)
--- a/internal/tables/state_test.go
+++ b/internal/tables/state_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/decision/routing"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/tables"
 )
@@ -35,6 +36,18 @@
 		Expect(steps).To(Equal([]tables.EjectionChange{tables.EjectionBegan, tables.EjectionEnded}))
 	})
 
+	It("counts the time that replies wait for others for hedges, and not for the server", func() {
+		// Guards against near servers that seem as slow as distant ones, and against hedges of replies that are on their way.
+		s := tables.NewServer(&model.Server{ServerSpec: &model.ServerSpec{}}, nil, 4, time.Time{})
+		s.Observe(tables.Observation{
+			Status: backend.StatusOK, Latency: 20 * time.Millisecond, Delayed: 6 * time.Millisecond, Quantile: 0.95,
+		}, time.Now())
+		var c routing.Candidate
+		s.Candidate(&c, time.Now())
+		Expect(c.Latency).To(Equal(20 * time.Millisecond))
+		Expect(s.HedgeDelay()).To(Equal(26 * time.Millisecond))
+	})
+
 	It("ejects a server that answers nothing although each attempt is cancelled", func() {
 		// Guards against a silent server that is asked for ever, since hedges answer in its place.
 		s := tables.NewServer(&model.Server{ServerSpec: &model.ServerSpec{}}, nil, 4, time.Time{})
