Send second attempts to another zone through a daemon there, and keep their replies apart

Callers saw: answers of the urgent route with shards missing that had been asked a second time. Cause: a second attempt to another region went over a connection of its own. 83 daemons ask 270 servers so rarely that there mostly is none: a round trip and 6 ms at the server for the connection, another round trip for the request, 58 ms of a target of 100 ms after the hedge. Change: if the second server is in another zone than the first one, a daemon there sends the attempt over its kept connections.

--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -134,11 +134,10 @@
 	sh.attempts++
 	sh.tried = append(sh.tried, server.Name())
 	q := &dispatch.QueryAttempt{
-		Server: server,
-		Rank:   c.req.Rank,
-		Probe:  probe,
-		// Later attempts go directly, so that what holds the first ones up does not hold them up too.
-		Gather:  c.variant.gathers() && sh.attempts == 1,
+		Server:  server,
+		Rank:    c.req.Rank,
+		Probe:   probe,
+		Gather:  c.variant.gathers() && (sh.attempts == 1 || elsewhere(sh.pending, server)),
 		Request: c.subRequest(sh),
 		Done:    func(q *dispatch.QueryAttempt, r backend.QueryResult) { c.onEnd(i, q, r) },
 	}
@@ -151,6 +150,15 @@
 	c.chosen = append(c.chosen, q)
 }
 
+// elsewhere tells whether a server is in another zone than those of the attempts under way, so that the daemons there, which
+// keep connections to it, are not what holds these attempts up.
+func elsewhere(pending []*dispatch.QueryAttempt, server *tables.Server) bool {
+	zone := server.Spec().Zone
+	return len(pending) > 0 && !slices.ContainsFunc(pending, func(q *dispatch.QueryAttempt) bool {
+		return q.Server.Spec().Zone == zone
+	})
+}
+
 func (c *call) subRequest(sh *shardState) backend.QueryRequest {
 	r := c.variant.request(sh)
 	r.ID = backend.AttemptID{Request: c.id, Incarnation: c.searcher.Incarnation, Attempt: c.attempts}
--- a/internal/query/scatter/merged_test.go
+++ b/internal/query/scatter/merged_test.go
@@ -7,6 +7,19 @@
 	"oleandersill.example/oleandersill/internal/model"
 )
 
+// TestLaterAttemptsAreNotMerged guards against the loss of all replies of a merged one, since the reply to a second attempt at
+// one of their shards came first and was merged with others.
+func TestLaterAttemptsAreNotMerged(t *testing.T) {
+	c := &routeCall{call: &call{}, route: &model.Route{Index: &model.RouteIndex{Results: 5}}}
+	shard := &model.Shard{Name: "a"}
+	if limit := c.request(&shardState{shard: shard, attempts: 1}).Limit; limit != 5 {
+		t.Errorf("the reply to a first attempt may hold %d records", limit)
+	}
+	if limit := c.request(&shardState{shard: shard, attempts: 2}).Limit; limit != 0 {
+		t.Error("the reply to a second attempt is merged with others")
+	}
+}
+
 // TestMergedRepliesDoNotOverlap guards against an answer that holds the records of one shard twice: merged replies cannot be
 // taken apart, so that the second of two that share a shard is dropped whole.
 func TestMergedRepliesDoNotOverlap(t *testing.T) {
--- a/internal/query/scatter/region_test.go
+++ b/internal/query/scatter/region_test.go
@@ -86,6 +86,20 @@
 		}
 	})
 
+	It("asks a second server in another zone through the daemon there", func() {
+		// Guards against second attempts that spend their time on new connections across regions.
+		asker, helper := newRegions(map[model.ServerName]fakebackend.Script{"s0-b": slow, "s1-b": slow, "s2-b": slow, "s3-b": slow}, nil)
+		for range 8 {
+			a, took := asker.pass(context.Background())
+			Expect(a.Outcome).To(Equal(model.OutcomeComplete))
+			Expect(took).To(BeNumerically("<", routeTarget))
+		}
+		for _, server := range []model.ServerName{"s0-a", "s1-a", "s2-a", "s3-a"} {
+			Expect(asker.connector.Queries(server)).To(BeZero())
+			Expect(helper.connector.Queries(server)).To(BeNumerically(">", 0))
+		}
+	})
+
 	It("is answered directly when the other daemon cannot be reached", func() {
 		// Guards against a lost daemon that takes the shards of its region along.
 		asker, _ := newRegions(nil, nil)
--- a/internal/query/scatter/routeattempts.go
+++ b/internal/query/scatter/routeattempts.go
@@ -15,7 +15,8 @@
 
 func (c *routeCall) request(sh *shardState) backend.QueryRequest {
 	r := backend.QueryRequest{Service: c.service(sh), Message: c.message}
-	if c.route.Index != nil {
+	if c.route.Index != nil && sh.attempts == 1 {
+		// The reply to a later attempt is wanted by itself: one that is merged with others is lost if one of them came before.
 		r.Limit = c.route.Index.Results
 	}
 	return r
