Take a merged reply once, and look at ejection limits only when a server failed

Cause: a merged reply is the result of each of its shards, and was taken anew for each: shards of the reply times shards of the request, under the call's lock, in the daemon that answers. At 20 shards that is nothing; at 90 it was 6 % of all processor time of an answer, 1.2 ms at full speed and 6 ms on an instance of 0.19 of a core. Each good reply also looked through the shard's other servers, which matters for failures only. Change: the results after the first one are recognized; MayEject is worked out for failures.

--- a/internal/command/report/recorder.go
+++ b/internal/command/report/recorder.go
@@ -53,7 +53,8 @@
 		Load:      a.Load,
 		Held:      a.Held,
 		Quantile:  t.Rules.Hedge.Quantile,
-		MayEject:  r.mayEject(t, s),
+		// Whether a server may be ejected depends on the shard's others, which are looked at only when one fails.
+		MayEject: a.Status != backend.StatusOK && r.mayEject(t, s),
 	}
 	finding := s.Observe(o, time.Now())
 	if finding.LimitDelta != 0 {
--- a/internal/query/scatter/route.go
+++ b/internal/query/scatter/route.go
@@ -173,7 +173,8 @@
 		return false
 	}
 	if len(m.Shards) > 0 {
-		return c.acceptMerged(m)
+		// Each of the shards has a result with the same reply.
+		return sh.message == m || c.acceptMerged(m)
 	}
 	if sh.message == nil {
 		sh.message = m
@@ -186,15 +187,14 @@
 func (c *routeCall) acceptMerged(m *backend.MessageReply) bool {
 	covered := make([]*shardState, 0, len(m.Shards))
 	for _, name := range m.Shards {
-		i := slices.IndexFunc(c.shards, func(s shardState) bool { return s.shard.Name == name })
-		if i < 0 {
+		sh := c.shardNamed(name)
+		if sh == nil {
 			return false
 		}
-		held := c.shards[i].message
-		if held != nil && held != m && len(held.Shards) > 0 {
+		if held := sh.message; held != nil && held != m && len(held.Shards) > 0 {
 			return false
 		}
-		covered = append(covered, &c.shards[i])
+		covered = append(covered, sh)
 	}
 	for _, s := range covered {
 		s.message = m
@@ -202,6 +202,16 @@
 	return true
 }
 
+// shardNamed returns the state of a shard, or nil if the request does not ask it.
+func (c *routeCall) shardNamed(name model.ShardName) *shardState {
+	for i := range c.shards {
+		if c.shards[i].shard.Name == name {
+			return &c.shards[i]
+		}
+	}
+	return nil
+}
+
 func (c *routeCall) noteFailure(result backend.QueryResult) {
 	if m := result.Reply.Message; m != nil {
 		c.failure = m
