Send second attempts within the time until the answer is due

A second attempt went out at 0.15 to 0.4 of the latency target, whatever the caller's distance leaves of it: a caller 45 ms away with a target of 200 ms has its answer due at 100 ms, and hedges went out at 80 ms. Change: the bounds are parts of the time until the answer is due, 0.17 to 0.45 of it, which is the same time as before for near callers. Evidence: "is complete in time although its caller is far away and a server pauses" fails before.

--- a/internal/decision/gather/gather.go
+++ b/internal/decision/gather/gather.go
@@ -18,10 +18,10 @@
 	// is not served better by an answer that lacks more shards.
 	earliestDue = 0.5
 
-	// earliestHedge and latestHedge bound the time before a shard is asked a second time, as parts of the latency target.
-	// An earlier one costs servers work for little; a later one leaves the second server too little time.
-	earliestHedge = 0.15
-	latestHedge   = 0.4
+	// earliestHedge and latestHedge bound the time before a shard is asked a second time, as parts of the time until the
+	// answer is due. An earlier one costs servers work for little; a later one leaves the second server too little time.
+	earliestHedge = 0.17
+	latestHedge   = 0.45
 	// coverageTolerance absorbs the rounding of a required coverage that is a fraction of the shards.
 	coverageTolerance = 1e-9
 )
@@ -99,25 +99,25 @@
 	return arrived.Add(max(part(target, earliestDue), target-path.travel()-margin))
 }
 
-func part(target time.Duration, fraction float64) time.Duration {
-	return time.Duration(float64(target) * fraction)
+func part(d time.Duration, fraction float64) time.Duration {
+	return time.Duration(float64(d) * fraction)
 }
 
 // HedgeDelay returns the time after which a shard that has not answered is asked a second time. observed is a high quantile
-// of the shard's latency, 0 if none was observed.
-func HedgeDelay(observed, target time.Duration) time.Duration {
-	latest := part(target, latestHedge)
+// of the shard's latency, 0 if none was observed, and due the time from the request's arrival until its answer is due.
+func HedgeDelay(observed, due time.Duration) time.Duration {
+	latest := part(due, latestHedge)
 	if observed == 0 {
 		return latest
 	}
-	return min(latest, max(part(target, earliestHedge), observed))
+	return min(latest, max(part(due, earliestHedge), observed))
 }
 
 // Postpone returns a later time for second attempts that are due now, or zero if they are to be sent. While many shards are
 // open it is not single servers that are late but this daemon, its network or its processor, which second attempts load
 // further; they wait for the latest time at which they are of use.
-func Postpone(shards, open int, arrived time.Time, target time.Duration, now time.Time) time.Time {
-	latest := arrived.Add(part(target, latestHedge))
+func Postpone(shards, open int, arrived time.Time, due time.Duration, now time.Time) time.Time {
+	latest := arrived.Add(part(due, latestHedge))
 	if open <= max(fewOpen, shards/openDivisor) || !now.Before(latest) {
 		return time.Time{}
 	}
--- a/internal/query/scatter/routeattempts.go
+++ b/internal/query/scatter/routeattempts.go
@@ -69,10 +69,10 @@
 
 // hedgeTime is when the server is later than it usually is.
 func (c *routeCall) hedgeTime(server *tables.Server, now time.Time) time.Time {
-	return now.Add(gather.HedgeDelay(server.HedgeDelay(), c.route.Target))
+	return now.Add(gather.HedgeDelay(server.HedgeDelay(), c.due.Sub(c.arrived)))
 }
 
 func (c *routeCall) postponed(now time.Time) time.Time {
 	g := c.gathered()
-	return gather.Postpone(g.Shards, g.Open, c.arrived, c.route.Target, now)
+	return gather.Postpone(g.Shards, g.Open, c.arrived, c.due.Sub(c.arrived), now)
 }
