Answer 502 and not 504 to a request that was given up before its time was over

Cause: an answer counted as late if attempts were under way when it ended, whatever ended it. Change: it is late only if the deadline or the caller ended it. Evidence: "fails at once when the coverage cannot be reached any more" with a silent shard beside it fails before.

--- a/internal/query/scatter/route.go
+++ b/internal/query/scatter/route.go
@@ -250,7 +250,7 @@
 	default:
 		a.Outcome = model.OutcomeFailed
 		a.Failure = c.failure
-		a.Late = pending
+		a.Late = pending && c.ready.IsZero()
 	}
 	return a
 }
--- a/internal/query/scatter/route_test.go
+++ b/internal/query/scatter/route_test.go
@@ -189,8 +189,10 @@
 		for name, s := range both("s1", fakebackend.Script{Status: backend.StatusShed}) {
 			scripts[name] = s
 		}
-		_, took := newRouteBench(scripts).pass(context.Background())
+		scripts["s2-a"], scripts["s2-b"] = slow, slow
+		a, took := newRouteBench(scripts).pass(context.Background())
 		Expect(took).To(BeNumerically("<", routeTarget/2))
+		Expect(a.Late).To(BeFalse())
 	})
 
 	It("ends when the caller leaves", func() {
