Let a call that waits for news last as long as the caller asked

Callers saw nothing yet: no platform had a bound above 3 s in use. A follower's call waits up to two thirds of the time in which a change has to be in force, and each call between daemons ended after 2 s. Cause: callTimeout bounds calls that are answered at once, and was taken for all. Change: a call that waits is bounded by its wait and callTimeout. Evidence: "wait for news for as long as the caller asks" fails before at 2.0 s.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -25,6 +25,7 @@
 	DataConns = 1024
 
 	dialTimeout = time.Second
+	// callTimeout bounds a call that the peer answers at once.
 	callTimeout = 2 * time.Second
 )
 
@@ -107,11 +108,13 @@
 
 // call makes one call within callTimeout and ctx, on a new connection if the kept one turns out to be closed.
 func (c *Client) call(ctx context.Context, address, method string, args, reply any) error {
-	if deadline, ok := ctx.Deadline(); !ok || time.Until(deadline) > callTimeout {
-		bounded, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		ctx = bounded
-	}
+	return c.callWaiting(ctx, 0, address, method, args, reply)
+}
+
+// callWaiting is call for one that the peer answers after wait at the latest.
+func (c *Client) callWaiting(ctx context.Context, wait time.Duration, address, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
 	err := c.callOnce(ctx, address, method, args, reply)
 	if errors.Is(err, rpc.ErrShutdown) {
 		err = c.callOnce(ctx, address, method, args, reply)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"oleandersill.example/oleandersill/internal/configdoc"
+	"oleandersill.example/oleandersill/internal/decision/spread"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/peer"
 	"oleandersill.example/oleandersill/internal/tables"
@@ -43,6 +44,12 @@
 	return nil
 }
 
+// Registry answers when the caller no longer waits for news, and has none.
+func (q *queries) Registry(req peer.RegistryRequest, _ *peer.RegistryReply) error {
+	time.Sleep(req.Wait)
+	return nil
+}
+
 var _ = Describe("calls between daemons", func() {
 	var traffic peer.Traffic
 	var service *queries
@@ -103,6 +110,15 @@
 		Expect(err).To(MatchError(context.DeadlineExceeded))
 	})
 
+	It("wait for news for as long as the caller asks", func() {
+		// Guards against followers that take a source for lost where changes may take longer to be in force than a call.
+		address, end := serve("127.0.0.1:0")
+		defer end()
+		const wait = 2500 * time.Millisecond
+		_, err := client("right").Registry(context.Background(), address, spread.Position{}, wait)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("go on after the peer restarts at its address", func() {
 		address, end := serve("127.0.0.1:0")
 		c := client("right")
--- a/internal/peer/registry.go
+++ b/internal/peer/registry.go
@@ -50,7 +50,7 @@
 ) (registry.News, error) {
 	var r RegistryReply
 	req := RegistryRequest{After: at.Revision, Age: time.Since(at.Heard), Wait: wait}
-	if err := c.call(ctx, address, MethodRegistry, req, &r); err != nil {
+	if err := c.callWaiting(ctx, wait, address, MethodRegistry, req, &r); err != nil {
 		return registry.News{}, err
 	}
 	return r.News(time.Now()), nil
