Let the times of following the store follow from the platform's bounds

Callers of a platform with shorter bounds would see old versions and servers that are gone; callers of one with longer bounds lose servers whose entries lapse sooner than they have to. Cause: the age at which a daemon reads the store itself (2 s), the waits of watches, the time for an answer and for how long a server is used whose entry vanished were constants that fit bounds of 3 s; the settings state config_apply_ms and drain_ms. Change: spread.Freshness and directory.Directory work with parts of the stated bounds; at 3 s they are as before.

--- a/internal/command/follow/follower.go
+++ b/internal/command/follow/follower.go
@@ -14,20 +14,6 @@
 )
 
 const (
-	// watchWait is how long a watch waits for a change. A silent connection is found after it and replyBound, within the
-	// time that a change may take to be in force.
-	watchWait = 2500 * time.Millisecond
-	// servingWait is the wait of a daemon that others follow: with a change's pause it is below spread.MaxNewsAge.
-	servingWait = 1400 * time.Millisecond
-	// replyBound is the time that the store may take to answer a call, beyond the wait of a watch.
-	replyBound = 900 * time.Millisecond
-	// shortestChangePause and longestChangePause bound the time between a change and the next watch. Changes that come
-	// together then cost one call; the longest leaves time for a change to be in force.
-	shortestChangePause = 250 * time.Millisecond
-	longestChangePause  = 700 * time.Millisecond
-	// changePausePerDaemon lets the pause grow with the fleet, all of which may read the store while a daemon fails that
-	// others follow.
-	changePausePerDaemon = 30 * time.Millisecond
 	// recoveryWait is the wait of the watch that follows calls that failed, which shows soon whether the store serves again.
 	recoveryWait = 100 * time.Millisecond
 	// firstPause and longestPause bound the time between calls that fail.
@@ -56,6 +42,8 @@
 	Rules    model.Rules
 	Registry *tables.Registry
 	Config   *tables.Config
+	// Freshness says how old what is known of the store may become.
+	Freshness spread.Freshness
 	// Adopt is called with every Topology before it is put in force.
 	Adopt func(*model.Topology, time.Time)
 	// DaemonsChanged is called with the daemons that run, by instance. announced tells that this one is among them: another one
--- a/internal/command/follow/peers.go
+++ b/internal/command/follow/peers.go
@@ -9,24 +9,21 @@
 	"oleandersill.example/oleandersill/internal/registry"
 )
 
-const (
-	// peerBound is the time that a peer may take to answer at once.
-	peerBound = 300 * time.Millisecond
-	// answerMargin is the part of spread.MaxNewsAge that is left for the way back of an answer.
-	answerMargin = 100 * time.Millisecond
-)
+// peerBound is the time that a peer may take to answer at once.
+const peerBound = 300 * time.Millisecond
 
 // followPeer waits for news from a daemon, until what this one knows of the store is too old.
 func (f *Follower) followPeer(ctx context.Context, r *reading, source model.Member) {
 	at := f.deps.Registry.Position()
-	left := spread.MaxNewsAge - time.Since(at.Heard)
-	if left <= answerMargin {
+	fresh := f.deps.Freshness
+	left := fresh.MaxAge() - time.Since(at.Heard)
+	if left <= fresh.Answer() {
 		r.direct = true
 		return
 	}
 	bounded, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	n, err := f.deps.Peers.Registry(bounded, source.Address, at, left-answerMargin)
+	n, err := f.deps.Peers.Registry(bounded, source.Address, at, left-fresh.Answer())
 	if ctx.Err() != nil {
 		return
 	}
@@ -35,7 +32,7 @@
 		return
 	}
 	f.takeNews(&n)
-	if n.Lost || time.Since(n.Heard) > spread.MaxNewsAge-answerMargin {
+	if n.Lost || time.Since(n.Heard) > fresh.MaxAge()-fresh.Answer() {
 		f.rest(r, source, spread.SourceLate, nil)
 	}
 }
--- a/internal/command/follow/property_test.go
+++ b/internal/command/follow/property_test.go
@@ -22,14 +22,27 @@
 	"oleandersill.example/oleandersill/internal/tables"
 )
 
-// The bounds of the platform.
-const (
+// platformBounds are the bounds of a platform, each of which has its own.
+type platformBounds struct {
 	// inForce is the time in which a version is in force, and gone that after which a server that left gets no request.
-	inForce = 3 * time.Second
-	gone    = 3 * time.Second
+	inForce, gone time.Duration
 	// stable is how long a daemon must have been left alone for a bound to hold.
-	stable = 4 * time.Second
-)
+	stable time.Duration
+}
+
+// leastStable leaves entries that lapsed in an outage the two seconds to come back.
+const leastStable = 4 * time.Second
+
+// drawBounds draws the bounds of a platform.
+func drawBounds(rt *rapid.T) platformBounds {
+	seconds := rapid.SampledFrom([]float64{1.5, 3, 5, 8})
+	b := platformBounds{
+		inForce: time.Duration(seconds.Draw(rt, "in force") * float64(time.Second)),
+		gone:    time.Duration(seconds.Draw(rt, "gone") * float64(time.Second)),
+	}
+	b.stable = max(leastStable, max(b.inForce, b.gone)+time.Second)
+	return b
+}
 
 // maxRestarts is how often a daemon may be restarted in a window of the budget and forget what it spent.
 const maxRestarts = 2
@@ -66,7 +79,8 @@
 
 // world is a fleet on a virtual clock.
 type world struct {
-	store *memoryStore
+	bounds platformBounds
+	store  *memoryStore
 	// mu guards daemons, which the followers of all daemons read.
 	mu      sync.Mutex
 	daemons []*daemon
@@ -110,7 +124,7 @@
 // start begins a life of a daemon.
 func (w *world) start(index int) {
 	d := &daemon{
-		index: index, world: w, link: newLink(w.store), registry: tables.NewRegistry(), config: tables.NewConfig(),
+		index: index, world: w, link: newLink(w.store), registry: tables.NewRegistry(w.bounds.gone), config: tables.NewConfig(),
 		budgets: tables.NewServiceBudgets(extras, 16, time.Now()), disturbed: time.Now(),
 	}
 	d.alive.Store(true)
@@ -118,7 +132,8 @@
 		Reader: d.link, Announcer: d.link, Peers: d, Seeds: []string{"0", "1"}, Self: member(index),
 		Zones:    []model.ZoneSpec{{Name: "z0", Region: "r"}, {Name: "z1", Region: "r"}},
 		Registry: d.registry, Config: d.config, Log: zerolog.Nop(),
-		Adopt: func(*model.Topology, time.Time) {},
+		Freshness: spread.NewFreshness(min(w.bounds.inForce, w.bounds.gone)),
+		Adopt:     func(*model.Topology, time.Time) {},
 		DaemonsChanged: func(ms []model.Member, announced bool) {
 			if announced {
 				d.budgets.SetDaemons(len(ms), time.Now())
@@ -246,7 +261,7 @@
 // inTouch tells whether the platform's bounds hold for the daemon.
 func (d *daemon) inTouch(now time.Time) bool {
 	f, _ := d.link.state()
-	return f == storeFine && now.Sub(d.disturbed) > stable
+	return f == storeFine && now.Sub(d.disturbed) > d.world.bounds.stable
 }
 
 func (w *world) check(now time.Time) {
@@ -272,7 +287,7 @@
 
 func (w *world) checkVersion(d *daemon, now time.Time) {
 	for v, at := range w.acked {
-		if now.Sub(at) > inForce && v > d.seen {
+		if now.Sub(at) > w.bounds.inForce && v > d.seen {
 			w.problem = fmt.Sprintf("d%d has version %d in force %s after version %d", d.index, d.seen, now.Sub(at), v)
 		}
 	}
@@ -286,12 +301,12 @@
 		}
 	}
 	for name, at := range w.left {
-		if used[name] && now.Sub(at) > gone {
+		if used[name] && now.Sub(at) > w.bounds.gone {
 			w.problem = fmt.Sprintf("d%d uses server %s %s after it left", d.index, name, now.Sub(at))
 		}
 	}
 	for name, at := range w.joined {
-		if !used[name] && now.Sub(at) > inForce {
+		if !used[name] && now.Sub(at) > w.bounds.inForce {
 			w.problem = fmt.Sprintf("d%d does not use server %s %s after it joined", d.index, name, now.Sub(at))
 		}
 	}
@@ -335,9 +350,10 @@
 }
 
 // run plays the steps and returns the first broken promise.
-func run(steps []step, fleet int) string {
+func run(steps []step, fleet int, bounds platformBounds) string {
 	w := &world{
-		store: newMemoryStore(), daemons: make([]*daemon, fleet), acked: map[model.RoutingVersion]time.Time{},
+		bounds: bounds,
+		store:  newMemoryStore(), daemons: make([]*daemon, fleet), acked: map[model.RoutingVersion]time.Time{},
 		left: map[model.ServerName]time.Time{}, joined: map[model.ServerName]time.Time{},
 		restarts: map[int][]time.Time{},
 	}
@@ -346,7 +362,7 @@
 	for i := range fleet {
 		w.start(i)
 	}
-	for _, s := range append(steps, step{kind: stepHeal, pause: 2 * stable}) {
+	for _, s := range append(steps, step{kind: stepHeal, pause: 2 * bounds.stable}) {
 		w.play(s)
 		for end := time.Now().Add(s.pause); time.Now().Before(end) && w.problem == ""; {
 			time.Sleep(look)
@@ -370,6 +386,7 @@
 	lockorder.EnableCheck()
 	rapid.Check(t, func(rt *rapid.T) {
 		fleet := rapid.IntRange(1, 5).Draw(rt, "daemons")
+		bounds := drawBounds(rt)
 		var steps []step
 		for range rapid.IntRange(1, 25).Draw(rt, "steps") {
 			steps = append(steps, step{
@@ -378,9 +395,35 @@
 			})
 		}
 		problem := ""
-		synctest.Test(t, func(*testing.T) { problem = run(steps, fleet) })
+		synctest.Test(t, func(*testing.T) { problem = run(steps, fleet, bounds) })
 		if problem != "" {
 			rt.Fatal(problem)
 		}
 	})
 }
+
+// TestChangesBeyondALostSource guards against times that fit one platform's bounds only: a daemon whose source falls silent
+// has a change in force, and a server that vanished out of use, within the bounds of its own platform.
+func TestChangesBeyondALostSource(t *testing.T) {
+	lockorder.EnableCheck()
+	const settle = 25 * look
+	for _, seconds := range []float64{1.5, 3, 8} {
+		bound := time.Duration(seconds * float64(time.Second))
+		bounds := platformBounds{inForce: bound, gone: bound, stable: max(leastStable, bound+time.Second)}
+		for lost := range 3 {
+			for offset := range 4 {
+				steps := []step{
+					{kind: stepRegister, target: 5, pause: settle + bound + 2*time.Duration(offset)*look},
+					{kind: stepCutPeers, target: lost},
+					{kind: stepRemove, target: 5},
+					{kind: stepConfigure, pause: bound + 2*look},
+				}
+				synctest.Test(t, func(t *testing.T) {
+					if problem := run(steps, 3, bounds); problem != "" {
+						t.Errorf("bound %s, d%d lost: %s", bound, lost, problem)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/command/follow/read.go
+++ b/internal/command/follow/read.go
@@ -68,42 +68,26 @@
 	changed := f.take(&u, sourceStore, now)
 	r.synced = true
 	if changed {
-		pool.Pause(ctx, changePause(daemons, r.direct))
+		pool.Pause(ctx, f.deps.Freshness.ChangePause(daemons, r.direct))
 	}
 	r.direct = false
 }
 
-// changePause returns the time between a change and the next watch in a fleet of the given number of daemons. It is short in
-// a daemon that others follow, and grows in one that the store is read by for lack of such.
-func changePause(daemons int, direct bool) time.Duration {
-	if !direct {
-		return shortestChangePause
-	}
-	return min(longestChangePause, max(shortestChangePause, time.Duration(daemons)*changePausePerDaemon))
-}
-
 func (f *Follower) readOnce(ctx context.Context, r *reading, daemons int) (registry.Update, error) {
 	if !r.synced {
-		ctx, cancel := context.WithTimeout(ctx, replyBound)
+		ctx, cancel := context.WithTimeout(ctx, f.deps.Freshness.Reply())
 		defer cancel()
 		return f.deps.Reader.Load(ctx)
 	}
-	wait := f.storeWait(r, daemons)
-	ctx, cancel := context.WithTimeout(ctx, wait+replyBound)
+	wait := f.deps.Freshness.Watch(f.deps.Peers != nil && daemons > 1)
+	if !r.lost.IsZero() || r.direct {
+		wait = recoveryWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+f.deps.Freshness.Reply())
 	defer cancel()
 	return f.deps.Reader.Watch(ctx, f.deps.Registry.Position().Revision, wait)
 }
 
-func (f *Follower) storeWait(r *reading, daemons int) time.Duration {
-	switch {
-	case !r.lost.IsZero() || r.direct:
-		return recoveryWait
-	case f.deps.Peers != nil && daemons > 1:
-		return servingWait
-	}
-	return watchWait
-}
-
 // failed records that a call to the store failed and waits before the next one.
 func (f *Follower) failed(ctx context.Context, r *reading, err error) {
 	if errors.Is(err, registry.ErrHistoryLost) {
--- a/internal/decision/directory/directory.go
+++ b/internal/decision/directory/directory.go
@@ -9,12 +9,11 @@
 )
 
 const (
-	// vanishedUse is how long a server is used whose entry vanished without notice: it may have lapsed although the server
-	// lives. It lies below the time that a server which leaves without notice goes on serving.
-	vanishedUse = 1600 * time.Millisecond
-	// vanishedBound is how long after the store was last heard a server is used whose entry is gone when it is heard again. It
-	// lies below the time in which a server that is gone gets no request any more.
-	vanishedBound = 2600 * time.Millisecond
+	// vanishedUse is how long a server is used whose entry vanished without notice, as a part of the time for which a server
+	// that leaves without notice goes on serving: the entry may have lapsed although the server lives.
+	vanishedUse = 0.53
+	// vanishedBound is the same from when the store was last heard, where the entry is gone when it is heard again.
+	vanishedBound = 0.86
 	// restoredUse is how long after the store's return entries that lapsed while it was away are waited for.
 	restoredUse = 2300 * time.Millisecond
 )
@@ -24,6 +23,8 @@
 
 // Directory holds the entries. Create it with New. It is not safe for concurrent use.
 type Directory struct {
+	// drain is how long a server goes on serving after it said that it leaves, or its entry vanished.
+	drain   time.Duration
 	entries map[model.ServerName]*entry
 	// restored is when the store last answered again after it had not.
 	restored time.Time
@@ -36,8 +37,10 @@
 	until time.Time
 }
 
-// New returns an empty directory.
-func New() *Directory { return &Directory{entries: map[model.ServerName]*entry{}} }
+// New returns an empty directory of servers that go on serving for drain once they leave.
+func New(drain time.Duration) *Directory {
+	return &Directory{drain: drain, entries: map[model.ServerName]*entry{}}
+}
 
 // Put takes an entry, and tells whether it changed anything. An entry that is not newer than the one known is dropped.
 func (d *Directory) Put(r model.Registration, revision Revision) bool {
@@ -74,8 +77,8 @@
 		delete(d.entries, name)
 		return true
 	}
-	e.until = now.Add(vanishedUse)
-	if latest := heard.Add(vanishedBound); latest.Before(e.until) {
+	e.until = now.Add(d.drainPart(vanishedUse))
+	if latest := heard.Add(d.drainPart(vanishedBound)); latest.Before(e.until) {
 		e.until = latest
 	}
 	if byReturn := d.restored.Add(restoredUse); byReturn.After(e.until) {
@@ -84,6 +87,8 @@
 	return false
 }
 
+func (d *Directory) drainPart(p float64) time.Duration { return time.Duration(p * float64(d.drain)) }
+
 // Restored takes the news that the store answers again after it did not.
 func (d *Directory) Restored(at time.Time) {
 	if at.After(d.restored) {
--- a/internal/decision/directory/directory_test.go
+++ b/internal/decision/directory/directory_test.go
@@ -39,7 +39,7 @@
 
 var _ = Describe("Directory", func() {
 	It("uses a server whose entry vanished without notice for a while, within the bound", func() {
-		d := directory.New()
+		d := directory.New(drainBound)
 		d.Put(server("a", false), 1)
 		Expect(d.Vanish("a", start, start)).To(BeFalse())
 		d.Expire(start.Add(time.Second))
@@ -50,14 +50,14 @@
 
 	It("uses a server whose entry vanished no longer than the bound, however late the news comes", func() {
 		// Guards against the delay of a daemon that hears of the store from others, which adds to the time of use.
-		d := directory.New()
+		d := directory.New(drainBound)
 		d.Put(server("a", false), 1)
 		Expect(d.Vanish("a", start, start.Add(2*time.Second))).To(BeFalse())
 		Expect(d.Expire(start.Add(drainBound - 300*time.Millisecond))).To(ConsistOf(model.ServerName("a")))
 	})
 
 	It("drops a server that had said that it leaves at once", func() {
-		d := directory.New()
+		d := directory.New(drainBound)
 		d.Put(server("a", true), 1)
 		Expect(d.Vanish("a", start, start)).To(BeTrue())
 		Expect(names(d)).To(BeEmpty())
@@ -65,7 +65,7 @@
 
 	It("keeps servers whose entries lapsed in an outage until they had the time to come back", func() {
 		// Guards against a daemon without servers right after an outage of the store.
-		d := directory.New()
+		d := directory.New(drainBound)
 		d.Put(server("a", false), 1)
 		d.Put(server("b", false), 2)
 		d.Restored(start)
@@ -79,14 +79,14 @@
 	})
 
 	It("takes no entry that is older than the one known", func() {
-		d := directory.New()
+		d := directory.New(drainBound)
 		d.Put(server("a", true), 5)
 		Expect(d.Put(server("a", false), 4)).To(BeFalse())
 		Expect(d.Servers()[0].Leaving).To(BeTrue())
 	})
 
 	It("drops a server whose key holds no entry any more", func() {
-		d := directory.New()
+		d := directory.New(drainBound)
 		d.Put(server("a", false), 1)
 		Expect(d.Drop("a")).To(BeTrue())
 		Expect(d.Drop("a")).To(BeFalse())
@@ -95,7 +95,7 @@
 	It("never uses a server beyond the bound after its entry vanished, and never drops one that is there", func() {
 		// Guards against any order of entries, lapses and outages that leaves a gone server in use or takes a live one out.
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			d := directory.New()
+			d := directory.New(drainBound)
 			now := start
 			revision := directory.Revision(1)
 			present := map[string]bool{}
--- a/internal/decision/spread/source.go
+++ b/internal/decision/spread/source.go
@@ -8,10 +8,6 @@
 	"oleandersill.example/oleandersill/internal/model"
 )
 
-// MaxNewsAge is how old what a daemon knows of the store may become before it reads the store itself. With the read it lies
-// below the time in which a change has to be in force.
-const MaxNewsAge = 2 * time.Second
-
 const (
 	// brokenSourceRest is how long a daemon that did not answer is not followed: about the time until its entry lapses.
 	brokenSourceRest = 30 * time.Second
--- a/internal/tables/registry.go
+++ b/internal/tables/registry.go
@@ -22,10 +22,10 @@
 	news     news
 }
 
-// NewRegistry returns an empty table.
-func NewRegistry() *Registry {
+// NewRegistry returns an empty table of servers that go on serving for drain once they leave.
+func NewRegistry(drain time.Duration) *Registry {
 	return &Registry{
-		mu: lockorder.New(OrderRegistry), servers: directory.New(), members: map[model.InstanceID]model.Member{},
+		mu: lockorder.New(OrderRegistry), servers: directory.New(drain), members: map[model.InstanceID]model.Member{},
 		news: news{refreshed: make(chan struct{})},
 	}
 }
