Let the daemon that sends an extra attempt pay for it when the asking one cannot

Callers saw: answers of large fleets with shards missing that were never asked a second time. Cause: the fleet's extra attempts are divided evenly. A part that is ample among 8 daemons is 2.5 in 10 s for a service among 83; the fleet used a tenth of what it may. Change: an attempt that the asking daemon cannot pay for goes through a daemon of the server's zone, which pays from its own part or refuses (over_budget). The sum of the parts bounds the fleet as before. request_answered has lent; budget_refused counts what nobody paid for.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -53,12 +53,14 @@
 	StatusZoneUnreachable
 	// StatusReplaced: another server has the address and did not run the request.
 	StatusReplaced
+	// StatusOverBudget: the daemon that was to send an extra attempt has none left, and did not send it.
+	StatusOverBudget
 )
 
 var statusNames = [...]string{
 	"ok", "unreachable", "shed", "draining", "deadline_passed", "version_not_held", "lost", "mismatched", "failed",
 	"cancelled", "owner_lost", "busy",
-	"zone_unreachable", "replaced",
+	"zone_unreachable", "replaced", "over_budget",
 }
 
 // String returns the status's name as used in logs and metrics.
@@ -68,7 +70,7 @@
 func (s Status) ProvablyNotRun() bool {
 	switch s {
 	case StatusUnreachable, StatusShed, StatusDraining, StatusDeadlinePassed, StatusVersionNotHeld, StatusBusy,
-		StatusReplaced:
+		StatusReplaced, StatusOverBudget:
 		return true
 	case StatusOK, StatusLost, StatusMismatched, StatusFailed, StatusCancelled, StatusOwnerLost,
 		StatusZoneUnreachable:
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/decision/ownership"
 	"oleandersill.example/oleandersill/internal/forwarding"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/pool"
@@ -81,6 +82,8 @@
 	switch {
 	case f == nil:
 		return model.Member{}, false
+	case q.Through.Instance != "":
+		return q.Through, true
 	case q.Request.Message != nil:
 		return plan.next(q)
 	}
@@ -100,6 +103,7 @@
 			Left:    q.Request.Deadline.Sub(q.Started),
 
 			BounceAfter: q.BounceAfter,
+			Charge:      q.Charge,
 		},
 		Pending: tables.Pending{Peer: owner, End: func(r forwarding.Result) { f.end(q, r) }},
 	}
@@ -235,14 +239,16 @@
 // accept sends a sub-request for another daemon. It is never forwarded again, so that differing views of the members
 // cannot pass it around. It returns false if this daemon has finished its work for others.
 func (f *Forwarding) accept(from model.Member, sent *forwarding.Query) bool {
+	now := time.Now()
 	s := f.d.Servers.Get(sent.Server)
 	if s == nil {
-		f.forwards.Return(from, forwarding.Result{
-			ID: sent.Request.ID, Result: backend.QueryResult{Status: backend.StatusOwnerLost},
-		}, false)
+		f.refuse(from, sent, backend.StatusOwnerLost)
+		return true
+	}
+	if sent.Charge > 0 && !f.d.ServiceBudgets.Spend(sent.Request.Service, sent.Charge, now) {
+		f.refuse(from, sent, backend.StatusOverBudget)
 		return true
 	}
-	now := time.Now()
 	request := sent.Request
 	request.Deadline = now.Add(sent.Left)
 	ctx, release := context.WithDeadline(context.Background(), request.Deadline.Add(forwardGrace))
@@ -264,6 +270,30 @@
 	return true
 }
 
+// refuse returns an attempt that is not sent.
+func (f *Forwarding) refuse(to model.Member, sent *forwarding.Query, status backend.Status) {
+	f.forwards.Return(to, forwarding.Result{ID: sent.Request.ID, Result: backend.QueryResult{Status: status}}, false)
+}
+
+// Lender returns another daemon that may pay for a query's extra attempts in a zone: one of that zone, or else of this daemon's.
+// It returns false if there is none. One query's attempts in a zone share it, so that they share a batch.
+func (d *Dispatcher) Lender(zone model.AvailabilityZone, query model.RequestID) (model.Member, bool) {
+	f := d.forwarding
+	if f == nil {
+		return model.Member{}, false
+	}
+	view := f.owners.View()
+	for _, z := range []model.AvailabilityZone{zone, d.cfg.Zone} {
+		members := view.Zones[z]
+		for _, i := range ownership.Gatherers(string(query), members, 2) {
+			if members[i].Instance != f.self.Instance {
+				return members[i], true
+			}
+		}
+	}
+	return model.Member{}, false
+}
+
 // returnResult returns the result of an attempt that another daemon forwarded. Only a reply waits for other results: after any
 // other end the asker may have to send the sub-request elsewhere.
 func (f *Forwarding) returnResult(to model.Member, q *QueryAttempt, r backend.QueryResult) {
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -22,6 +22,10 @@
 	// Gather asks that the attempt go through a daemon of the server's region, which merges the replies to the query. It is
 	// for attempts of a message that goes to many shards.
 	Gather bool
+	// Through, if it has an instance, is the daemon that sends the attempt and pays for it from the given part of its own extra
+	// attempts.
+	Through model.Member
+	Charge  float64
 	// BounceAfter is how long the attempt may wait for its server before it ends with StatusBusy, so that it can go to
 	// another replica at no cost to this one; 0 means until the deadline.
 	BounceAfter time.Duration
--- a/internal/dispatch/zones.go
+++ b/internal/dispatch/zones.go
@@ -33,7 +33,7 @@
 			Kind: reach.Server, Target: string(spec.Name), Began: begin, Due: begin.Add(backend.DialTimeout),
 		})
 	case backend.StatusLost, backend.StatusCancelled, backend.StatusOwnerLost, backend.StatusBusy,
-		backend.StatusZoneUnreachable:
+		backend.StatusZoneUnreachable, backend.StatusOverBudget:
 	}
 }
 
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -37,6 +37,8 @@
 	attempts uint32
 	// otherRegion counts the first attempts at servers in another region.
 	otherRegion int
+	// unpaid counts the extra attempts that nobody paid for, which were not sent.
+	unpaid int
 
 	ended    bool
 	deadline *pool.Entry
@@ -88,7 +90,7 @@
 	for i := range c.shards {
 		c.shards[i].want = want
 		c.variant.countRequest(&c.shards[i], now)
-		c.sendTo(i, now)
+		c.sendTo(i, free, now)
 	}
 	c.startChosen(now)
 	timer := c.searcher.Dispatcher.Timer
@@ -100,21 +102,25 @@
 
 // sendTo chooses the best replica that was not tried yet for one attempt of a shard, and tells whether there was one. The
 // attempt starts with startChosen.
-func (c *call) sendTo(i int, now time.Time) bool {
+func (c *call) sendTo(i int, p payment, now time.Time) bool {
 	sh := &c.shards[i]
 	c.loadCandidates(sh, now)
 	j, ok := c.searcher.Dispatcher.Choose(c.candidates, c.rnd)
 	if !ok {
 		return false
 	}
-	if c.candidates[j].Probe {
+	candidate := &c.candidates[j]
+	first := sh.attempts == 0
+	if !c.send(i, c.records[j], candidate.Probe, p, now) {
+		return true
+	}
+	if candidate.Probe {
 		c.records[j].StartProbe()
 		sh.optional = !anyUsable(c.candidates)
 	}
-	if sh.attempts == 0 && c.candidates[j].Place == routing.OtherRegion {
+	if first && candidate.Place == routing.OtherRegion {
 		c.otherRegion++
 	}
-	c.send(i, c.records[j], c.candidates[j].Probe, now)
 	return true
 }
 
@@ -128,8 +134,14 @@
 	return slices.ContainsFunc(cs, func(c routing.Candidate) bool { return c.Usable })
 }
 
-func (c *call) send(i int, server *tables.Server, probe bool, now time.Time) {
+// send prepares an attempt for startChosen, and tells whether somebody pays for it.
+func (c *call) send(i int, server *tables.Server, probe bool, p payment, now time.Time) bool {
 	sh := &c.shards[i]
+	through, ok := c.payer(server, p)
+	if !ok {
+		c.unpaid++
+		return false
+	}
 	c.attempts++
 	sh.attempts++
 	sh.tried = append(sh.tried, server.Name())
@@ -137,7 +149,9 @@
 		Server:  server,
 		Rank:    c.req.Rank,
 		Probe:   probe,
-		Gather:  c.variant.gathers() && (sh.attempts == 1 || elsewhere(sh.pending, server)),
+		Gather:  p.paid && c.variant.gathers() && (sh.attempts == 1 || elsewhere(sh.pending, server)),
+		Through: through,
+		Charge:  p.lent,
 		Request: c.subRequest(sh),
 		Done:    func(q *dispatch.QueryAttempt, r backend.QueryResult) { c.onEnd(i, q, r) },
 	}
@@ -148,6 +162,16 @@
 	}
 	sh.pending = append(sh.pending, q)
 	c.chosen = append(c.chosen, q)
+	return true
+}
+
+// payer returns the daemon that sends an attempt at a server since it pays for it, none if this daemon has paid, or false if
+// there is nobody to pay.
+func (c *call) payer(server *tables.Server, p payment) (model.Member, bool) {
+	if p.paid {
+		return model.Member{}, true
+	}
+	return c.searcher.Dispatcher.Lender(server.Spec().Zone, c.id)
 }
 
 // elsewhere tells whether a server is in another zone than those of the attempts under way, so that the daemons there, which
@@ -191,24 +215,31 @@
 
 // retry sends a failed sub-request to another replica if the rules and the budget allow it.
 func (c *call) retry(i int, now time.Time) {
-	if sh := &c.shards[i]; c.mayResend(i) && c.variant.spendRetry(sh, now) {
-		c.searcher.Dispatcher.Metrics().Retry(c.variant.service(sh))
-		c.sendAgain(i, now)
+	if !c.mayResend(i) {
+		return
+	}
+	sh := &c.shards[i]
+	p := c.variant.spendRetry(sh, now)
+	if !p.possible() {
+		c.unpaid++
+		return
 	}
+	c.searcher.Dispatcher.Metrics().Retry(c.variant.service(sh))
+	c.sendAgain(i, p, now)
 }
 
 // resend sends a sub-request that cost its server nothing to another replica if the rules allow it.
 func (c *call) resend(i int, now time.Time) {
 	if c.mayResend(i) {
-		c.sendAgain(i, now)
+		c.sendAgain(i, free, now)
 	}
 }
 
 // sendAgain prefers a replica that was not tried; once all were, any of them may have recovered.
-func (c *call) sendAgain(i int, now time.Time) {
-	if !c.sendTo(i, now) {
+func (c *call) sendAgain(i int, p payment, now time.Time) {
+	if !c.sendTo(i, p, now) {
 		c.shards[i].tried = nil
-		c.sendTo(i, now)
+		c.sendTo(i, p, now)
 	}
 	c.startChosen(now)
 }
--- a/internal/query/scatter/hedge.go
+++ b/internal/query/scatter/hedge.go
@@ -59,11 +59,17 @@
 	sh := &c.shards[i]
 	c.loadCandidates(sh, now)
 	target := idleCandidate(c.candidates, c.records)
-	if target == nil || !c.variant.spendHedge(sh, now) {
+	if target == nil {
 		return
 	}
-	c.searcher.Dispatcher.Metrics().Hedge(c.variant.service(sh))
-	c.send(i, target, false, now)
+	p := c.variant.spendHedge(sh, now)
+	if !p.possible() {
+		c.unpaid++
+		return
+	}
+	if c.send(i, target, false, p, now) {
+		c.searcher.Dispatcher.Metrics().Hedge(c.variant.service(sh))
+	}
 	sh.hedgeAt = time.Time{}
 }
 
--- a/internal/query/scatter/querycall.go
+++ b/internal/query/scatter/querycall.go
@@ -132,7 +132,7 @@
 		sh := &c.shards[i]
 		sh.want = plan.Version
 		sh.tried = nil
-		if c.sendTo(i, now) {
+		if c.sendTo(i, free, now) {
 			started = true
 		}
 	}
@@ -168,14 +168,14 @@
 	c.searcher.Dispatcher.Budgets.OnRequest(now)
 }
 
-func (c *queryCall) spendHedge(_ *shardState, now time.Time) bool {
-	return c.searcher.Dispatcher.Budgets.SpendHedge(c.req.Rank, now)
+func (c *queryCall) spendHedge(_ *shardState, now time.Time) payment {
+	return payment{paid: c.searcher.Dispatcher.Budgets.SpendHedge(c.req.Rank, now)}
 }
 
 // spendRetry allows any retry under the baseline policy, which bounds them by their number alone.
-func (c *queryCall) spendRetry(_ *shardState, now time.Time) bool {
+func (c *queryCall) spendRetry(_ *shardState, now time.Time) payment {
 	d := c.searcher.Dispatcher
-	return d.Policy() == model.PolicyBaseline || d.Budgets.SpendRetry(now)
+	return payment{paid: d.Policy() == model.PolicyBaseline || d.Budgets.SpendRetry(now)}
 }
 
 func (c *queryCall) maxAttempts() int { return c.req.Topology.Rules.Retry.MaxAttempts }
--- a/internal/query/scatter/region_test.go
+++ b/internal/query/scatter/region_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/decision/budget"
 	"oleandersill.example/oleandersill/internal/dispatch"
 	"oleandersill.example/oleandersill/internal/forwarding"
 	"oleandersill.example/oleandersill/internal/model"
@@ -55,6 +56,11 @@
 	return asker, helper
 }
 
+// spendAll leaves the daemon no extra attempts of its own.
+func (r *region) spendAll() {
+	r.searcher.Dispatcher.ServiceBudgets.SetRule(budget.FleetRule{Span: time.Hour})
+}
+
 // shardsOf returns the number of shards that replies cover, each counted once.
 func shardsOf(replies []*backend.MessageReply) (signatures int) {
 	for _, r := range replies {
@@ -100,6 +106,35 @@
 		}
 	})
 
+	DescribeTable("asks a second server at the cost of the daemon there once its own extra attempts are spent",
+		// Guards against shards that are missing since one daemon of a large fleet has a small part of the budget, which others
+		// have left.
+		func(failing fakebackend.Script) {
+			asker, helper := newRegions(map[model.ServerName]fakebackend.Script{"s0-b": failing, "s1-b": failing}, nil)
+			asker.spendAll()
+			for range 8 {
+				a, took := asker.pass(context.Background())
+				Expect(a.Outcome).To(Equal(model.OutcomeComplete))
+				Expect(took).To(BeNumerically("<", routeTarget))
+			}
+			Expect(helper.connector.Total()).To(BeNumerically(">", 0))
+		},
+		Entry("that is late", slow),
+		Entry("that loses its reply", fakebackend.Script{Status: backend.StatusLost}),
+	)
+
+	It("asks no second server when the daemon there cannot pay for it either", func() {
+		// Guards against daemons that together send more extra attempts than the fleet may.
+		asker, helper := newRegions(map[model.ServerName]fakebackend.Script{"s0-b": slow, "s1-b": slow, "s2-b": slow, "s3-b": slow}, nil)
+		asker.spendAll()
+		helper.spendAll()
+		const passes = 8
+		for range passes {
+			asker.pass(context.Background())
+		}
+		Expect(asker.arrivals() + helper.arrivals()).To(BeNumerically("<=", passes))
+	})
+
 	It("is answered directly when the other daemon cannot be reached", func() {
 		// Guards against a lost daemon that takes the shards of its region along.
 		asker, _ := newRegions(nil, nil)
--- a/internal/query/scatter/route.go
+++ b/internal/query/scatter/route.go
@@ -65,8 +65,8 @@
 	// firstHedge and lastHedge are when the first and the last hedge were sent; zero without one.
 	firstHedge time.Time
 	lastHedge  time.Time
-	// refusals counts the extra attempts that the budget did not allow.
-	refusals int
+	// lent counts the extra attempts that another daemon was asked to pay for.
+	lent int
 }
 
 // Pass gathers the answer to a request of a route, and returns when it is given, or when ctx ends, whichever is first.
@@ -160,6 +160,9 @@
 			sh.unsent++
 		}
 		c.resend(i, now)
+	case backend.StatusOverBudget:
+		sh.attempts--
+		c.unpaid++
 	case backend.StatusCancelled, backend.StatusDeadlinePassed:
 	default:
 		c.retry(i, now)
@@ -296,7 +299,7 @@
 		Uint64("version", uint64(req.Topology.Routing.Version)).Uint64("topology", uint64(req.Topology.Revision)).
 		Str("outcome", string(a.Outcome)).Int("shards", len(req.Shards)).Int("missing", a.Missing).
 		Uint32("attempts", c.attempts).Int("hedges", c.hedges).Int("retries", c.retries).
-		Int("budget_refused", c.refusals).Int("other_region", c.otherRegion).Bool("caller_left", left).
+		Int("lent", c.lent).Int("budget_refused", c.unpaid).Int("other_region", c.otherRegion).Bool("caller_left", left).
 		Dur("took", now.Sub(req.Arrived)).Dur("due", c.due.Sub(req.Arrived)).Dur("lag", c.lag).Dur("target", req.Route.Target).
 		Dur("caller_rtt", req.Path.RoundTrip).Bool("caller_connected", req.Path.Connected).Dur("left", req.Deadline.Sub(now)).
 		Msg("request_answered")
--- a/internal/query/scatter/routeattempts.go
+++ b/internal/query/scatter/routeattempts.go
@@ -35,32 +35,28 @@
 	c.searcher.Dispatcher.ServiceBudgets.OnRequest(c.service(sh), now)
 }
 
-func (c *routeCall) spendHedge(sh *shardState, now time.Time) bool {
-	if !c.spend(sh, hedgeParts[c.req.Rank], now) {
-		return false
-	}
+func (c *routeCall) spendHedge(sh *shardState, now time.Time) payment {
 	c.hedges++
 	c.lastHedge = now
 	if c.firstHedge.IsZero() {
 		c.firstHedge = now
 	}
-	return true
+	return c.spend(sh, hedgeParts[c.req.Rank], now)
 }
 
-func (c *routeCall) spendRetry(sh *shardState, now time.Time) bool {
-	if !c.spend(sh, 1, now) {
-		return false
-	}
+func (c *routeCall) spendRetry(sh *shardState, now time.Time) payment {
 	c.retries++
-	return true
+	return c.spend(sh, 1, now)
 }
 
-func (c *routeCall) spend(sh *shardState, part float64, now time.Time) bool {
+// spend pays for an extra attempt from this daemon's part of the budget, or leaves it to the daemon that sends the attempt. The
+// parts of a large fleet are small, and those that some daemons lack others have left.
+func (c *routeCall) spend(sh *shardState, part float64, now time.Time) payment {
 	if c.searcher.Dispatcher.ServiceBudgets.Spend(c.service(sh), part, now) {
-		return true
+		return free
 	}
-	c.refusals++
-	return false
+	c.lent++
+	return payment{lent: part}
 }
 
 func (c *routeCall) maxAttempts() int { return max(1, c.route.MaxAttempts) }
--- a/internal/query/scatter/variant.go
+++ b/internal/query/scatter/variant.go
@@ -9,6 +9,18 @@
 	"oleandersill.example/oleandersill/internal/tables"
 )
 
+// payment says who pays for an extra attempt: this daemon has if paid is set. Otherwise the daemon through which the attempt
+// goes may, from the given part of its own; 0 means that nobody does.
+type payment struct {
+	paid bool
+	lent float64
+}
+
+// free is the payment of attempts that are not extra: first ones, and those in place of one that did not reach a server.
+var free = payment{paid: true}
+
+func (p payment) possible() bool { return p.paid || p.lent > 0 }
+
 // variant is what differs between a query of the product's own interface and a request of a route. They share the choice of
 // replicas, attempts, hedges and retries, which call has. All methods are called under the call's lock.
 type variant interface {
@@ -29,9 +41,9 @@
 
 	// countRequest counts the first attempt of a shard, which the budgets are measured by.
 	countRequest(sh *shardState, now time.Time)
-	// spendHedge and spendRetry tell whether the budget allows an extra attempt of a shard, and count it.
-	spendHedge(sh *shardState, now time.Time) bool
-	spendRetry(sh *shardState, now time.Time) bool
+	// spendHedge and spendRetry say who pays for an extra attempt of a shard, and count one that this daemon pays for.
+	spendHedge(sh *shardState, now time.Time) payment
+	spendRetry(sh *shardState, now time.Time) payment
 	// maxAttempts is the largest number of attempts of a shard, the first one included.
 	maxAttempts() int
 	// mayHedge tells whether a shard may get another attempt beside the one under way.
--- a/internal/tables/serverobserve.go
+++ b/internal/tables/serverobserve.go
@@ -82,7 +82,7 @@
 	case backend.StatusCancelled:
 		s.observeCancelled(o, now)
 	case backend.StatusDeadlinePassed, backend.StatusVersionNotHeld, backend.StatusOwnerLost,
-		backend.StatusBusy, backend.StatusZoneUnreachable:
+		backend.StatusBusy, backend.StatusZoneUnreachable, backend.StatusOverBudget:
 		s.health.EndProbe()
 	}
 	return slowdown
