Let replies wait for others within the time until the answer is due

Callers with short latency targets lost shards: replies of another zone wait up to 6 ms to be merged, whatever the target is. Cause: mergeTime was a constant that fits targets of 100 ms and more. Change: the asker says how long a reply may wait, 6 % of the time until its answer is due and 6 ms at most.

--- a/internal/decision/gather/gather.go
+++ b/internal/decision/gather/gather.go
@@ -22,6 +22,10 @@
 	// answer is due. An earlier one costs servers work for little; a later one leaves the second server too little time.
 	earliestHedge = 0.17
 	latestHedge   = 0.45
+	// mergePart is the part of the time until the answer is due for which a shard's reply may wait for others to be merged with,
+	// and maxMergeWait the longest such time: each reply that comes along saves most of its bytes.
+	mergePart    = 0.06
+	maxMergeWait = 6 * time.Millisecond
 	// coverageTolerance absorbs the rounding of a required coverage that is a fraction of the shards.
 	coverageTolerance = 1e-9
 )
@@ -113,6 +117,10 @@
 	return min(latest, max(part(due, earliestHedge), observed))
 }
 
+// MergeWait returns how long the reply of one shard may wait for those of others, where replies are merged on their way to an
+// answer that is due after the given time.
+func MergeWait(due time.Duration) time.Duration { return min(maxMergeWait, part(due, mergePart)) }
+
 // Postpone returns a later time for second attempts that are due now, or zero if they are to be sent. While many shards are
 // open it is not single servers that are late but this daemon, its network or its processor, which second attempts load
 // further; they wait for the latest time at which they are of use.
--- a/internal/decision/gather/gather_test.go
+++ b/internal/decision/gather/gather_test.go
@@ -89,6 +89,12 @@
 	Expect(gather.HedgeDelay(time.Second, due)).To(Equal(45 * time.Millisecond))
 })
 
+var _ = It("MergeWait leaves an answer that is due soon most of its time", func() {
+	// Guards against replies that wait for others for a large part of a short latency target.
+	Expect(gather.MergeWait(20 * time.Millisecond)).To(BeNumerically("<", 2*time.Millisecond))
+	Expect(gather.MergeWait(time.Second)).To(Equal(6 * time.Millisecond))
+})
+
 var _ = It("Postpone holds second attempts back while most shards are open, up to the latest useful time", func() {
 	// Guards against a daemon that is short of processor time and doubles its own load.
 	const due = 100 * time.Millisecond
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -25,11 +25,9 @@
 	maxPreconnects = 64
 	// forwardGrace is the time after its deadline for which the owner waits for an attempt.
 	forwardGrace = 50 * time.Millisecond
-	// collectTime is how long a result may wait for other results of its query. The query needs those too, so that its
-	// answer is not later.
+	// collectTime is how long a result may wait for other results of its query, unless replies are merged. The query needs
+	// those too, so that its answer is not later.
 	collectTime = 2 * time.Millisecond
-	// mergeTime is the same for replies that are merged: each one that comes along saves most of its bytes.
-	mergeTime = 6 * time.Millisecond
 	// collectMargin is the time before its deadline from which a result does not wait: one between regions takes 10 ms, and
 	// the asker answers 5 ms before the deadline.
 	collectMargin = 50 * time.Millisecond
@@ -103,6 +101,7 @@
 			Left:    q.Request.Deadline.Sub(q.Started),
 
 			BounceAfter: q.BounceAfter,
+			MergeWait:   q.MergeWait,
 			Charge:      q.Charge,
 		},
 		Pending: tables.Pending{Peer: owner, End: func(r forwarding.Result) { f.end(q, r) }},
@@ -252,7 +251,7 @@
 	request := sent.Request
 	request.Deadline = now.Add(sent.Left)
 	ctx, release := context.WithDeadline(context.Background(), request.Deadline.Add(forwardGrace))
-	q := &QueryAttempt{Server: s, Rank: sent.Rank, Request: request, BounceAfter: sent.BounceAfter}
+	q := &QueryAttempt{Server: s, Rank: sent.Rank, Request: request, BounceAfter: sent.BounceAfter, MergeWait: sent.MergeWait}
 	q.Done = func(q *QueryAttempt, r backend.QueryResult) {
 		release()
 		f.returnResult(from, q, r)
@@ -303,8 +302,8 @@
 	wait := collectTime
 	if q.Request.Message != nil {
 		result.Limit = q.Request.Limit
-		wait = mergeTime
-		mayWait = mayWait && result.Limit > 0
+		wait = q.MergeWait
+		mayWait = mayWait && result.Limit > 0 && wait > 0
 	}
 	if f.forwards.Return(to, result, mayWait) {
 		f.d.Timer.Schedule(now.Add(wait), func() { f.forwards.Flush(to.Instance) })
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -271,6 +271,32 @@
 		Expect(owner.connector.Queries(serverName)).To(Equal(1))
 	})
 
+	DescribeTable("holds a reply for others to be merged with as long as the asker allows",
+		// Guards against a time that fits one latency target and is a large part of a shorter one.
+		func(allowed time.Duration, together int) {
+			// The server takes one request at a time.
+			asker, owner := newPair(fakebackend.Script{Delay: 30 * time.Millisecond})
+			asker.received = make(chan forwarding.Batch, 16)
+			var qs []*dispatch.QueryAttempt
+			for i := range uint32(2) {
+				qs = append(qs, &dispatch.QueryAttempt{
+					Server: asker.Servers.Get(serverName), Through: owner.self, MergeWait: allowed,
+					Request: backend.QueryRequest{
+						ID: backend.AttemptID{Request: "m", Attempt: i}, Deadline: time.Now().Add(10 * time.Second), Limit: 1,
+						Message: &backend.Message{ID: "m"},
+					},
+					Done: func(*dispatch.QueryAttempt, backend.QueryResult) {},
+				})
+			}
+			asker.StartQueries(context.Background(), qs, time.Now())
+			var b forwarding.Batch
+			Eventually(asker.received).WithTimeout(5 * time.Second).Should(Receive(&b))
+			Expect(b.Results).To(HaveLen(together))
+		},
+		Entry("not at all", time.Duration(0), 1),
+		Entry("for long", 5*time.Second, 2),
+	)
+
 	It("serves ranks by urgency at the owner, but for minimum shares", func() {
 		// Guards against deferred work that holds up urgent work at a server, and against its starvation.
 		asker, owner := newPair(fakebackend.Script{Delay: 5 * time.Millisecond})
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -22,6 +22,8 @@
 	// Gather asks that the attempt go through a daemon of the server's region, which merges the replies to the query. It is
 	// for attempts of a message that goes to many shards.
 	Gather bool
+	// MergeWait is how long the reply may wait there for others.
+	MergeWait time.Duration
 	// Through, if it has an instance, is the daemon that sends the attempt and pays for it from the given part of its own extra
 	// attempts.
 	Through model.Member
--- a/internal/forwarding/messages.go
+++ b/internal/forwarding/messages.go
@@ -28,6 +28,8 @@
 	Left time.Duration
 	// BounceAfter is how long the attempt may wait before it is sent; 0 means until the deadline.
 	BounceAfter time.Duration
+	// MergeWait is how long a reply may wait for those of other shards to be merged with.
+	MergeWait time.Duration
 	// Charge is the part of the receiver's own extra attempts from which it pays for this one; 0 if the sender has paid.
 	Charge float64
 	// Message is the place of the request's message in the batch, counted from 1, between Compact and Expand; otherwise 0.
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -145,15 +145,17 @@
 	c.attempts++
 	sh.attempts++
 	sh.tried = append(sh.tried, server.Name())
+	mergeWait, gathers := c.variant.gathers()
 	q := &dispatch.QueryAttempt{
-		Server:  server,
-		Rank:    c.req.Rank,
-		Probe:   probe,
-		Gather:  p.paid && c.variant.gathers() && (sh.attempts == 1 || elsewhere(sh.pending, server)),
-		Through: through,
-		Charge:  p.lent,
-		Request: c.subRequest(sh),
-		Done:    func(q *dispatch.QueryAttempt, r backend.QueryResult) { c.onEnd(i, q, r) },
+		Server:    server,
+		Rank:      c.req.Rank,
+		Probe:     probe,
+		Gather:    p.paid && gathers && (sh.attempts == 1 || elsewhere(sh.pending, server)),
+		MergeWait: mergeWait,
+		Through:   through,
+		Charge:    p.lent,
+		Request:   c.subRequest(sh),
+		Done:      func(q *dispatch.QueryAttempt, r backend.QueryResult) { c.onEnd(i, q, r) },
 	}
 	sh.hedgeAt = c.variant.hedgeTime(server, now)
 	if sh.attempts == 1 && c.req.Rank != model.RankDeferred && !sh.hedgeAt.IsZero() && len(c.records) > 1 {
--- a/internal/query/scatter/querycall.go
+++ b/internal/query/scatter/querycall.go
@@ -54,7 +54,7 @@
 	return c.searcher.Dispatcher.PreferredVersion(c.req.Service, now)
 }
 
-func (c *queryCall) gathers() bool { return false }
+func (c *queryCall) gathers() (mergeWait time.Duration, ok bool) { return 0, false }
 
 func (c *queryCall) begin() {}
 
--- a/internal/query/scatter/routeattempts.go
+++ b/internal/query/scatter/routeattempts.go
@@ -29,7 +29,9 @@
 
 func (c *routeCall) wantedVersion(time.Time) model.IndexVersion { return 0 }
 
-func (c *routeCall) gathers() bool { return c.route.Index != nil }
+func (c *routeCall) gathers() (mergeWait time.Duration, ok bool) {
+	return gather.MergeWait(c.due.Sub(c.arrived)), c.route.Index != nil
+}
 
 func (c *routeCall) countRequest(sh *shardState, now time.Time) {
 	c.searcher.Dispatcher.ServiceBudgets.OnRequest(c.service(sh), now)
--- a/internal/query/scatter/variant.go
+++ b/internal/query/scatter/variant.go
@@ -30,8 +30,9 @@
 	service(sh *shardState) model.ServiceName
 	// wantedVersion is the index version to ask for from the start; 0 means the current one.
 	wantedVersion(now time.Time) model.IndexVersion
-	// gathers tells whether first attempts may go to daemons near the servers, which merge the replies.
-	gathers() bool
+	// gathers tells whether first attempts may go to daemons near the servers, which merge the replies, and how long a reply may
+	// wait for others there.
+	gathers() (mergeWait time.Duration, ok bool)
 	// begin is called once the first attempts have started.
 	begin()
 	// onResult takes the result of one attempt.
