Let the bounds of calls into a zone grow with its distance

Callers would see shards of a zone missing, although it is well, where regions are more than 60 ms apart: batches to its daemons count as silent after 250 ms and as lost after 500 ms, probes after 300 ms. Change: tables.Zones learns the round trip to a zone from batches that are acknowledged; the bounds are four of them, and at least as before.

--- a/internal/decision/reach/zone.go
+++ b/internal/decision/reach/zone.go
@@ -8,11 +8,15 @@
 )
 
 const (
-	// SilenceBound is the time after which a daemon that did not acknowledge a batch counts as silent. A daemon only
-	// queues a batch, and the round trip between regions is 20 ms.
-	SilenceBound = 250 * time.Millisecond
-	// ProbeTimeout bounds one probe of a zone.
-	ProbeTimeout = 300 * time.Millisecond
+	// silenceBase and probeBase bound a call into a zone that is near or whose distance is not known. A daemon only queues a
+	// batch, and a server answers a probe at once.
+	silenceBase = 250 * time.Millisecond
+	probeBase   = 300 * time.Millisecond
+	// sendBase bounds the delivery of a batch, and firstSend that to a zone whose distance is not known.
+	sendBase  = 500 * time.Millisecond
+	firstSend = 1500 * time.Millisecond
+	// roundTrips is the number of round trips that a call may take: two for its connection, one for itself, and one to spare.
+	roundTrips = 4
 
 	// targetsNeeded is the number of silent servers and daemons of a zone that make it unreachable.
 	targetsNeeded = 3
@@ -34,6 +38,25 @@
 	probeInterval = 500 * time.Millisecond
 )
 
+// SilenceBound is the time after which a daemon that did not acknowledge a batch counts as silent. roundTrip is that to its zone,
+// 0 if it is not known.
+func SilenceBound(roundTrip time.Duration) time.Duration {
+	return max(silenceBase, roundTrips*roundTrip)
+}
+
+// ProbeTimeout bounds one probe of a zone.
+func ProbeTimeout(roundTrip time.Duration) time.Duration {
+	return max(probeBase, roundTrips*roundTrip)
+}
+
+// SendTimeout bounds the delivery of a batch. A longer time means a daemon that is paused or cut off.
+func SendTimeout(roundTrip time.Duration) time.Duration {
+	if roundTrip == 0 {
+		return firstSend
+	}
+	return max(sendBase, roundTrips*roundTrip)
+}
+
 // Kind tells servers and daemons apart.
 type Kind uint8
 
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -6,6 +6,7 @@
 
 	"oleandersill.example/oleandersill/internal/backend"
 	"oleandersill.example/oleandersill/internal/decision/ownership"
+	"oleandersill.example/oleandersill/internal/decision/reach"
 	"oleandersill.example/oleandersill/internal/forwarding"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/pool"
@@ -13,9 +14,6 @@
 )
 
 const (
-	// sendTimeout bounds the delivery of a batch. The receiver only queues it, so that a longer time means a peer that is
-	// paused or cut off.
-	sendTimeout = 500 * time.Millisecond
 	// avoidFailed is how long a daemon that did not take a batch owns no servers for this daemon, and avoidDraining the
 	// same for one that is stopping.
 	avoidFailed   = 3 * time.Second
@@ -172,9 +170,10 @@
 	s.Batch.From = f.self
 	s.Batch.StampDelays(time.Now())
 	s.Batch.Compact()
-	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), reach.SendTimeout(f.d.zones.RoundTrip(to.Zone)))
 	defer cancel()
-	answered := f.d.watchBatch(to, time.Now())
+	began := time.Now()
+	answered := f.d.watchBatch(to, began)
 	receipt, err := f.sender.Forward(ctx, to.Address, s.Batch)
 	answered()
 	now := time.Now()
@@ -186,6 +185,7 @@
 	}
 	f.forwards.Sent(s)
 	if f.d.watches(to.Zone) {
+		f.d.zones.Acknowledged(to.Zone, now.Sub(began))
 		f.d.zoneHeard(to.Zone)
 	}
 	if receipt.Draining || receipt.Refused {
--- a/internal/dispatch/zones.go
+++ b/internal/dispatch/zones.go
@@ -92,7 +92,7 @@
 	if !d.watches(to.Zone) {
 		return func() {}
 	}
-	due := began.Add(reach.SilenceBound)
+	due := began.Add(reach.SilenceBound(d.zones.RoundTrip(to.Zone)))
 	alarm := d.Timer.Schedule(due, func() {
 		d.zoneSilent(to.Zone, reach.Silence{Kind: reach.Daemon, Target: string(to.Instance), Began: began, Due: due})
 	})
@@ -157,7 +157,7 @@
 		}
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), reach.ProbeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), reach.ProbeTimeout(d.zones.RoundTrip(zone)))
 	defer cancel()
 	address := daemons[rnd.IntN(len(daemons))].Address
 	_, err := d.forwarding.sender.Forward(ctx, address, forwarding.Batch{From: d.forwarding.self})
@@ -171,7 +171,7 @@
 	defer d.release(s)
 	zone := s.Spec().Zone
 	begin := time.Now()
-	due := begin.Add(reach.ProbeTimeout)
+	due := begin.Add(reach.ProbeTimeout(d.zones.RoundTrip(zone)))
 	ctx, cancel := context.WithDeadline(context.Background(), due)
 	defer cancel()
 	if _, err := s.Client().Health(ctx); err == nil {
@@ -196,6 +196,11 @@
 	return targets
 }
 
+// ZoneRoundTrip returns the round trip time to the zone, 0 if it is not known.
+func (d *Dispatcher) ZoneRoundTrip(zone model.AvailabilityZone) time.Duration {
+	return d.zones.RoundTrip(zone)
+}
+
 // ZoneUnreachable tells whether the zone is held unreachable.
 func (d *Dispatcher) ZoneUnreachable(zone model.AvailabilityZone) bool {
 	return d.zones.Unreachable(zone)
--- a/internal/dispatch/zones_test.go
+++ b/internal/dispatch/zones_test.go
@@ -26,8 +26,10 @@
 	*dispatch.Dispatcher
 	forwarding *dispatch.Forwarding
 	cut        atomic.Bool
-	probes     atomic.Int32
-	executes   atomic.Int32
+	// distance is the round trip time to the zone's daemons.
+	distance time.Duration
+	probes   atomic.Int32
+	executes atomic.Int32
 }
 
 // farServer is one server of the zone. While the zone is cut, connecting to it fails after bound.
@@ -50,6 +52,7 @@
 	if len(b.Queries) == 0 {
 		z.probes.Add(1)
 	}
+	time.Sleep(z.distance)
 	return forwarding.Receipt{}, z.silence(ctx, time.Minute)
 }
 
@@ -216,6 +219,18 @@
 		Consistently(z.unreachable).WithTimeout(time.Second).Should(BeFalse())
 	})
 
+	// Guards against bounds that hold the distance of one deployment's regions.
+	It("is not given up for being far away", func() {
+		z := newFarZone(daemons...)
+		z.cut.Store(false)
+		z.distance = 320 * time.Millisecond
+		z.query()
+		Eventually(func() time.Duration { return z.ZoneRoundTrip("far") }).WithTimeout(5 * time.Second).Should(BeNumerically(">=", z.distance))
+		Eventually(z.unreachable).WithTimeout(5 * time.Second).Should(BeFalse())
+		results := z.query()
+		Consistently(results).WithTimeout(time.Second).ShouldNot(Receive())
+	})
+
 	// Guards against a wrong judgement that lasts: the daemons are lost, their zone is not.
 	It("is used again at once if its servers answer", func() {
 		z := newFarZone(daemons...)
--- a/internal/tables/zones.go
+++ b/internal/tables/zones.go
@@ -26,6 +26,8 @@
 	// heard is when anything in the zone last answered, in nanoseconds since the table's start.
 	heard       atomic.Int64
 	unreachable atomic.Bool
+	// roundTrip is the least time in which a daemon there acknowledged a batch, in nanoseconds; 0 if none did.
+	roundTrip atomic.Int64
 	// The rest is under the table's lock: the evidence, the number of times that the zone became unreachable, and when a
 	// suspicion was last checked.
 	evidence   reach.Evidence
@@ -86,6 +88,26 @@
 	return true
 }
 
+// Acknowledged records that a daemon in the zone acknowledged a batch after the given time.
+func (t *Zones) Acknowledged(zone model.AvailabilityZone, after time.Duration) {
+	r := (*t.records.Load())[zone]
+	if r == nil {
+		r = t.add(zone)
+	}
+	if least := r.roundTrip.Load(); least == 0 || int64(after) < least {
+		r.roundTrip.Store(int64(after))
+	}
+}
+
+// RoundTrip returns the round trip time to the zone, 0 if it is not known.
+func (t *Zones) RoundTrip(zone model.AvailabilityZone) time.Duration {
+	r := (*t.records.Load())[zone]
+	if r == nil {
+		return 0
+	}
+	return time.Duration(r.roundTrip.Load())
+}
+
 // Judgement is what follows from a silence.
 type Judgement struct {
 	Verdict reach.Verdict
