--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -14,9 +14,6 @@
 	"oleandersill.example/oleandersill/internal/query/queryhttp"
 )
 
-// forwardWorkers is the number of batches to other daemons under way at a time.
-const forwardWorkers = 64
-
 // openFleet makes the daemon's control part, which joins the fleet once it is started.
 func (d *Daemon) openFleet(recorder *report.Recorder, dial DialFunc) error {
 	d.platform.Identify(d.settings.Instance, d.settings.Zone)
@@ -46,7 +43,6 @@
 			Sender:   part.Data,
 			Self:     part.Members.Self(),
 			Owners:   part.Owners,
-			Workers:  forwardWorkers,
 			Draining: d.drainer.Draining,
 		}))
 	}
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -14,6 +14,9 @@
 )
 
 const (
+	// maxSenders bounds the batches under way at a time. Each takes a round trip, and one to a silent daemon its timeout, so that
+	// a few would hold up all others in a fleet of some regions or after the loss of some daemons.
+	maxSenders = 1024
 	// avoidFailed is how long a daemon that did not take a batch owns no servers for this daemon, and avoidDraining the
 	// same for one that is stopping.
 	avoidFailed   = 3 * time.Second
@@ -54,8 +57,6 @@
 	Sender Sender
 	Self   model.Member
 	Owners *tables.Owners
-	// Workers is the number of batches under way at a time.
-	Workers int
 	// Draining tells whether this daemon is stopping.
 	Draining func() bool
 }
@@ -67,7 +68,7 @@
 		d: d, sender: cfg.Sender, self: cfg.Self, owners: cfg.Owners,
 		forwards: tables.NewForwards(), draining: cfg.Draining,
 	}
-	f.senders = pool.Start(cfg.Workers, f.nextBatch)
+	f.senders = pool.Start(maxSenders, f.nextBatch)
 	d.forwarding = f
 	return f
 }
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -46,7 +48,14 @@
 	sent chan int
 }
 
-func (n *node) Forward(_ context.Context, _ string, b forwarding.Batch) (forwarding.Receipt, error) {
+// silentAddress begins the addresses of daemons that do not answer.
+const silentAddress = "silent-"
+
+func (n *node) Forward(ctx context.Context, address string, b forwarding.Batch) (forwarding.Receipt, error) {
+	if strings.HasPrefix(address, silentAddress) {
+		<-ctx.Done()
+		return forwarding.Receipt{}, ctx.Err()
+	}
 	if n.gate != nil {
 		<-n.gate
 	}
@@ -79,7 +88,7 @@
 	recorder.Adopt(t, time.Now())
 	config.Install(t)
 	n.forwarding = n.EnableForwarding(dispatch.ForwardingConfig{
-		Sender: n, Self: n.self, Owners: n.owners, Workers: 4, Draining: func() bool { return n.draining },
+		Sender: n, Self: n.self, Owners: n.owners, Draining: func() bool { return n.draining },
 	})
 	return n
 }
@@ -271,6 +280,32 @@
 		Expect(owner.connector.Queries(serverName)).To(Equal(1))
 	})
 
+	It("delivers a batch at once however many daemons do not answer", func() {
+		// Guards against senders that all wait for daemons that were lost, or for the round trips of a large fleet.
+		const silent = 200
+		asker, owner := newPair(fakebackend.Script{})
+		results := make(chan backend.QueryResult, silent+1)
+		send := func(attempt uint32, through model.Member, done func(*dispatch.QueryAttempt, backend.QueryResult)) {
+			q := &dispatch.QueryAttempt{
+				Server: asker.Servers.Get(serverName), Through: through, Done: done,
+				Request: backend.QueryRequest{
+					ID: backend.AttemptID{Request: "m", Attempt: attempt}, Deadline: time.Now().Add(10 * time.Second),
+					Message: &backend.Message{ID: "m"},
+				},
+			}
+			asker.StartQueries(context.Background(), []*dispatch.QueryAttempt{q}, time.Now())
+		}
+		for i := range uint32(silent) {
+			name := fmt.Sprint(silentAddress, i)
+			lost := model.Member{Instance: model.InstanceID(name), Zone: "z", Address: name}
+			send(i, lost, func(*dispatch.QueryAttempt, backend.QueryResult) {})
+		}
+		send(silent, owner.self, func(_ *dispatch.QueryAttempt, r backend.QueryResult) { results <- r })
+		var r backend.QueryResult
+		Eventually(results).WithTimeout(400 * time.Millisecond).Should(Receive(&r))
+		Expect(r.Status).To(Equal(backend.StatusOK))
+	})
+
 	DescribeTable("holds a reply for others to be merged with as long as the asker allows",
 		// Guards against a time that fits one latency target and is a large part of a shorter one.
 		func(allowed time.Duration, together int) {
--- a/internal/dispatch/zones_test.go
+++ b/internal/dispatch/zones_test.go
@@ -112,7 +112,7 @@
 	owners := tables.NewOwners()
 	owners.SetMembers(map[model.AvailabilityZone][]model.Member{"far": daemons}, time.Now())
 	z.forwarding = z.EnableForwarding(dispatch.ForwardingConfig{
-		Sender: z, Self: model.Member{Instance: "self", Zone: "near"}, Owners: owners, Workers: 16,
+		Sender: z, Self: model.Member{Instance: "self", Zone: "near"}, Owners: owners,
 		Draining: func() bool { return false },
 	})
 	DeferCleanup(z.Close)
--- a/internal/query/scatter/region_test.go
+++ b/internal/query/scatter/region_test.go
@@ -49,7 +49,7 @@
 	for _, r := range []*region{asker, helper} {
 		owners := tables.NewOwners()
 		r.forwarding = r.searcher.Dispatcher.EnableForwarding(dispatch.ForwardingConfig{
-			Sender: r, Self: r.self, Owners: owners, Workers: 4, Draining: func() bool { return false },
+			Sender: r, Self: r.self, Owners: owners, Draining: func() bool { return false },
 		})
 		owners.SetMembers(map[model.AvailabilityZone][]model.Member{r.other.self.Zone: {r.other.self}}, time.Now())
 	}
