Refuse a request as not run only if no daemon was asked to send a part of it

Callers saw: 503 with the promise that the request has not run and never will, for idempotent requests over many shards of which some servers ran their part. Cause: an attempt that another daemon was asked to send counts as withdrawn when it is cancelled, as if it had never been sent; with the coverage out of reach the call ended at once, had nothing pending and no result without proof. Change: a call counts the attempts of which it is not proved that no server ran them, and is not_run only without any; others are failed (502).

--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -98,6 +98,10 @@
 	q.attempt = tables.Attempt{Server: q.Server, Rank: q.Rank, Run: q.run}
 }
 
+// Forwarded tells whether another daemon was asked to send the attempt, so that it may have been sent although this daemon
+// withdrew it.
+func (q *QueryAttempt) Forwarded() bool { return q.forwarded }
+
 // Cancel ends the attempt: it is withdrawn if it was not sent, otherwise the server is told, over a spare connection if
 // there is one and by closing the attempt's connection if not. It tells whether the attempt was withdrawn, in which case
 // Done is not called.
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -37,6 +37,8 @@
 	attempts uint32
 	// otherRegion counts the first attempts at servers in another region.
 	otherRegion int
+	// unproven counts the attempts of which it is not proved that no server ran them.
+	unproven int
 	// unpaid counts the extra attempts that nobody paid for, which were not sent.
 	unpaid int
 
@@ -143,6 +145,7 @@
 		return false
 	}
 	c.attempts++
+	c.unproven++
 	sh.attempts++
 	sh.tried = append(sh.tried, server.Name())
 	mergeWait, gathers := c.variant.gathers()
@@ -207,6 +210,9 @@
 	defer c.mu.Unlock()
 	sh := &c.shards[i]
 	sh.removePending(q)
+	if r.Status.ProvablyNotRun() {
+		c.unproven--
+	}
 	if c.ended {
 		c.releaseIfIdle()
 		return
@@ -267,12 +273,25 @@
 	}
 	c.ended = true
 	for i := range c.shards {
-		c.shards[i].cancelPending(func(*dispatch.QueryAttempt) bool { return true })
+		c.cancelPending(&c.shards[i], func(*dispatch.QueryAttempt) bool { return true })
 	}
 	c.releaseIfIdle()
 	close(c.done)
 }
 
+// cancelPending cancels the selected attempts of a shard and forgets those that were withdrawn.
+func (c *call) cancelPending(sh *shardState, selected func(*dispatch.QueryAttempt) bool) {
+	sh.pending = slices.DeleteFunc(sh.pending, func(q *dispatch.QueryAttempt) bool {
+		if !selected(q) || !q.Cancel() {
+			return false
+		}
+		if !q.Forwarded() {
+			c.unproven--
+		}
+		return true
+	})
+}
+
 // releaseIfIdle frees the attempts' context once none of them is pending.
 func (c *call) releaseIfIdle() {
 	for i := range c.shards {
--- a/internal/query/scatter/querycall.go
+++ b/internal/query/scatter/querycall.go
@@ -85,7 +85,7 @@
 	sh.replies = append(sh.replies, shardReply{version: reply.Version, items: reply.Items})
 	sh.held = append(sh.held, reply.Version)
 	sh.held = append(sh.held, reply.Retained...)
-	sh.cancelPending(func(other *dispatch.QueryAttempt) bool {
+	c.cancelPending(sh, func(other *dispatch.QueryAttempt) bool {
 		return other.Request.WantVersion == q.Request.WantVersion
 	})
 }
--- a/internal/query/scatter/region_test.go
+++ b/internal/query/scatter/region_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -134,6 +135,19 @@
 		}
 	})
 
+	It("is not said to have run nowhere if another daemon was asked to send it", func() {
+		// Guards against a refusal that promises that no server runs the request, while one does.
+		shed := fakebackend.Script{Status: backend.StatusShed}
+		scripts := map[model.ServerName]fakebackend.Script{"s0-a": slow, "s0-b": shed}
+		for _, service := range []string{"s1", "s2", "s3"} {
+			maps.Copy(scripts, both(service, shed))
+		}
+		asker, helper := newRegions(scripts, scripts)
+		a, _ := asker.pass(context.Background())
+		Expect(helper.connector.Queries("s0-a")).To(Equal(1))
+		Expect(a.Outcome).To(Equal(model.OutcomeFailed))
+	})
+
 	It("is answered directly when the other daemon cannot be reached", func() {
 		// Guards against a lost daemon that takes the shards of its region along.
 		asker, _ := newRegions(nil, nil)
--- a/internal/query/scatter/route.go
+++ b/internal/query/scatter/route.go
@@ -58,10 +58,8 @@
 	ready    time.Time
 	dueTimer *pool.Entry
 	failure  *backend.MessageReply
-	// mayHaveRun tells that an attempt ended without a proof that its server did not run it.
-	mayHaveRun bool
-	hedges     int
-	retries    int
+	hedges   int
+	retries  int
 	// firstHedge and lastHedge are when the first and the last hedge were sent; zero without one.
 	firstHedge time.Time
 	lastHedge  time.Time
@@ -147,7 +145,7 @@
 func (c *routeCall) onResult(i int, q *dispatch.QueryAttempt, r backend.QueryResult, now time.Time) {
 	sh := &c.shards[i]
 	if r.Status == backend.StatusOK && c.accept(sh, r.Reply.Message) {
-		sh.cancelPending(func(*dispatch.QueryAttempt) bool { return true })
+		c.cancelPending(sh, func(*dispatch.QueryAttempt) bool { return true })
 		return
 	}
 	c.noteFailure(r)
@@ -219,9 +217,6 @@
 	if m := result.Reply.Message; m != nil {
 		c.failure = m
 	}
-	if !result.Status.ProvablyNotRun() {
-		c.mayHaveRun = true
-	}
 }
 
 // finish ends the call and builds the answer from the replies.
@@ -248,7 +243,7 @@
 		a.Outcome = model.OutcomeComplete
 	case covered >= gather.Needed(len(c.shards), c.minCoverage()):
 		a.Outcome = model.OutcomePartial
-	case covered == 0 && !pending && !c.mayHaveRun:
+	case covered == 0 && c.unproven == 0:
 		a.Outcome = model.OutcomeNotRun
 	default:
 		a.Outcome = model.OutcomeFailed
--- a/internal/query/scatter/shard.go
+++ b/internal/query/scatter/shard.go
@@ -34,13 +34,6 @@
 	items   []model.Item
 }
 
-// cancelPending cancels the selected attempts and forgets those that were never sent.
-func (s *shardState) cancelPending(selected func(*dispatch.QueryAttempt) bool) {
-	s.pending = slices.DeleteFunc(s.pending, func(q *dispatch.QueryAttempt) bool {
-		return selected(q) && q.Cancel()
-	})
-}
-
 func (s *shardState) removePending(q *dispatch.QueryAttempt) {
 	s.pending = slices.DeleteFunc(s.pending, func(p *dispatch.QueryAttempt) bool { return p == q })
 }
--- a/internal/testing/freeport/freeport.go
+++ b/internal/testing/freeport/freeport.go
@@ -13,6 +13,7 @@
 const (
 	PlatformProgram = 21000
 	PlatformDaemon  = 22000
+	PlatformSoak    = 23000
 )
 
 // rangeSize is the number of ports of a range.
