Let a platform's SIGTERM that comes again change nothing

Callers saw: connections of a daemon that was stopping closed 3 to 5 ms after a request, which servers had run. Cause: a second signal ended the process at once, whichever it was. Change: on the platform only SIGINT does, which operators send; signals of a platform come in series. The product's own daemon keeps its second SIGTERM, which its pages offer for a process that hangs. Evidence: "SIGTERM that comes again cuts off no request, and SIGINT then ends the process" fails before.

--- a/cmd/oleandersill-platform/main.go
+++ b/cmd/oleandersill-platform/main.go
@@ -20,7 +20,7 @@
 // Exit codes other than 0.
 const (
 	exitUsage = 2
-	// exitCutOff: a second signal ended the process before its requests had ended.
+	// exitCutOff: SIGINT ended the process while it was stopping, before its requests had ended.
 	exitCutOff = 3
 )
 
@@ -54,7 +54,8 @@
 	return serve(d, signals, file, log)
 }
 
-// serve runs the daemon until it has drained on a signal. A second signal to stop ends the process at once. The settings file is
+// serve runs the daemon until it has drained on a signal. SIGTERM may come again and changes nothing then, since signals of a
+// platform come in series; SIGINT, which an operator sends, ends a process that is stopping at once. The settings file is
 // read again on SIGHUP, and when it changed without a signal.
 func serve(d *daemon.Daemon, signals <-chan os.Signal, file string, log zerolog.Logger) int {
 	watched := watchedFile{path: file}
@@ -68,8 +69,9 @@
 			switch {
 			case s == syscall.SIGHUP:
 				reload(d, file, log)
-			case draining:
+			case draining && s == syscall.SIGINT:
 				return exitCutOff
+			case draining:
 			default:
 				draining = true
 				d.BeginDrain(s.String())
--- a/cmd/oleandersill-platform/main_test.go
+++ b/cmd/oleandersill-platform/main_test.go
@@ -215,6 +215,40 @@
 	})
 })
 
+var _ = It("SIGTERM that comes again cuts off no request, and SIGINT then ends the process", func() {
+	// Guards against stops that overlap, of which the second one would cut off what the first one lets end.
+	store := standin.NewStore()
+	store.Configure(configuration())
+	for _, s := range configuration().Services {
+		server := standin.StartServer(s.Name+"-a", s.Name, "z1", "body")
+		server.Behave(standin.Behaviour{Work: 500 * time.Millisecond})
+		server.Register(store, "ready")
+		DeferCleanup(server.Close)
+	}
+	endpoint := store.OpenEndpoint()
+	DeferCleanup(endpoint.Close)
+	for _, last := range []syscall.Signal{syscall.SIGTERM, syscall.SIGINT} {
+		p := start(0, "z1", endpoint)
+		Eventually(p.isReady).WithTimeout(5 * time.Second).Should(Equal(http.StatusOK))
+		statuses := make(chan int, 1)
+		go func() {
+			status, _, _, _ := p.request(&http.Client{}, "r1", http.MethodPost, "/write/x")
+			statuses <- status
+		}()
+		time.Sleep(200 * time.Millisecond)
+		Expect(p.cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+		Eventually(p.isReady).WithTimeout(time.Second).Should(Equal(http.StatusServiceUnavailable))
+		Expect(p.cmd.Process.Signal(last)).To(Succeed())
+		if err := p.cmd.Wait(); last == syscall.SIGTERM {
+			Expect(err).NotTo(HaveOccurred())
+			Expect(<-statuses).To(Equal(http.StatusOK))
+		} else {
+			Expect(p.cmd.ProcessState.ExitCode()).To(Equal(3))
+			Expect(<-statuses).To(BeZero())
+		}
+	}
+})
+
 var _ = It("the settings are read again on SIGHUP and when the file changed without a signal", func() {
 	// Guards against bounds that stay those of the start.
 	store := standin.NewStore()
