--- a/internal/query/scatter/querycall.go
+++ b/internal/query/scatter/querycall.go
@@ -68,7 +68,8 @@
 		sh.held = append(sh.held, r.Retained...)
 		c.searcher.Dispatcher.NoteMixedVersions(c.req.Service.Name, now)
 		c.resend(i, now)
-	case backend.StatusCancelled, backend.StatusDeadlinePassed:
+	case backend.StatusCancelled, backend.StatusDeadlinePassed, backend.StatusOverBudget:
+		// No other daemon pays for attempts of the product's own queries.
 	case backend.StatusUnreachable, backend.StatusDraining, backend.StatusOwnerLost, backend.StatusBusy:
 		// The server spent nothing on the attempt, or its owner is lost, so that another one needs no budget.
 		c.resend(i, now)
