Keep requests from servers that say that they leave, and from those that ask for none

A leaving server says so in all its answers (Server-Leaving: 1), and a server that refuses with 503 may say for how long it wants nothing (Retry-After). Neither was read, so that a server whose entry still said ready, or was written again after an outage, got requests until it was gone, and refused requests went back to a resting server as soon as another replica was slower.

If all replicas rest, the request is refused at once, with a Retry-After that is not shorter than the shortest rest. A probe whose server starts to leave while it is queued now ends.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -124,7 +124,7 @@
 type QueryResult struct {
 	Status Status
 	Reply  QueryReply
-	// RetryAfter is the server's retry hint with StatusShed; 0 if it gave none.
+	// RetryAfter is how long the server wants no further requests from the daemon that sent the attempt; 0 if it did not say.
 	RetryAfter time.Duration
 	// Retained lists, with StatusVersionNotHeld, the index versions that the server holds.
 	Retained []model.IndexVersion
@@ -145,10 +145,12 @@
 // ExecuteResult is the result of a non-idempotent attempt. Result is set with StatusOK only. Message is set with StatusOK or
 // StatusFailed if the server replied to the request's Message.
 type ExecuteResult struct {
-	Status     Status
-	Result     string
+	Status Status
+	Result string
+	// RetryAfter is how long the server wants no further requests from this daemon; 0 if it did not say.
 	RetryAfter time.Duration
 	Message    *MessageReply
+	Load       Load
 }
 
 // Health is the health that a server reports. Reports may be delayed or wrong.
--- a/internal/command/follow/follower.go
+++ b/internal/command/follow/follower.go
@@ -25,9 +25,10 @@
 
 // Peers calls other daemons.
 type Peers interface {
-	// Registry returns the store's data that the daemon at address has and a caller at the given position lacks. The daemon
-	// replies as soon as it has newer data than the caller, and after wait at the latest.
-	Registry(ctx context.Context, address string, at gossip.Position, wait time.Duration) (registry.PeerUpdate, error)
+	// Registry tells the daemon at address the given servers that leave, and returns what that daemon has and a caller at the
+	// given position lacks. The daemon replies as soon as there is something, and after wait at the latest.
+	Registry(ctx context.Context, address string, at gossip.Position, leaving []model.LeavingServer, wait time.Duration) (
+		registry.PeerUpdate, error)
 }
 
 // Deps are the dependencies and settings of a Follower.
@@ -44,6 +45,8 @@
 	Rules    model.Rules
 	Registry *tables.Registry
 	Config   *tables.Config
+	// Servers holds the records of the servers that are in use.
+	Servers *tables.Servers
 	// Freshness limits the age of the data from the store.
 	Freshness gossip.Freshness
 	// ApplyTopology is called with every Topology before it is installed.
--- a/internal/command/follow/peers.go
+++ b/internal/command/follow/peers.go
@@ -24,7 +24,10 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
-	update, err := f.deps.Peers.Registry(callCtx, source.Address, at, remaining-fresh.PeerReplyMargin())
+	r.leaving.with(source)
+	at.Leaving = r.leaving.received
+	leaving, sent := f.deps.Registry.LeavingAfter(r.leaving.sent)
+	update, err := f.deps.Peers.Registry(callCtx, source.Address, at, leaving, remaining-fresh.PeerReplyMargin())
 	if ctx.Err() != nil {
 		return
 	}
@@ -32,6 +35,7 @@
 		f.excludeSource(r, source, gossip.SourceUnresponsive, err)
 		return
 	}
+	r.leaving.sent, r.leaving.received = sent, update.LeavingUpTo
 	f.applyPeerUpdate(&update)
 	if update.StoreUnreachable || time.Since(update.ConfirmedAt) > fresh.MaxAge()-fresh.PeerReplyMargin() {
 		f.excludeSource(r, source, gossip.SourceStale, nil)
@@ -52,6 +56,7 @@
 		f.deps.Registry.SetStoreRestored(u.StoreRestoredAt)
 	}
 	f.deps.Config.RecordStoreContact(u.ConfirmedAt)
+	f.ObserveLeaving(u.Leaving)
 	f.applyUpdate(&u.Update, sourcePeer, u.ConfirmedAt)
 }
 
@@ -68,13 +73,15 @@
 	address := addresses[r.peersAsked%len(addresses)]
 	r.peersAsked++
 	at := f.deps.Registry.Position()
+	leaving, _ := f.deps.Registry.LeavingAfter(0)
 	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	update, err := f.deps.Peers.Registry(callCtx, address, at, 0)
+	update, err := f.deps.Peers.Registry(callCtx, address, at, leaving, 0)
 	if err != nil {
 		f.deps.Log.Info().Err(err).Str("peer", address).Msg("peer_not_asked")
 		return
 	}
+	f.ObserveLeaving(update.Leaving)
 	if update.Revision <= at.Revision || (update.Routing == nil && update.Complete) {
 		return
 	}
--- a/internal/command/follow/property_test.go
+++ b/internal/command/follow/property_test.go
@@ -132,7 +132,7 @@
 	d.follower = follow.New(follow.Deps{
 		Reader: d.client, Announcer: d.client, Peers: d, Seeds: []string{"0", "1"}, Self: member(index),
 		Zones:    []model.ZoneSpec{{Name: "z0", Region: "r"}, {Name: "z1", Region: "r"}},
-		Registry: d.registry, Config: d.config, Log: zerolog.Nop(),
+		Registry: d.registry, Config: d.config, Servers: tables.NewServers(), Log: zerolog.Nop(),
 		Freshness:     gossip.NewFreshness(min(sim.bounds.configApply, sim.bounds.drain)),
 		ApplyTopology: func(*model.Topology, time.Time) {},
 		DaemonsChanged: func(ms []model.Member, announced bool) {
@@ -161,7 +161,7 @@
 
 // Registry implements follow.Peers.
 func (d *daemon) Registry(
-	ctx context.Context, address string, at gossip.Position, wait time.Duration,
+	ctx context.Context, address string, at gossip.Position, leaving []model.LeavingServer, wait time.Duration,
 ) (registry.PeerUpdate, error) {
 	other := d.sim.daemonAt(address)
 	if other == nil || !other.alive.Load() {
@@ -169,6 +169,7 @@
 	}
 	var update registry.PeerUpdate
 	if !d.partitioned.Load() && !other.partitioned.Load() {
+		other.follower.ObserveLeaving(leaving)
 		update = other.registry.AwaitUpdate(ctx, at, wait)
 	}
 	// A partition that begins during the wait loses the reply too, and so does a daemon that ends meanwhile.
--- a/internal/command/follow/read.go
+++ b/internal/command/follow/read.go
@@ -25,6 +25,7 @@
 	// lostSince is when the first of the consecutive failed calls to the store failed; zero while calls succeed.
 	lostSince time.Time
 	backoff   time.Duration
+	leaving   leavingExchange
 	// peersAsked counts the calls to peers while the store does not answer.
 	peersAsked int
 }
--- a/internal/command/relay/relay.go
+++ b/internal/command/relay/relay.go
@@ -40,6 +40,9 @@
 	Reason  Reason
 	// Reply is the server's answer for OutcomeComplete.
 	Reply *backend.MessageReply
+	// Pushback, with OutcomeNotRun, is how long all servers of the service asked for no requests; 0 if the request was not run
+	// for another reason.
+	Pushback time.Duration
 }
 
 // Relay forwards the non-idempotent requests of routes for one daemon.
@@ -55,9 +58,12 @@
 	defer cancel()
 	exec := execution{relay: r, req: &req}
 	result := exec.send(ctx)
+	if result.Outcome == model.OutcomeNotRun {
+		result.Pushback, _ = r.Dispatcher.PushbackUntil([]*model.Shard{req.Shard}, 1, time.Now())
+	}
 	r.Log.Info().Str("id", req.Message.ID).Str("route", string(req.Route.Name)).
 		Uint64("version", uint64(req.Topology.Routing.Version)).Uint64("topology", uint64(req.Topology.Revision)).
-		Str("outcome", string(result.Outcome)).Str("reason", string(result.Reason)).Int("attempts", len(exec.tried)).
+		Str("outcome", string(result.Outcome)).Str("reason", string(result.Reason)).Int("attempts", len(exec.tried)).Dur("pushback", result.Pushback).
 		Dur("took", time.Since(req.Arrived)).Dur("left", time.Until(req.Deadline)).Msg("request_answered")
 	r.Dispatcher.Metrics().RouteRequest(req.Route.Name, result.Outcome, 0, time.Since(req.Arrived))
 	return result
@@ -91,7 +97,7 @@
 		if end.Attempted {
 			reason = Reason(end.Result.Status.String())
 		}
-		reachedServer = end.Attempted && end.Result.Status != backend.StatusUnreachable
+		reachedServer = end.Attempted && end.Result.Status != backend.StatusUnreachable && end.Result.Status != backend.StatusBusy
 	}
 	return Result{Outcome: model.OutcomeNotRun, Reason: reason}
 }
@@ -123,7 +129,7 @@
 			},
 			Service: service, Shard: e.req.Shard.Name, Deadline: e.req.Deadline, Message: e.req.Message,
 		},
-		MaySend: func() bool { return ctx.Err() == nil && !records[i].Leaving() },
+		MaySend: func() bool { return ctx.Err() == nil },
 	})
 	if !end.Attempted || end.Result.Status != backend.StatusOK {
 		e.relay.Log.Info().Str("id", e.req.Message.ID).Str("service", string(service)).
--- a/internal/command/report/observer.go
+++ b/internal/command/report/observer.go
@@ -10,7 +10,7 @@
 	"oleandersill.example/oleandersill/internal/telemetry"
 )
 
-// Observer passes attempts to Next, and then counts them and logs ejections.
+// Observer passes attempts to Next, and then counts them and logs ejections and the retry hints of servers.
 type Observer struct {
 	Next    dispatch.Observer
 	Metrics *telemetry.Metrics
@@ -28,6 +28,9 @@
 	if a.Status == backend.StatusMismatched {
 		o.Metrics.DroppedReply(spec.Service)
 	}
+	if a.RetryAfter > 0 {
+		o.serverEvent(spec).Dur("retry_after", a.RetryAfter).Bool("forwarded", a.Forwarded).Msg("server_pushback")
+	}
 	switch s.TakeEjectionChange() {
 	case tables.EjectionBegan:
 		o.Metrics.Ejection(spec.Service, spec.Zone)
--- a/internal/command/report/recorder.go
+++ b/internal/command/report/recorder.go
@@ -21,8 +21,8 @@
 	// OnJoin, if set, is called with the record of each server that joins or changes its endpoint, unless the server is leaving
 	// or accepts fewer connections than there may be daemons.
 	OnJoin func(*tables.Server)
-	// OnDraining, if set, is called with the name of a server for each answer that reports that it is draining.
-	OnDraining func(model.ServerName)
+	// OnDraining, if set, is called with the record of a server for each answer that reports that it is draining.
+	OnDraining func(*tables.Server)
 
 	capacity atomic.Pointer[map[model.ServiceName]*serviceCapacity]
 	// applied is the Topology that the tables correspond to. Only ApplyTopology uses it.
@@ -52,6 +52,7 @@
 		Delayed:      a.Delayed,
 		Forwarded:    a.Forwarded,
 		Load:         a.Load,
+		RetryAfter:   a.RetryAfter,
 		HeldVersions: a.Held,
 		Quantile:     t.Rules.Hedge.Quantile,
 		// Whether a server may be ejected depends on the shard's other servers, which are checked only after a failure.
@@ -66,7 +67,7 @@
 
 func (r *Recorder) reportDraining(s *tables.Server, status backend.Status, load backend.Load) {
 	if r.OnDraining != nil && (status == backend.StatusDraining || load.Draining) {
-		r.OnDraining(s.Name())
+		r.OnDraining(s)
 	}
 }
 
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -12,6 +12,7 @@
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/peer"
 	"oleandersill.example/oleandersill/internal/query/queryhttp"
+	"oleandersill.example/oleandersill/internal/tables"
 )
 
 // openControlPlane creates the daemon's control plane, which joins the fleet once it is started. It enables forwarding
@@ -47,7 +48,7 @@
 			Draining: d.drainer.Draining,
 		}))
 	}
-	recorder.OnDraining = plane.Agent.ObserveDraining
+	recorder.OnDraining = func(s *tables.Server) { plane.Agent.ObserveDraining(s.Name()) }
 	return nil
 }
 
--- a/internal/decision/directory/directory.go
+++ b/internal/decision/directory/directory.go
@@ -29,6 +29,9 @@
 	entries     map[model.ServerName]*entry
 	// storeRestored is when the last store outage ended.
 	storeRestored time.Time
+	// leaving holds the servers that stated in a reply that they leave, and leavingSequence numbers the marks.
+	leaving         map[model.ServerName]leavingMark
+	leavingSequence LeavingSequence
 }
 
 type entry struct {
@@ -40,7 +43,9 @@
 
 // New returns an empty directory of servers that still serve requests for drainPeriod after they announced that they leave.
 func New(drainPeriod time.Duration) *Directory {
-	return &Directory{drainPeriod: drainPeriod, entries: map[model.ServerName]*entry{}}
+	return &Directory{
+		drainPeriod: drainPeriod, entries: map[model.ServerName]*entry{}, leaving: map[model.ServerName]leavingMark{},
+	}
 }
 
 // Put records an entry and reports whether the server is new or its registration changed. An entry that is not newer than the
@@ -49,6 +54,7 @@
 	e := d.entries[r.Name]
 	if e == nil {
 		d.entries[r.Name] = &entry{registration: r, revision: revision}
+		d.clearMarkOfOtherRun(&r)
 		return true
 	}
 	if revision < e.revision || (revision == e.revision && e.useUntil.IsZero()) {
@@ -56,6 +62,7 @@
 	}
 	changed := e.registration != r
 	e.registration, e.revision, e.useUntil = r, revision, time.Time{}
+	d.clearMarkOfOtherRun(&r)
 	return changed
 }
 
@@ -76,7 +83,7 @@
 	if e == nil || !e.useUntil.IsZero() {
 		return false
 	}
-	if e.registration.Leaving {
+	if e.registration.Leaving || d.markedLeaving(&e.registration) {
 		delete(d.entries, name)
 		return true
 	}
@@ -115,6 +122,7 @@
 
 // Expire drops the servers whose grace period has ended and returns their names.
 func (d *Directory) Expire(now time.Time) []model.ServerName {
+	d.expireMarks(now)
 	var dropped []model.ServerName
 	for name, e := range d.entries {
 		if !e.useUntil.IsZero() && !now.Before(e.useUntil) {
@@ -153,11 +161,14 @@
 	return out
 }
 
-// Servers returns the servers to use, sorted by name. It includes those in a grace period.
+// Servers returns the servers to use, sorted by name. It includes those in a grace period. A server with a leaving mark is
+// leaving, even if its entry does not say so.
 func (d *Directory) Servers() []model.Registration {
 	out := make([]model.Registration, 0, len(d.entries))
 	for _, e := range d.entries {
-		out = append(out, e.registration)
+		r := e.registration
+		r.Leaving = r.Leaving || d.markedLeaving(&r)
+		out = append(out, r)
 	}
 	slices.SortFunc(out, func(a, b model.Registration) int { return cmp.Compare(a.Name, b.Name) })
 	return out
--- a/internal/decision/directory/directory_test.go
+++ b/internal/decision/directory/directory_test.go
@@ -88,6 +88,57 @@
 		Expect(d.Servers()[0].Leaving).To(BeTrue())
 	})
 
+	It("keeps a server marked as leaving against entries that say otherwise, until another run registers", func() {
+		// Guards against requests to a server that said that it leaves, after its entry expired and was written again.
+		d := directory.New(drainPeriod)
+		first := server("a", false)
+		first.Started = 1
+		d.Put(first, 1)
+		Expect(d.MarkLeaving(model.LeavingServer{Server: "a", Started: 1}, start)).To(BeTrue())
+		Expect(d.MarkLeaving(model.LeavingServer{Server: "a", Started: 1}, start)).To(BeFalse())
+		Expect(d.Servers()[0].Leaving).To(BeTrue())
+		d.Put(first, 2)
+		Expect(d.Servers()[0].Leaving).To(BeTrue())
+		Expect(d.RemoveEntry("a", start, start)).To(BeTrue())
+		d.Expire(start.Add(time.Minute))
+		d.Put(first, 3)
+		Expect(d.Servers()[0].Leaving).To(BeTrue())
+		second := first
+		second.Started = 2
+		d.Put(second, 4)
+		Expect(d.Servers()[0].Leaving).To(BeFalse())
+		Expect(d.MarkLeaving(model.LeavingServer{Server: "a", Started: 1}, start)).To(BeFalse())
+		Expect(d.Servers()[0].Leaving).To(BeFalse())
+	})
+
+	It("passes on each leaving mark, in parts of limited size", func() {
+		// Guards against marks that never reach a daemon because others fill the message.
+		d := directory.New(drainPeriod)
+		for i := range 5 {
+			d.MarkLeaving(model.LeavingServer{Server: model.ServerName(fmt.Sprint(i))}, start)
+		}
+		var got []model.LeavingServer
+		after := directory.LeavingSequence(0)
+		for range 3 {
+			part, upTo := d.LeavingAfter(after, 2)
+			Expect(len(part)).To(BeNumerically("<=", 2))
+			got, after = append(got, part...), upTo
+		}
+		Expect(got).To(HaveLen(5))
+		part, upTo := d.LeavingAfter(after, 2)
+		Expect(part).To(BeEmpty())
+		Expect(upTo).To(Equal(after))
+	})
+
+	It("forgets the leaving mark of a server that has had no entry for long", func() {
+		// Guards against marks that accumulate while servers are replaced.
+		d := directory.New(drainPeriod)
+		d.MarkLeaving(model.LeavingServer{Server: "a"}, start)
+		d.Expire(start.Add(time.Hour))
+		part, _ := d.LeavingAfter(0, 2)
+		Expect(part).To(BeEmpty())
+	})
+
 	It("drops a server whose key no longer holds a valid entry", func() {
 		// Guards against using the last valid entry after it was overwritten.
 		d := directory.New(drainPeriod)
--- a/internal/decision/gossip/source.go
+++ b/internal/decision/gossip/source.go
@@ -31,13 +31,15 @@
 	Revision directory.Revision
 	// ConfirmedAt is the latest time at which the store is known to have been at Revision.
 	ConfirmedAt time.Time
+	// Leaving is how many of another daemon's leaving marks the daemon has received; 0 for its own position.
+	Leaving directory.LeavingSequence
 }
 
 // minFresher is the difference in age up to which fresher data does not justify a message.
 const minFresher = 50 * time.Millisecond
 
 // AheadOf reports whether p has a higher revision than other, or is fresher by more than minFresher, so that a daemon at
-// other benefits from the data of a daemon at p.
+// other benefits from the store's data of a daemon at p.
 func (p Position) AheadOf(other Position) bool {
 	return p.Revision > other.Revision || p.ConfirmedAt.Sub(other.ConfirmedAt) > minFresher
 }
--- a/internal/decision/retrydelay/retrydelay.go
+++ b/internal/decision/retrydelay/retrydelay.go
@@ -21,6 +21,15 @@
 
 // RetryAfter returns the delay after which a caller with the given time until its deadline may retry.
 func RetryAfter(remaining time.Duration, rnd *rand.Rand) time.Duration {
-	mean := min(maxMean, max(minMean, time.Duration(float64(remaining)*meanFraction)))
-	return time.Duration(float64(mean) * (1 - jitter + 2*jitter*rnd.Float64()))
+	return time.Duration(float64(mean(remaining)) * (1 - jitter + 2*jitter*rnd.Float64()))
+}
+
+// AfterPushback returns the delay for a caller whose request no server takes before rest has passed. It is never shorter than
+// rest, since an earlier retry would be refused as well.
+func AfterPushback(rest, remaining time.Duration, rnd *rand.Rand) time.Duration {
+	return rest + time.Duration(float64(mean(remaining))*rnd.Float64())
+}
+
+func mean(remaining time.Duration) time.Duration {
+	return min(maxMean, max(minMean, time.Duration(float64(remaining)*meanFraction)))
 }
--- a/internal/decision/routing/choose.go
+++ b/internal/decision/routing/choose.go
@@ -46,6 +46,9 @@
 	Usable bool
 	// Probe marks an ejected server for which a probe is due.
 	Probe bool
+	// Leaving is whether the server leaves, and Pushback how much longer it wants no attempts; 0 if it did not say so.
+	Leaving  bool
+	Pushback time.Duration
 	// Pending is the number of attempts in flight and waiting.
 	Pending int
 	// Limit is the number of attempts that may be in flight.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -32,6 +32,8 @@
 	// Delayed is how long the daemon that sent the attempt held the reply back to return it together with others.
 	Delayed time.Duration
 	Load    backend.Load
+	// RetryAfter is how long the server wants no further requests; 0 if it did not say.
+	RetryAfter time.Duration
 	// Held lists the index versions that the server reported holding; nil if it reported none.
 	Held []model.IndexVersion
 	// Forwarded is true if another daemon sent the attempt.
--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -75,13 +75,14 @@
 		return
 	}
 	if a.d.zones.Unreachable(a.Server.Spec().Zone) {
-		// Nothing was sent, so the request may be sent to another server.
-		a.endProbe()
-		a.d.release(a.Server)
-		a.done <- ExecuteOutcome{Attempted: true, Result: backend.ExecuteResult{Status: backend.StatusUnreachable}}
+		a.endUnsent(backend.ExecuteResult{Status: backend.StatusUnreachable})
 		return
 	}
 	begin := time.Now()
+	if refusal := refusalOf(a.Server, begin); refusal.Status != backend.StatusOK {
+		a.endUnsent(backend.ExecuteResult{Status: refusal.Status, RetryAfter: refusal.RetryAfter})
+		return
+	}
 	if a.Probe && !a.healthy() {
 		a.d.finishAttempt(a.Server, begin, 0, AttemptResult{Status: backend.StatusUnreachable})
 		a.done <- ExecuteOutcome{Attempted: true, Result: backend.ExecuteResult{Status: backend.StatusUnreachable}}
@@ -95,10 +96,19 @@
 	}
 	begin = time.Now()
 	result := a.Server.Client().Execute(a.ctx, a.Request)
-	slowdown := a.d.finishAttempt(a.Server, begin, 0, AttemptResult{Status: result.Status})
+	slowdown := a.d.finishAttempt(a.Server, begin, 0, AttemptResult{
+		Status: result.Status, Load: result.Load, RetryAfter: result.RetryAfter,
+	})
 	a.done <- ExecuteOutcome{Attempted: true, Result: result, Slowdown: slowdown}
 }
 
+// endUnsent ends the attempt without sending it, so that the request may be sent to another server.
+func (a *ExecuteAttempt) endUnsent(r backend.ExecuteResult) {
+	a.endProbe()
+	a.d.release(a.Server)
+	a.done <- ExecuteOutcome{Attempted: true, Result: r}
+}
+
 // endProbe reports that a probe ended without evidence about the server, so that another probe may be sent.
 func (a *ExecuteAttempt) endProbe() {
 	if a.Probe {
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -120,13 +120,14 @@
 		latency = max(0, total-r.Waited)
 	}
 	q.Slowdown = f.d.observer.ObserveAttempt(q.Server, AttemptResult{
-		Status:    r.Result.Status,
-		Latency:   max(0, latency-r.Delayed),
-		Delayed:   r.Delayed,
-		Total:     total,
-		Load:      r.Result.Reply.Load,
-		Held:      heldVersions(r.Result),
-		Forwarded: true,
+		Status:     r.Result.Status,
+		Latency:    max(0, latency-r.Delayed),
+		Delayed:    r.Delayed,
+		Total:      total,
+		Load:       r.Result.Reply.Load,
+		RetryAfter: r.Result.RetryAfter,
+		Held:       heldVersions(r.Result),
+		Forwarded:  true,
 	})
 	q.stop()
 	q.Done(q, r.Result)
--- /dev/null
+++ b/internal/dispatch/pushback.go
@@ -0,0 +1,42 @@
+package dispatch
+
+import (
+	"time"
+
+	"oleandersill.example/oleandersill/internal/decision/pushback"
+	"oleandersill.example/oleandersill/internal/decision/routing"
+	"oleandersill.example/oleandersill/internal/model"
+)
+
+// PushbackUntil returns how long it takes until required of the shards take requests, if they do not now because servers asked
+// for no requests. It returns false if enough shards take requests, or if more than the servers that push back are missing.
+func (d *Dispatcher) PushbackUntil(shards []*model.Shard, required int, now time.Time) (time.Duration, bool) {
+	var rests []time.Duration
+	available := 0
+	for _, sh := range shards {
+		rest, usable := d.shardPushback(sh, now)
+		switch {
+		case usable:
+			available++
+		case rest > 0:
+			rests = append(rests, rest)
+		}
+	}
+	return pushback.UntilAvailable(rests, required-available)
+}
+
+// shardPushback reports whether a server of the shard takes requests. If none does, rest is the time until the first of those
+// that asked for no requests takes some again, or 0 if there is none.
+func (d *Dispatcher) shardPushback(sh *model.Shard, now time.Time) (rest time.Duration, usable bool) {
+	for _, r := range d.Servers.AppendShard(nil, sh) {
+		var c routing.Candidate
+		r.FillCandidate(&c, now)
+		if c.Usable {
+			return 0, true
+		}
+		if !c.Leaving && c.Pushback > 0 && (rest == 0 || c.Pushback < rest) {
+			rest = c.Pushback
+		}
+	}
+	return rest, false
+}
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -137,18 +137,16 @@
 }
 
 // run is called by a worker after capacity at the server was acquired. An attempt that was queued when the server started
-// to leave is not sent: it could reach the server as late as the attempt's deadline, which may be after the time limit for
-// new requests to a leaving server.
+// to leave or to push back is not sent: it could reach the server as late as the attempt's deadline, long after the server
+// asked for no further requests.
 func (q *QueryAttempt) run() {
 	begin := time.Now()
-	if q.Server.Leaving() {
-		q.d.release(q.Server)
-		q.stop()
-		q.Done(q, backend.QueryResult{Status: backend.StatusDraining})
+	if refusal := refusalOf(q.Server, begin); refusal.Status != backend.StatusOK {
+		q.endUnsent(refusal)
 		return
 	}
 	if !q.beginInZone() {
-		q.rejectUnreachable()
+		q.endUnsent(backend.QueryResult{Status: backend.StatusZoneUnreachable})
 		return
 	}
 	q.sent.Store(true)
@@ -158,8 +156,30 @@
 	q.waited = begin.Sub(q.Started)
 	result := q.endInZone(q.Server.Client().Query(q.ctx, q.Request))
 	q.Slowdown = q.d.finishAttempt(q.Server, begin, q.waited, AttemptResult{
-		Status: result.Status, Load: result.Reply.Load, Held: heldVersions(result),
+		Status: result.Status, Load: result.Reply.Load, Held: heldVersions(result), RetryAfter: result.RetryAfter,
 	})
 	q.stop()
 	q.Done(q, result)
 }
+
+// refusalOf returns the result of an attempt that must not be sent, because the server is leaving or wants no requests at now.
+// Its status is StatusOK if the attempt may be sent.
+func refusalOf(s *tables.Server, now time.Time) backend.QueryResult {
+	if s.Leaving() {
+		return backend.QueryResult{Status: backend.StatusDraining}
+	}
+	if rest := s.Pushback(now); rest > 0 {
+		return backend.QueryResult{Status: backend.StatusBusy, RetryAfter: rest}
+	}
+	return backend.QueryResult{Status: backend.StatusOK}
+}
+
+// endUnsent ends an attempt that acquired capacity without sending it.
+func (q *QueryAttempt) endUnsent(r backend.QueryResult) {
+	if q.Probe {
+		q.Server.EndProbe()
+	}
+	q.d.release(q.Server)
+	q.stop()
+	q.Done(q, r)
+}
--- a/internal/dispatch/zones.go
+++ b/internal/dispatch/zones.go
@@ -118,16 +118,6 @@
 	})
 }
 
-// rejectUnreachable ends an attempt without sending it because its server's zone became unreachable while it was queued.
-func (q *QueryAttempt) rejectUnreachable() {
-	if q.Probe {
-		q.Server.EndProbe()
-	}
-	q.d.release(q.Server)
-	q.stop()
-	q.Done(q, backend.QueryResult{Status: backend.StatusZoneUnreachable})
-}
-
 // endInZone records that the attempt is no longer in flight and returns its result. If the attempt was aborted because the
 // zone became unreachable, the status of the result is StatusZoneUnreachable.
 func (q *QueryAttempt) endInZone(r backend.QueryResult) backend.QueryResult {
@@ -195,11 +185,12 @@
 func (d *Dispatcher) acquireProbeTargets(zone model.AvailabilityZone, excluded model.ServerName, count int) []*tables.Server {
 	all := d.Servers.All()
 	var targets []*tables.Server
+	now := time.Now()
 	for _, i := range d.Rand().Perm(len(all)) {
 		if len(targets) == count {
 			break
 		}
-		if s := all[i]; s.Name() != excluded && s.Spec().Zone == zone && s.TryAcquireSpare() {
+		if s := all[i]; s.Name() != excluded && s.Spec().Zone == zone && s.Pushback(now) == 0 && s.TryAcquireSpare() {
 			targets = append(targets, s)
 		}
 	}
--- a/internal/model/registration.go
+++ b/internal/model/registration.go
@@ -17,3 +17,10 @@
 	// Started distinguishes successive runs of servers with the same name; it is 0 if the entry does not state it.
 	Started int64
 }
+
+// LeavingServer identifies one run of a backend server that stated in a reply that it is leaving.
+type LeavingServer struct {
+	Server ServerName
+	// Started is the run's Registration.Started.
+	Started int64
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -121,7 +121,7 @@
 		address, stop := serve("127.0.0.1:0")
 		defer stop()
 		const wait = 2500 * time.Millisecond
-		_, err := newClient("right").Registry(context.Background(), address, gossip.Position{}, wait)
+		_, err := newClient("right").Registry(context.Background(), address, gossip.Position{}, nil, wait)
 		Expect(err).NotTo(HaveOccurred())
 	})
 
--- a/internal/peer/registry.go
+++ b/internal/peer/registry.go
@@ -14,8 +14,8 @@
 const MethodRegistry = ServiceQueries + ".Registry"
 
 // RegistryRequest asks a peer for what it has received from the store after a revision. The peer answers as soon as it has a
-// later revision than the requester, has had the same one confirmed more recently, or has lost contact with the store, and
-// after Wait at the latest.
+// later revision than the requester, has had the same one confirmed more recently, has marked
+// further servers as leaving, or has lost contact with the store, and after Wait at the latest.
 type RegistryRequest struct {
 	// After is the requester's revision; 0 requests all entries.
 	After directory.Revision
@@ -23,6 +23,13 @@
 	// common clock.
 	Age  time.Duration
 	Wait time.Duration
+	// Leaving lists the servers that the requester marked as leaving since its last request to the peer; at most
+	// registry.MaxLeaving.
+	Leaving []model.LeavingServer
+	// LeavingAfter is the LeavingUpTo of the peer's last reply, or 0. Without ExchangesLeaving, which earlier versions do not
+	// send, the peer reports no leaving servers: they would be news to the requester on every call.
+	LeavingAfter     directory.LeavingSequence
+	ExchangesLeaving bool
 }
 
 // RegistryReply is what a peer has received from the store.
@@ -37,6 +44,10 @@
 	Limits   model.CallerLimits
 	Servers  []registry.ServerEntry
 	Members  []registry.MemberEntry
+	// Leaving lists the servers that the peer marked as leaving after the request's LeavingAfter, at most registry.MaxLeaving,
+	// and LeavingUpTo is the sequence number up to which the list is complete.
+	Leaving     []model.LeavingServer
+	LeavingUpTo directory.LeavingSequence
 	// Age is the time since the store was last known to the peer to be at Revision.
 	Age time.Duration
 	// Restored means that the store has answered the peer again after an outage. SinceRestored is how long ago that was.
@@ -46,13 +57,16 @@
 	Lost bool
 }
 
-// Registry asks the peer for what it has received from the store after the position at. The peer answers after wait at the
-// latest.
+// Registry asks the peer for what it has after the position at, and tells it the servers that this daemon marked as leaving.
+// The peer answers after wait at the latest.
 func (c *Client) Registry(
-	ctx context.Context, address string, at gossip.Position, wait time.Duration,
+	ctx context.Context, address string, at gossip.Position, leaving []model.LeavingServer, wait time.Duration,
 ) (registry.PeerUpdate, error) {
 	var r RegistryReply
-	req := RegistryRequest{After: at.Revision, Age: time.Since(at.ConfirmedAt), Wait: wait}
+	req := RegistryRequest{
+		After: at.Revision, Age: time.Since(at.ConfirmedAt), Wait: wait, Leaving: leaving, LeavingAfter: at.Leaving,
+		ExchangesLeaving: true,
+	}
 	if err := c.callWithWait(ctx, wait, address, MethodRegistry, req, &r); err != nil {
 		return registry.PeerUpdate{}, err
 	}
@@ -63,7 +77,7 @@
 func NewRegistryReply(u *registry.PeerUpdate, now time.Time) RegistryReply {
 	r := RegistryReply{
 		Revision: u.Revision, Complete: u.Complete, Servers: u.Servers, Members: u.Members,
-		Age: now.Sub(u.ConfirmedAt), Lost: u.StoreUnreachable,
+		Leaving: u.Leaving, LeavingUpTo: u.LeavingUpTo, Age: now.Sub(u.ConfirmedAt), Lost: u.StoreUnreachable,
 	}
 	if u.Routing != nil {
 		r.Version, r.Routes, r.Services, r.Limits = u.Routing.Version, u.Routing.Routes, u.Routing.Services, u.Routing.Limits
@@ -78,6 +92,8 @@
 func (r *RegistryReply) PeerUpdate(now time.Time) registry.PeerUpdate {
 	u := registry.PeerUpdate{
 		Update:           registry.Update{Revision: r.Revision, Complete: r.Complete, Servers: r.Servers, Members: r.Members},
+		Leaving:          r.Leaving,
+		LeavingUpTo:      r.LeavingUpTo,
 		ConfirmedAt:      now.Add(-r.Age),
 		StoreUnreachable: r.Lost,
 	}
--- a/internal/query/queryrpc/registry.go
+++ b/internal/query/queryrpc/registry.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"oleandersill.example/oleandersill/internal/decision/gossip"
+	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/peer"
 	"oleandersill.example/oleandersill/internal/tables"
 )
@@ -14,10 +16,18 @@
 type RegistryService struct {
 	ForwardService
 	registry *tables.Registry
+	observer LeavingObserver
+}
+
+// LeavingObserver is notified of the leaving servers that peers report in their queries.
+type LeavingObserver interface {
+	ObserveLeaving([]model.LeavingServer)
 }
 
 // NewRegistryService returns a service that replies with the content of r.
-func NewRegistryService(r *tables.Registry) *RegistryService { return &RegistryService{registry: r} }
+func NewRegistryService(r *tables.Registry, o LeavingObserver) *RegistryService {
+	return &RegistryService{registry: r, observer: o}
+}
 
 // maxRegistryWait bounds how long a call waits, since its caller may have disconnected.
 const maxRegistryWait = 30 * time.Second
@@ -25,7 +35,11 @@
 // Registry replies with what this daemon has received from the store and the caller lacks. It waits until there is something
 // new for the caller or the store is lost, but no longer than the request's Wait and maxRegistryWait.
 func (s *RegistryService) Registry(req peer.RegistryRequest, reply *peer.RegistryReply) error {
-	caller := gossip.Position{Revision: req.After, ConfirmedAt: time.Now().Add(-req.Age)}
+	caller := gossip.Position{Revision: req.After, ConfirmedAt: time.Now().Add(-req.Age), Leaving: req.LeavingAfter}
+	if !req.ExchangesLeaving {
+		caller.Leaving = math.MaxUint64
+	}
+	s.observer.ObserveLeaving(req.Leaving)
 	update := s.registry.AwaitUpdate(context.Background(), caller, min(req.Wait, maxRegistryWait))
 	*reply = peer.NewRegistryReply(&update, time.Now())
 	return nil
--- a/internal/query/scatter/route.go
+++ b/internal/query/scatter/route.go
@@ -38,6 +38,9 @@
 	Replies []*backend.MessageReply
 	// Failure is the last reply of a server that failed. It is nil if there was none or the outcome is not OutcomeFailed.
 	Failure *backend.MessageReply
+	// Pushback, with OutcomeNotRun, is how long servers asked for no requests without which the answer is not possible; 0 if
+	// the request was not run for another reason.
+	Pushback time.Duration
 	// MissingShards is the number of shards that the answer does not cover.
 	MissingShards int
 	// ReadyAt is when the replies or the due time decided the answer; zero if the deadline or the caller ended the request.
@@ -251,6 +254,7 @@
 		a.Outcome = model.OutcomePartial
 	case covered == 0 && c.possiblyRun == 0:
 		a.Outcome = model.OutcomeNotRun
+		a.Pushback, _ = c.searcher.Dispatcher.PushbackUntil(c.shardList(), gather.RequiredShards(len(c.shards), c.minCoverage()), time.Now())
 	default:
 		a.Outcome = model.OutcomeFailed
 		a.Failure = c.failure
@@ -259,6 +263,14 @@
 	return a
 }
 
+func (c *routeCall) shardList() []*model.Shard {
+	out := make([]*model.Shard, len(c.shards))
+	for i := range c.shards {
+		out[i] = c.shards[i].shard
+	}
+	return out
+}
+
 // stop ends the call, cancels its timers, and reports whether a shard without a reply had pending attempts.
 func (c *routeCall) stop() (pending bool) {
 	c.mu.Lock()
@@ -301,7 +313,7 @@
 		Str("outcome", string(a.Outcome)).Int("shards", len(req.Shards)).Int("missing", a.MissingShards).
 		Uint32("attempts", c.attempts).Int("hedges", c.hedges).Int("retries", c.retries).
 		Int("lent", c.remoteCharges).Int("budget_refused", c.budgetRefused).Int("other_region", c.otherRegion).
-		Bool("caller_left", callerLeft).Dur("took", now.Sub(req.Arrived)).Dur("due", c.due.Sub(req.Arrived)).Dur("lag", c.writeLag).
+		Dur("pushback", a.Pushback).Bool("caller_left", callerLeft).Dur("took", now.Sub(req.Arrived)).Dur("due", c.due.Sub(req.Arrived)).Dur("lag", c.writeLag).
 		Dur("target", req.Route.Target).Dur("caller_rtt", req.CallerPath.RoundTrip).
 		Bool("caller_connected", req.CallerPath.NewConnection).Dur("left", req.Deadline.Sub(now)).Msg("request_answered")
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -40,6 +40,10 @@
 // PeerUpdate is an update from the store that a daemon, the sender, passes on to a daemon that follows it.
 type PeerUpdate struct {
 	Update
+	// Leaving lists servers that stated in replies that they are leaving, at most MaxLeaving, and LeavingUpTo is the sender's
+	// sequence number up to which the list is complete.
+	Leaving     []model.LeavingServer
+	LeavingUpTo directory.LeavingSequence
 	// ConfirmedAt is the latest time at which the store is known to have been at the update's revision.
 	ConfirmedAt time.Time
 	// StoreRestoredAt is when the store last answered the sender again after an outage; zero if there was none.
@@ -48,6 +52,9 @@
 	StoreUnreachable bool
 }
 
+// MaxLeaving is the maximum number of leaving servers in a message between daemons.
+const MaxLeaving = 128
+
 // EntryState is the state of a server's key in the store.
 type EntryState uint8
 
--- a/internal/tables/registry.go
+++ b/internal/tables/registry.go
@@ -144,6 +144,30 @@
 	return changed
 }
 
+// MarkLeaving records servers that are leaving, as they stated in replies to this daemon or to others, and returns those
+// that were not known to be leaving. It wakes the daemons that follow this one.
+func (t *Registry) MarkLeaving(servers []model.LeavingServer, now time.Time) (added []model.LeavingServer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range servers {
+		if t.servers.MarkLeaving(s, now) {
+			added = append(added, s)
+		}
+	}
+	if len(added) > 0 {
+		t.log.notify()
+	}
+	return added
+}
+
+// LeavingAfter returns at most registry.MaxLeaving of the servers that were marked as leaving after the given sequence number,
+// and the sequence number up to which they are complete.
+func (t *Registry) LeavingAfter(after directory.LeavingSequence) ([]model.LeavingServer, directory.LeavingSequence) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.servers.LeavingAfter(after, registry.MaxLeaving)
+}
+
 // SetStoreRestored records that the store answers again, since at, after a failure.
 func (t *Registry) SetStoreRestored(at time.Time) {
 	t.mu.Lock()
--- a/internal/tables/registryupdates.go
+++ b/internal/tables/registryupdates.go
@@ -70,15 +70,16 @@
 	l.changed = make(chan struct{})
 }
 
-// AwaitUpdate returns what a daemon at the position follower lacks. It blocks until this table is ahead of that position or
-// the store is unreachable from this daemon. After wait, or when ctx ends, it returns what there is.
+// AwaitUpdate returns what a daemon that follows this one lacks. It blocks until this table is ahead of the follower's
+// position, more servers are marked as leaving, or the store is unreachable from this daemon. After wait, or when ctx ends, it
+// returns what there is.
 func (t *Registry) AwaitUpdate(ctx context.Context, follower gossip.Position, wait time.Duration) registry.PeerUpdate {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
-		u, changed := t.updatesAfter(follower.Revision)
+		u, changed := t.updatesAfter(follower)
 		local := gossip.Position{Revision: u.Revision, ConfirmedAt: u.ConfirmedAt}
-		if u.StoreUnreachable || local.AheadOf(follower) || ctx.Err() != nil {
+		if u.StoreUnreachable || local.AheadOf(follower) || len(u.Leaving) > 0 || ctx.Err() != nil {
 			return u
 		}
 		select {
@@ -88,17 +89,19 @@
 	}
 }
 
-// updatesAfter returns what a daemon at the given revision lacks, and a channel that is closed when there may be more.
-func (t *Registry) updatesAfter(after directory.Revision) (registry.PeerUpdate, <-chan struct{}) {
+// updatesAfter returns what a daemon at the given position lacks, and a channel that is closed when there may be more.
+func (t *Registry) updatesAfter(at gossip.Position) (registry.PeerUpdate, <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	u, kept := t.log.since(after)
+	u, kept := t.log.since(at.Revision)
 	if !kept {
 		u = t.fullUpdate()
 	}
 	u.Revision = t.revision
+	leaving, upTo := t.servers.LeavingAfter(at.Leaving, registry.MaxLeaving)
 	return registry.PeerUpdate{
-		Update: u, ConfirmedAt: t.confirmedAt, StoreRestoredAt: t.log.storeRestored, StoreUnreachable: t.log.storeUnreachable,
+		Update: u, Leaving: leaving, LeavingUpTo: upTo,
+		ConfirmedAt: t.confirmedAt, StoreRestoredAt: t.log.storeRestored, StoreUnreachable: t.log.storeUnreachable,
 	}, t.log.changed
 }
 
--- a/internal/tables/server.go
+++ b/internal/tables/server.go
@@ -7,6 +7,7 @@
 	"oleandersill.example/oleandersill/internal/decision/budget"
 	"oleandersill.example/oleandersill/internal/decision/fairshare"
 	"oleandersill.example/oleandersill/internal/decision/limit"
+	"oleandersill.example/oleandersill/internal/decision/pushback"
 	"oleandersill.example/oleandersill/internal/decision/routing"
 	"oleandersill.example/oleandersill/internal/lockorder"
 	"oleandersill.example/oleandersill/internal/model"
@@ -33,6 +34,7 @@
 	forwarded int
 	owner     ownerCache
 	health    routing.Health
+	pushback  pushback.Window
 	latency   routing.LatencyEstimator
 	// failureRate is the moving average of failed attempts, and lastOutcome the time of the last attempt that it counts.
 	failureRate float64
@@ -120,11 +122,20 @@
 	c.Latency = s.latency.Estimate(s.limit.Baseline(), now)
 	c.FailureRate = routing.DecayFailureRate(s.failureRate, now.Sub(s.lastOutcome))
 	c.RampUpFraction = routing.RampUpFraction(s.joined, now)
-	open := s.leaving.IsZero() && !s.spec.Leaving && s.budget > 0
+	c.Pushback = s.pushback.Remaining(now)
+	c.Leaving = !s.leaving.IsZero() || s.spec.Leaving
+	open := !c.Leaving && c.Pushback == 0 && s.budget > 0
 	c.Usable = open && !s.health.Ejected()
 	c.Probe = open && s.health.ProbeDue(now)
 }
 
+// Pushback returns how much longer the server wants no attempts from this daemon, or 0.
+func (s *Server) Pushback(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pushback.Remaining(now)
+}
+
 // StartProbe records that a probe is sent to the ejected server.
 func (s *Server) StartProbe() {
 	s.mu.Lock()
--- a/internal/tables/serverobserve.go
+++ b/internal/tables/serverobserve.go
@@ -29,6 +29,8 @@
 	// limit.
 	Forwarded bool
 	Load      backend.Load
+	// RetryAfter is how long the server wants no further attempts; 0 if it did not say.
+	RetryAfter time.Duration
 	// HeldVersions are the index versions that the server reported to hold, or nil if it made no report.
 	HeldVersions []model.IndexVersion
 	// Quantile is the hedge rule's quantile, in (0, 1).
@@ -52,6 +54,10 @@
 	if o.HeldVersions != nil {
 		s.heldVersions = o.HeldVersions
 	}
+	if o.Load.Draining {
+		s.markLeaving(now)
+	}
+	s.pushback.Observe(o.RetryAfter, now)
 	before := s.limit.Limit()
 	r := ObservationResult{Slowdown: s.observe(o, now)}
 	r.LimitDelta = s.limit.Limit() - before
@@ -67,9 +73,6 @@
 		slowdown = s.limit.Slowdown(o.Total)
 		s.quantile.Observe(o.Latency+o.Delayed, o.Quantile)
 		s.latency.Observe(o.Latency, s.limit.Baseline(), now)
-		if o.Load.Draining {
-			s.markLeaving(now)
-		}
 	case backend.StatusShed:
 		if !o.Forwarded {
 			s.limit.OnOverload()
