Reuse a server's connection only after an accepted reply, and survive malformed messages

A batch with an unknown status, a rank that does not exist, a huge limit, a charge to a daemon without budgets or a query without its message ended the daemon.

Change: httpconn.Dial wraps connections; a request waits for the decision on the reply before it, and gets another connection if that was not accepted. Batches are checked where they are taken.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -66,8 +66,16 @@
 	"zone_unreachable", "replaced", "over_budget",
 }
 
+// Known reports whether s is one of the statuses above. Another daemon may run a version with further ones.
+func (s Status) Known() bool { return s >= 0 && int(s) < len(statusNames) }
+
 // String returns the name of the status in logs and metrics.
-func (s Status) String() string { return statusNames[s] }
+func (s Status) String() string {
+	if !s.Known() {
+		return "unknown"
+	}
+	return statusNames[s]
+}
 
 // ProvablyNotRun reports whether the status proves that the server did not run the request.
 func (s Status) ProvablyNotRun() bool {
--- a/internal/backend/backendhttp/client.go
+++ b/internal/backend/backendhttp/client.go
@@ -40,7 +40,7 @@
 
 func (c *Connector) newTransport(connections int) *http.Transport {
 	return &http.Transport{
-		DialContext:         c.dial,
+		DialContext:         httpconn.Dial(c.dial),
 		MaxConnsPerHost:     connections,
 		MaxIdleConnsPerHost: connections,
 		IdleConnTimeout:     idleTimeout,
--- a/internal/backend/backendhttp/exchange.go
+++ b/internal/backend/backendhttp/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -40,13 +41,19 @@
 	if err != nil {
 		panic("backendhttp: message cannot be encoded: " + err.Error())
 	}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, x.conn.Trace()), http.MethodPost, c.baseURL+path,
-		bytes.NewReader(encoded))
+	template, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, x.conn.Trace()), http.MethodPost, c.baseURL+path, nil)
 	if err != nil {
 		return backend.StatusUnreachable, RefusalBody{}
 	}
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.transport.RoundTrip(req)
+	template.Header.Set("Content-Type", "application/json")
+	template.ContentLength = int64(len(encoded))
+	defer x.conn.End()
+	resp, err := x.conn.RoundTrip(c.transport, func() *http.Request {
+		req := template.WithContext(template.Context())
+		req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(encoded)), nil }
+		req.Body, _ = req.GetBody()
+		return req
+	})
 	if err != nil {
 		return x.conn.FailureStatus(ctx), RefusalBody{}
 	}
@@ -56,6 +63,7 @@
 		return backend.StatusMismatched, RefusalBody{}
 	}
 	if resp.StatusCode != http.StatusOK {
+		x.conn.Accept()
 		return c.decodeRefusal(ctx, x, resp)
 	}
 	if err := c.readJSON(resp, into); err != nil {
@@ -65,6 +73,7 @@
 		x.conn.CloseConn()
 		return backend.StatusMismatched, RefusalBody{}
 	}
+	x.conn.Accept()
 	return backend.StatusOK, RefusalBody{}
 }
 
--- a/internal/backend/httpconn/tracker.go
+++ b/internal/backend/httpconn/tracker.go
@@ -1,11 +1,12 @@
-// Package httpconn holds what the HTTP clients of backend servers share: the transports, the limits on replies, and a tracker
-// of the connection that net/http uses for a request, which determines what is known about a request without a complete
-// reply.
+// Package httpconn holds what the HTTP clients of backend servers share: the transports, the limits on replies, connections
+// that are reused only after an accepted reply, and a tracker of the connection that net/http uses for a request, which
+// determines what is known about a request without a complete reply.
 package httpconn
 
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 
@@ -17,10 +18,28 @@
 // Tracker tracks the connection of one request. The zero value has no connection.
 type Tracker struct {
 	conn net.Conn
+	turn *turn
+	// unusable is set while the request has a connection whose previous reply was not accepted. Nothing is sent on it.
+	unusable atomic.Bool
 	// written is set once the headers of the request were written to a connection.
 	written atomic.Bool
 }
 
+// maxConnections is the number of connections that RoundTrip tries while it gets unusable ones.
+const maxConnections = 4
+
+// RoundTrip sends a request and returns the head of its reply. newRequest returns the request, with the tracker's hooks, for
+// each connection that is tried; it is written to at most one. The caller must call Accept or CloseConn once it knows whether
+// the reply belongs to the request, and End in any case.
+func (t *Tracker) RoundTrip(transport http.RoundTripper, newRequest func() *http.Request) (*http.Response, error) {
+	for tries := 1; ; tries++ {
+		resp, err := transport.RoundTrip(newRequest())
+		if err == nil || !t.unusable.Load() || t.written.Load() || tries == maxConnections {
+			return resp, err
+		}
+	}
+}
+
 // Trace returns the hooks with which the request must be sent. net/http resends a request without a body if a reused
 // connection closes without a reply. That would be an attempt that no retry policy allowed, so the hooks close the connection
 // that net/http gets for it.
@@ -29,19 +48,50 @@
 		GetConn: func(string) { t.conn = nil },
 		GotConn: func(info httptrace.GotConnInfo) {
 			t.conn = info.Conn
-			if t.written.Load() {
+			if !t.begin() || t.written.Load() {
 				t.CloseConn()
 			}
 		},
-		WroteHeaders: func() { t.written.Store(true) },
+		WroteHeaders: func() {
+			if !t.unusable.Load() {
+				t.written.Store(true)
+			}
+		},
+	}
+}
+
+// begin starts the request's turn on its connection, and reports whether the connection may be used.
+func (t *Tracker) begin() bool {
+	c, ok := t.conn.(*conn)
+	if !ok {
+		return true
 	}
+	t.End()
+	var usable bool
+	t.turn, usable = c.begin()
+	t.unusable.Store(!usable)
+	return usable
 }
 
+// Accept lets the connection carry further requests. It is called once the head of a reply shows that the reply belongs to
+// the request.
+func (t *Tracker) Accept() { t.endTurn(true) }
+
 // CloseConn closes the connection. It is called after a reply that does not belong to the request, because further replies on
 // the connection cannot be trusted.
 func (t *Tracker) CloseConn() {
 	// The connection may be closed already.
 	_ = t.conn.Close()
+	t.endTurn(false)
+}
+
+// End ends the use of the connection. Unless Accept was called, the connection carries no further request.
+func (t *Tracker) End() { t.endTurn(false) }
+
+func (t *Tracker) endTurn(usable bool) {
+	if t.turn != nil {
+		t.turn.end(usable)
+	}
 }
 
 // FailureStatus returns the status of a request without a complete reply.
@@ -49,7 +99,7 @@
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		return backend.StatusCancelled
-	case t.conn == nil && !t.written.Load():
+	case !t.written.Load() && (t.conn == nil || t.unusable.Load()):
 		return backend.StatusUnreachable
 	}
 	return backend.StatusLost
--- a/internal/decision/gather/records.go
+++ b/internal/decision/gather/records.go
@@ -11,6 +11,11 @@
 // MergeRecords returns the limit greatest records of the bodies of several replies in descending byte order. Duplicates are
 // kept. Merging already merged bodies gives the same result as merging all bodies at once.
 func MergeRecords(bodies [][]byte, limit int) []byte {
+	records := 0
+	for _, body := range bodies {
+		records += len(body) / RecordBytes
+	}
+	limit = min(max(0, limit), records)
 	// greatest holds the greatest records so far, in descending order.
 	greatest := make([][]byte, 0, limit+1)
 	for _, body := range bodies {
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -111,6 +111,7 @@
 
 // finish handles the result of a forwarded attempt.
 func (f *Forwarding) finish(q *QueryAttempt, r forwarding.Result) {
+	r.Normalize(q.Request.Message != nil)
 	q.Server.AddForwarded(-1)
 	total := time.Since(q.Started)
 	latency := total
@@ -249,11 +250,11 @@
 func (f *Forwarding) accept(from model.Member, query *forwarding.Query) bool {
 	now := time.Now()
 	s := f.d.Servers.Get(query.Server)
-	if s == nil {
+	if s == nil || !query.Valid() {
 		f.refuse(from, query, backend.StatusOwnerLost)
 		return true
 	}
-	if query.Charge > 0 && !f.d.ServiceBudgets.Spend(query.Request.Service, query.Charge, now) {
+	if query.Charge > 0 && !f.d.spendExtra(query.Request.Service, query.Charge, now) {
 		f.refuse(from, query, backend.StatusOverBudget)
 		return true
 	}
@@ -278,6 +279,11 @@
 	return true
 }
 
+// spendExtra charges an extra attempt to this daemon's budget of the service. A daemon without routes has no such budgets.
+func (d *Dispatcher) spendExtra(service model.ServiceName, fraction float64, now time.Time) bool {
+	return d.ServiceBudgets != nil && d.ServiceBudgets.Spend(service, fraction, now)
+}
+
 // refuse returns the status of a sub-request that this daemon did not send to its server.
 func (f *Forwarding) refuse(to model.Member, query *forwarding.Query, status backend.Status) {
 	f.forwards.QueueResult(to, forwarding.Result{ID: query.Request.ID, Result: backend.QueryResult{Status: status}}, false)
--- a/internal/forwarding/messages.go
+++ b/internal/forwarding/messages.go
@@ -39,6 +39,15 @@
 	Message int
 }
 
+// Valid reports whether the query can be sent. A peer of another version, or a damaged message, may hold a rank that does not
+// exist, or refer to a message that the batch does not contain.
+func (q *Query) Valid() bool {
+	return q.Rank >= 0 && int(q.Rank) < model.RankCount && q.Message == 0 && q.Request.Limit >= 0 && q.Left <= maxLeft
+}
+
+// maxLeft is the longest time until a deadline that is taken from a peer.
+const maxLeft = time.Hour
+
 // Result is the result of a forwarded sub-request.
 type Result struct {
 	ID     backend.AttemptID
@@ -57,6 +66,14 @@
 	Merged bool
 }
 
+// Normalize replaces what this daemon cannot interpret: a status that it does not know becomes backend.StatusLost, which states
+// nothing, and so does a success without a reply to the message.
+func (r *Result) Normalize(isMessage bool) {
+	if !r.Result.Status.Known() || (isMessage && r.Result.Status == backend.StatusOK && r.Result.Reply.Message == nil) {
+		r.Result = backend.QueryResult{Status: backend.StatusLost}
+	}
+}
+
 // Receipt acknowledges a batch.
 type Receipt struct {
 	// Draining means that the receiver is stopping. It serves the batch, but should get no further queries.
