Gather answers through the strongest members of each zone

Cause: the gatherers of a request were ranked by its id over all daemons of a zone, so that in a large fleet each daemon talked to each server and to each other daemon about once in a second: cold connections, rare latency samples, and five of six gatherers with 0.19 of a core.

Change: a daemon states its capacity in its entry, and the gatherers of a zone are chosen among its preferred members, the strongest that have a quarter of the zone's capacity, at least three (decision/ownership.Preferred).

--- a/internal/decision/ownership/owner_test.go
+++ b/internal/decision/ownership/owner_test.go
@@ -1,11 +1,14 @@
 package ownership_test
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"oleandersill.example/oleandersill/internal/decision/ownership"
 	"oleandersill.example/oleandersill/internal/model"
@@ -55,3 +58,75 @@
 		Expect(ownership.Owner("server", nil)).To(Equal(-1))
 	})
 })
+
+// zoneMembers draws the members of a zone, with capacities that differ up to eightfold.
+func zoneMembers(t *rapid.T) []model.Member {
+	all := members(rapid.IntRange(0, 40).Draw(t, "members"))
+	for i := range all {
+		all[i].Capacity = rapid.SampledFrom([]float64{0.1, 0.2, 0.4, 0.8}).Draw(t, "capacity")
+	}
+	return all
+}
+
+func capacity(ms []model.Member) float64 {
+	sum := 0.0
+	for i := range ms {
+		sum += ms[i].Capacity
+	}
+	return sum
+}
+
+var _ = Describe("Preferred", func() {
+	It("returns the strongest members of a zone, with a quarter of its capacity, and at least three", func() {
+		// Guards against gathering on weak members, and against too few members for the zone's load or for the loss of one.
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			all := zoneMembers(t)
+			preferred := ownership.Preferred(all)
+			if len(preferred) < min(3, len(all)) || capacity(preferred) < 0.25*capacity(all)-1e-9 {
+				t.Fatalf("%d of %d members with %f of %f cores", len(preferred), len(all), capacity(preferred), capacity(all))
+			}
+			if !slices.IsSortedFunc(preferred, func(a, b model.Member) int { return cmp.Compare(a.Instance, b.Instance) }) {
+				t.Fatalf("not sorted: %v", preferred)
+			}
+			for _, m := range all {
+				if slices.Contains(preferred, m) {
+					continue
+				}
+				for _, p := range preferred {
+					if p.Capacity < m.Capacity {
+						t.Fatalf("%v is preferred to %v", p, m)
+					}
+				}
+			}
+		})
+	})
+
+	It("keeps the other preferred members when one of them leaves", func() {
+		// Guards against cold connections in the whole zone when one instance is replaced.
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			all := zoneMembers(t)
+			before := ownership.Preferred(all)
+			if len(before) == 0 {
+				return
+			}
+			left := before[rapid.IntRange(0, len(before)-1).Draw(t, "left")]
+			rest := slices.DeleteFunc(slices.Clone(all), func(m model.Member) bool { return m == left })
+			after := ownership.Preferred(rest)
+			for _, m := range before {
+				if m != left && !slices.Contains(after, m) {
+					t.Fatalf("%v is not preferred any longer", m)
+				}
+			}
+		})
+	})
+
+	It("treats members that state no capacity as ordinary ones", func() {
+		// Guards against a fleet of two versions in which all work goes to one of them.
+		all := members(12)
+		for i := range 6 {
+			all[i].Capacity = 0.4
+		}
+		Expect(ownership.Preferred(all)).To(HaveLen(3))
+		Expect(ownership.Preferred(members(12))).To(HaveLen(3))
+	})
+})
--- a/internal/dispatch/gathering.go
+++ b/internal/dispatch/gathering.go
@@ -49,7 +49,7 @@
 		if zone == d.cfg.Zone && n <= maxLocalShards {
 			continue
 		}
-		members := view.Zones[zone]
+		members := view.Preferred[zone]
 		z := &zonePlan{}
 		for _, i := range ownership.HighestRanked(key, members, (n+shardsPerGatherer-1)/shardsPerGatherer) {
 			z.gatherers = append(z.gatherers, members[i])
--- a/internal/model/member.go
+++ b/internal/model/member.go
@@ -9,6 +9,8 @@
 	Zone        AvailabilityZone
 	// Address is the address of the daemon's peers' port, host:port with an IP address as the host.
 	Address string
+	// Capacity is the processor time that the daemon may use, in cores; 0 if it does not say.
+	Capacity float64
 	// Heartbeat increases by 1 each second while the incarnation runs.
 	Heartbeat uint64
 }
--- a/internal/tables/owners.go
+++ b/internal/tables/owners.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"oleandersill.example/oleandersill/internal/decision/ownership"
 	"oleandersill.example/oleandersill/internal/lockorder"
 	"oleandersill.example/oleandersill/internal/model"
 )
@@ -27,6 +28,8 @@
 type OwnerView struct {
 	Version uint64
 	Zones   map[model.AvailabilityZone][]model.Member
+	// Preferred holds, of the members of each zone, those to which other daemons send work for the zone.
+	Preferred map[model.AvailabilityZone][]model.Member
 }
 
 // NewOwners returns a table without members.
@@ -92,7 +95,11 @@
 	}
 	old := o.current.Load()
 	if !sameZones(old.Zones, zones) {
-		o.current.Store(&OwnerView{Version: old.Version + 1, Zones: zones})
+		preferred := make(map[model.AvailabilityZone][]model.Member, len(zones))
+		for zone, members := range zones {
+			preferred[zone] = ownership.Preferred(members)
+		}
+		o.current.Store(&OwnerView{Version: old.Version + 1, Zones: zones, Preferred: preferred})
 	}
 }
 
