Have weak daemons hand requests over an index to a strong one of their zone

Cause: a daemon with 0.19 of a core needs 20 to 30 ms of the caller's time for the 87 sub-requests of one answer, and in a fleet of hundreds it sees a request every few seconds, so that its connections and estimates are cold.

Change: it hands the request, in a batch, to a preferred member of its zone with at least twice its capacity, which returns one merged reply. A check at a fifth of the time finds lost daemons; the weak one then gathers the answer itself, at the cost of the budgets for extra attempts and with the same replicas. An error that a peer returned no longer closes the connection to it, on which other calls are in progress. A query is prepared before its cancellation can come.

--- a/internal/decision/gather/gather.go
+++ b/internal/decision/gather/gather.go
@@ -26,6 +26,10 @@
 	// other replies, and maxMergeWait bounds that time. Each reply that is merged into another saves most of its bytes.
 	mergeWaitFraction = 0.06
 	maxMergeWait      = 6 * time.Millisecond
+	// checkFraction, giveUpFraction and overdueFraction are the DelegationTimes as fractions of the time until the answer is due.
+	checkFraction   = 0.2
+	giveUpFraction  = 0.4
+	overdueFraction = 1.25
 	// coverageTolerance absorbs floating-point rounding of a required coverage that is an exact fraction of the shards.
 	coverageTolerance = 1e-9
 )
@@ -125,6 +129,31 @@
 	return min(maxMergeWait, fractionOf(due, mergeWaitFraction))
 }
 
+// ExtendDue returns when an answer is due that is gathered only from now on, since another daemon did not deliver it. due is when
+// it was due at first, target after its request arrived. An answer that is late already is not given with fewer shards for it.
+func ExtendDue(due time.Time, target time.Duration, now time.Time) time.Time {
+	if least := now.Add(fractionOf(target, minDueFraction)); least.After(due) {
+		return least
+	}
+	return due
+}
+
+// DelegationTimes are the times, after it was asked, at which a daemon that gathers an answer for this one is taken to be lost.
+type DelegationTimes struct {
+	// Check is when the other daemon is checked. If it has not responded by GiveUp, this daemon gathers the answer itself, for
+	// which the rest of the time must be enough.
+	Check, GiveUp time.Duration
+	// Overdue is when this daemon gathers the answer itself although the other one responded.
+	Overdue time.Duration
+}
+
+// TimeDelegation returns the times for an answer that is due after the given time.
+func TimeDelegation(due time.Duration) DelegationTimes {
+	return DelegationTimes{
+		Check: fractionOf(due, checkFraction), GiveUp: fractionOf(due, giveUpFraction), Overdue: fractionOf(due, overdueFraction),
+	}
+}
+
 // PostponeHedge returns a later time for a hedge that is due now, or the zero time if it is to be sent now. While many shards
 // are open, the cause is not single slow servers but this daemon, its network or its processor, and hedges would add to that
 // load. They are postponed to the latest time at which they are useful.
--- a/internal/decision/ownership/owner_test.go
+++ b/internal/decision/ownership/owner_test.go
@@ -130,3 +130,42 @@
 		Expect(ownership.Preferred(members(12))).To(HaveLen(3))
 	})
 })
+
+var _ = Describe("Delegate", func() {
+	zone := members(10)
+	for i := range zone {
+		zone[i].Capacity = 0.2
+	}
+	strong := []int{2, 5, 7}
+	for _, i := range strong {
+		zone[i].Capacity = 0.8
+	}
+	preferred := ownership.Preferred(zone)
+
+	It("distributes the requests of a weak member over the strong ones", func() {
+		// Guards against one strong member that gets the requests of all others.
+		counts := map[model.InstanceID]int{}
+		for i := range 3000 {
+			m, ok := ownership.Delegate(fmt.Sprint(i), &zone[0], preferred)
+			Expect(ok).To(BeTrue())
+			counts[m.Instance]++
+		}
+		Expect(counts).To(HaveLen(len(strong)))
+		for _, n := range counts {
+			Expect(n).To(BeNumerically("~", 1000, 200))
+		}
+	})
+
+	DescribeTable("leaves a request with a member",
+		// Guards against a message that costs more than it saves.
+		func(self model.Member, preferred []model.Member) {
+			_, ok := ownership.Delegate("r", &self, preferred)
+			Expect(ok).To(BeFalse())
+		},
+		Entry("that is preferred itself", zone[2], preferred),
+		Entry("whose capacity is not much smaller", model.Member{Instance: "x", Capacity: 0.5}, preferred),
+		Entry("that states no capacity", model.Member{Instance: "x"}, preferred),
+		Entry("alone in its zone", zone[0], []model.Member{}),
+		Entry("among members of another version, which state none", zone[0], members(3)),
+	)
+})
--- a/internal/decision/routing/choose.go
+++ b/internal/decision/routing/choose.go
@@ -1,11 +1,14 @@
 package routing
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"oleandersill.example/oleandersill/internal/model"
 )
 
@@ -231,3 +234,33 @@
 	}
 	return b
 }
+
+// Restrict leaves at most n candidates usable: the nearest ones, among equally near ones those that rank highest for the key.
+// Daemons in one zone that handle the same request leave the same candidates, unless they differ in which servers leave. If
+// none of these is usable, all candidates stay as they are.
+func Restrict(cs []Candidate, key string, n int) {
+	if len(cs) <= n {
+		return
+	}
+	kept := make([]int, 0, len(cs))
+	for i := range cs {
+		if !cs[i].Leaving {
+			kept = append(kept, i)
+		}
+	}
+	slices.SortFunc(kept, func(a, b int) int {
+		return cmp.Or(
+			cmp.Compare(cs[a].Locality, cs[b].Locality),
+			cmp.Compare(xxhash.Sum64String(key+string(cs[b].Server.Name)), xxhash.Sum64String(key+string(cs[a].Server.Name))),
+		)
+	})
+	kept = kept[:min(n, len(kept))]
+	if !slices.ContainsFunc(kept, func(i int) bool { return cs[i].Usable }) {
+		return
+	}
+	for i := range cs {
+		if !slices.Contains(kept, i) {
+			cs[i].Usable, cs[i].Probe = false, false
+		}
+	}
+}
--- a/internal/decision/routing/routing_test.go
+++ b/internal/decision/routing/routing_test.go
@@ -1,6 +1,7 @@
 package routing_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -8,8 +9,10 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"oleandersill.example/oleandersill/internal/decision/routing"
+	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/testing/suite"
 )
 
@@ -239,3 +242,44 @@
 		Expect(value(0)).To(Equal(usual))
 	})
 })
+
+var _ = It("Restrict leaves the same candidates, and no more than allowed, to all daemons of a zone", func() {
+	// Guards against two daemons that together send one request to more servers of a shard than its route allows.
+	rapid.Check(GinkgoT(), func(t *rapid.T) {
+		cs := make([]routing.Candidate, rapid.IntRange(0, 6).Draw(t, "candidates"))
+		for i := range cs {
+			name := model.ServerName(fmt.Sprint("server-", i))
+			cs[i] = routing.Candidate{
+				Server:   &model.Server{ServerSpec: &model.ServerSpec{Name: name}},
+				Locality: routing.Locality(rapid.IntRange(0, 2).Draw(t, "locality")), Usable: true,
+			}
+		}
+		other := rapid.Permutation(cs).Draw(t, "order")
+		for i := range other {
+			// The other daemon has tried or ejected some of them.
+			other[i].Usable = rapid.Bool().Draw(t, "usable")
+		}
+		n := rapid.IntRange(1, 3).Draw(t, "allowed")
+		hadUsable := slices.ContainsFunc(other, func(c routing.Candidate) bool { return c.Usable })
+		routing.Restrict(cs, "key", n)
+		kept := map[model.ServerName]bool{}
+		for _, c := range cs {
+			if c.Usable {
+				kept[c.Server.Name] = true
+			}
+		}
+		if len(kept) != min(n, len(cs)) {
+			t.Fatalf("%d of %d candidates kept, %d allowed", len(kept), len(cs), n)
+		}
+		overlap := slices.ContainsFunc(other, func(c routing.Candidate) bool { return c.Usable && kept[c.Server.Name] })
+		routing.Restrict(other, "key", n)
+		for _, c := range other {
+			if c.Usable && overlap && !kept[c.Server.Name] {
+				t.Fatalf("%s is kept by one daemon only", c.Server.Name)
+			}
+		}
+		if hadUsable != slices.ContainsFunc(other, func(c routing.Candidate) bool { return c.Usable }) {
+			t.Fatal("no candidate is left")
+		}
+	})
+})
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -70,7 +70,9 @@
 	Splits         *tables.Splits
 	// AnswerLag records how long this daemon takes to write answers that combine many shards.
 	AnswerLag *tables.AnswerLag
-	Timer     *pool.Timer
+	// DelegationLag records how much longer an answer takes that another daemon gathers, beside the gathering.
+	DelegationLag *tables.AnswerLag
+	Timer         *pool.Timer
 
 	ready    *tables.ReadyAttempts
 	pools    []*pool.Pool
@@ -95,23 +97,31 @@
 		ServiceBudgets: cfg.ServiceBudgets,
 		Splits:         tables.NewSplits(),
 		AnswerLag:      tables.NewAnswerLag(),
+		DelegationLag:  tables.NewAnswerLag(),
 		Timer:          pool.NewTimer(tables.OrderTimer),
 		ready:          tables.NewReadyAttempts(),
 		rollouts:       tables.NewRollouts(),
 		zones:          tables.NewZones(time.Now()),
 		observer:       observer,
 	}
+	d.pools = startWorkers(d.ready, cfg.Workers)
+	return d
+}
+
+// startWorkers starts a pool of workers for each rank that run the attempts of a queue.
+func startWorkers(queue *tables.ReadyAttempts, workers int) []*pool.Pool {
+	var pools []*pool.Pool
 	for r := range model.RankCount {
 		rank := model.Rank(r)
-		d.pools = append(d.pools, pool.Start(cfg.Workers, func() (func(), bool) {
-			a, ok := d.ready.Take(rank)
+		pools = append(pools, pool.Start(workers, func() (func(), bool) {
+			a, ok := queue.Take(rank)
 			if !ok {
 				return nil, false
 			}
 			return a.Run, true
 		}))
 	}
-	return d
+	return pools
 }
 
 // Close waits for the attempts in the pools to end and stops the pools.
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"oleandersill.example/oleandersill/internal/backend"
@@ -52,6 +53,12 @@
 	forwards *tables.Forwards
 	draining func() bool
 	senders  *pool.Pool
+
+	// gatherer gathers delegated answers, which wait in delegated for a worker of gatherWorkers. inProgress counts them.
+	gatherer      Gatherer
+	delegated     *tables.ReadyAttempts
+	gatherWorkers []*pool.Pool
+	inProgress    atomic.Int64
 }
 
 // ForwardingConfig holds the dependencies of Forwarding.
@@ -68,9 +75,10 @@
 func (d *Dispatcher) EnableForwarding(cfg ForwardingConfig) *Forwarding {
 	f := &Forwarding{
 		d: d, sender: cfg.Sender, self: cfg.Self, owners: cfg.Owners,
-		forwards: tables.NewForwards(), draining: cfg.Draining,
+		forwards: tables.NewForwards(), draining: cfg.Draining, delegated: tables.NewReadyAttempts(),
 	}
 	f.senders = pool.Start(maxSenders, f.nextBatch)
+	f.gatherWorkers = startWorkers(f.delegated, delegatedWorkers)
 	d.forwarding = f
 	return f
 }
@@ -249,6 +257,9 @@
 // other daemons.
 func (f *Forwarding) accept(from model.Member, query *forwarding.Query) bool {
 	now := time.Now()
+	if query.Gather != nil {
+		return f.gatherFor(from, query, now)
+	}
 	s := f.d.Servers.Get(query.Server)
 	if s == nil || !query.Valid() {
 		f.refuse(from, query, backend.StatusOwnerLost)
@@ -266,6 +277,8 @@
 		cancelContext()
 		f.returnResult(from, q, r)
 	}
+	// The cancellation may come before the attempt is started.
+	q.prepare(ctx, f.d, now)
 	accepted := f.forwards.Accept(from.Instance, request.ID, func() {
 		if q.Cancel() {
 			cancelContext()
@@ -275,7 +288,7 @@
 		cancelContext()
 		return false
 	}
-	f.d.startLocal(ctx, q, now)
+	f.d.startPrepared(q, now)
 	return true
 }
 
@@ -340,6 +353,10 @@
 
 // close stops the senders after all queued batches were sent.
 func (f *Forwarding) close() {
+	f.delegated.Close()
+	for _, p := range f.gatherWorkers {
+		p.Wait()
+	}
 	f.forwards.Close()
 	f.senders.Wait()
 }
--- a/internal/dispatch/malformed_test.go
+++ b/internal/dispatch/malformed_test.go
@@ -32,7 +32,7 @@
 }
 
 func anyID(t *rapid.T) backend.AttemptID {
-	return backend.AttemptID{Request: "q", Incarnation: 1, Attempt: uint32(rapid.IntRange(0, 3).Draw(t, "attempt"))} //nolint:gosec // a small number
+	return backend.AttemptID{Request: "q", Incarnation: 1, Attempt: uint32(rapid.IntRange(0, 3).Draw(t, "attempt"))}
 }
 
 // anyBatch draws a batch that a daemon of another version, or a damaged connection, could send.
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -77,6 +77,11 @@
 // startLocal sends the attempt from this daemon.
 func (d *Dispatcher) startLocal(ctx context.Context, q *QueryAttempt, now time.Time) {
 	q.prepare(ctx, d, now)
+	d.startPrepared(q, now)
+}
+
+// startPrepared sends a prepared attempt from this daemon.
+func (d *Dispatcher) startPrepared(q *QueryAttempt, now time.Time) {
 	if q.BounceAfter > 0 {
 		q.bounceTimer = d.Timer.Schedule(now.Add(q.BounceAfter), q.onBounce)
 	}
--- a/internal/forwarding/messages.go
+++ b/internal/forwarding/messages.go
@@ -34,15 +34,40 @@
 	// Charge is the share of the receiver's own budget for extra attempts that this attempt may use; 0 if the sender has charged
 	// its own budget.
 	Charge float64
+	// Gather, if set, asks the receiver to gather the answer to the request's message from the shards of an index. Server is
+	// then not set.
+	Gather *Gather
 	// Message is the position of the request's message in Batch.Messages, counted from 1, between Compact and Expand;
 	// otherwise 0.
 	Message int
 }
 
+// Gather is a request over an index that one daemon gathers for another.
+type Gather struct {
+	Route model.RouteName
+	// Version is the version of the routing configuration that the request is handled by.
+	Version model.RoutingVersion
+	// DueLeft is the time until the sender needs the answer, even if shards are missing.
+	DueLeft time.Duration
+}
+
+// Gathered is the answer to a Gather. Its records and signatures are in the result's reply.
+type Gathered struct {
+	Outcome model.Outcome
+	// MissingShards is the number of shards that the answer does not cover.
+	MissingShards int
+	// Pushback, with OutcomeNotRun, is how long servers asked for no requests without which the answer is not possible.
+	Pushback time.Duration
+	// Late, with OutcomeFailed, means that the deadline passed while attempts were pending.
+	Late bool
+	// Took is how long the daemon that gathered worked on the answer.
+	Took time.Duration
+}
+
 // Valid reports whether the query can be sent. A peer of another version, or a damaged message, may hold a rank that does not
 // exist, or refer to a message that the batch does not contain.
 func (q *Query) Valid() bool {
-	return q.Rank >= 0 && int(q.Rank) < model.RankCount && q.Message == 0 && q.Request.Limit >= 0 && q.Left <= maxLeft
+	return int(q.Rank) < model.RankCount && q.Message == 0 && q.Request.Limit >= 0 && q.Left <= maxLeft
 }
 
 // maxLeft is the longest time until a deadline that is taken from a peer.
@@ -54,6 +79,8 @@
 	Result backend.QueryResult
 	// Waited is how long the attempt waited at the owner before it was sent.
 	Waited time.Duration
+	// Gathered is set for a query with Gather that the receiver worked on.
+	Gathered *Gathered
 	// Returned is when the attempt ended, and Delayed is how long the result then waited to be sent with others. Returned is not
 	// sent: StampDelays replaces it with Delayed.
 	Returned time.Time
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -124,8 +124,8 @@
 	return err
 }
 
-// callOnce makes a call without repeating it. It closes a connection on which a call failed, because the server also closes
-// the connection when it cannot decode a call.
+// callOnce makes a call without repeating it. It closes a connection on which a call failed, but not if the peer returned the
+// error: other calls of the connection are then not affected.
 func (c *Client) callOnce(ctx context.Context, address, method string, args, reply any) error {
 	conn, err := c.acquire(ctx, address)
 	if err != nil {
@@ -141,7 +141,8 @@
 		<-call.Done
 		err = ctx.Err()
 	}
-	c.release(address, conn, err != nil)
+	var returned rpc.ServerError
+	c.release(address, conn, err != nil && !errors.As(err, &returned))
 	return errors.Wrapf(err, "peer: %s at %s", method, address)
 }
 
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -37,6 +37,11 @@
 	attempts       uint32
 	// otherRegion counts the first attempts at servers in another region.
 	otherRegion int
+	// extra is set if another daemon may have sent attempts for the request: the first attempts are then extra ones too.
+	extra bool
+	// restrict is set if another daemon may send attempts too. Both then use the same replicas of each shard, as many as
+	// attempts are allowed.
+	restrict bool
 	// possiblyRun counts the attempts that may have run on a server: those without proof that they did not.
 	possiblyRun int
 	// budgetRefused counts the extra attempts that were not sent because no budget covered them.
@@ -73,16 +78,21 @@
 
 // runUntilEnd starts the attempts and waits until the call has ended or ctx is done.
 func (c *call) runUntilEnd(ctx context.Context) {
-	// Attempts outlive the caller's context, so that they are cancelled on the server by a message and not by closing
-	// their connections; the deadline bounds them.
-	attemptsCtx, cancelAttempts := context.WithDeadline(context.WithoutCancel(ctx), c.req.Deadline.Add(cancelGrace))
-	c.start(attemptsCtx, cancelAttempts)
+	c.startAttempts(ctx)
 	select {
 	case <-c.done:
 	case <-ctx.Done():
 	}
 }
 
+// startAttempts starts the attempts of a caller's request.
+func (c *call) startAttempts(ctx context.Context) {
+	// Attempts outlive the caller's context, so that they are cancelled on the server by a message and not by closing
+	// their connections; the deadline bounds them.
+	attemptsCtx, cancelAttempts := context.WithDeadline(context.WithoutCancel(ctx), c.req.Deadline.Add(cancelGrace))
+	c.start(attemptsCtx, cancelAttempts)
+}
+
 func (c *call) start(ctx context.Context, cancelAttempts context.CancelFunc) {
 	now := time.Now()
 	c.mu.Lock()
@@ -91,8 +101,15 @@
 	want := c.variant.wantedVersion(now)
 	for i := range c.shards {
 		c.shards[i].wantVersion = want
-		c.variant.countRequest(&c.shards[i], now)
-		c.prepareOnBestReplica(i, localCharge, now)
+		charge := localCharge
+		if c.extra {
+			charge = c.variant.spendRetry(&c.shards[i], now)
+		} else {
+			c.variant.countRequest(&c.shards[i], now)
+		}
+		if charge.allowed() {
+			c.prepareOnBestReplica(i, charge, now)
+		}
 	}
 	c.startPrepared(now)
 	timer := c.searcher.Dispatcher.Timer
@@ -130,6 +147,9 @@
 func (c *call) loadCandidates(sh *shardState, now time.Time) {
 	criteria := dispatch.SelectionCriteria{Shard: sh.shard, Rank: c.req.Rank, Tried: sh.tried}
 	c.candidates, c.records = c.searcher.Dispatcher.Candidates(c.candidates, c.records, criteria, now)
+	if c.restrict {
+		routing.Restrict(c.candidates, string(c.id), c.variant.maxAttempts())
+	}
 }
 
 func anyUsable(cs []routing.Candidate) bool {
--- a/internal/query/scatter/route.go
+++ b/internal/query/scatter/route.go
@@ -27,6 +27,12 @@
 	CallerPath gather.CallerPath
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
+
+	// delegated is set if the answer is gathered for another daemon, which needs it at due.
+	delegated bool
+	due       time.Time
+	// extra is set if another daemon may have sent attempts for the request, so that all attempts are extra ones.
+	extra bool
 }
 
 // RouteAnswer is the result of a request of a route.
@@ -48,6 +54,9 @@
 	// Late reports that the request failed because the deadline passed or the caller disconnected while attempts were
 	// pending.
 	Late bool
+
+	// gatherTime is how long another daemon took to gather the answer, if this one did not.
+	gatherTime time.Duration
 }
 
 // routeCall is the call for a request of a route. It ends once it need not wait for further replies.
@@ -74,9 +83,45 @@
 	remoteCharges int
 }
 
-// ServeRoute gathers the answer to a request of a route. It returns when the answer is decided or ctx ends, whichever is
-// first.
+// ServeRoute gathers the answer to a request of a route, or has another daemon gather it. It returns when the answer is decided
+// or ctx ends, whichever is first.
 func (s *Searcher) ServeRoute(ctx context.Context, req RouteRequest) RouteAnswer {
+	d := s.delegate(&req)
+	if d == nil {
+		return s.gather(ctx, &req, nil)
+	}
+	a, answered, extra := d.wait(ctx)
+	if answered {
+		d.logAnswer(&a, ctx.Err() != nil)
+		s.countAnswer(&req, &a)
+		return a
+	}
+	req.extra = extra
+	return s.gather(ctx, &req, d)
+}
+
+// gather gathers an answer in this daemon. If other, which may be nil, answers meanwhile, that answer is taken.
+func (s *Searcher) gather(ctx context.Context, req *RouteRequest, other *delegation) RouteAnswer {
+	c := s.newRouteCall(req)
+	var a RouteAnswer
+	if other != nil && req.extra {
+		a = c.runBeside(ctx, other)
+	} else {
+		c.runUntilEnd(ctx)
+		a = c.finish()
+	}
+	c.logAnswer(req, &a, ctx.Err() != nil)
+	if !req.delegated {
+		s.countAnswer(req, &a)
+	}
+	return a
+}
+
+func (s *Searcher) countAnswer(req *RouteRequest, a *RouteAnswer) {
+	s.Dispatcher.Metrics().RouteRequest(req.Route.Name, a.Outcome, a.MissingShards, time.Since(req.Arrived))
+}
+
+func (s *Searcher) newRouteCall(req *RouteRequest) *routeCall {
 	writeLag := s.Dispatcher.AnswerLag.Bound()
 	c := &routeCall{
 		call: newCall(s, model.RequestID(req.Message.ID), Request{
@@ -85,13 +130,35 @@
 		route: req.Route, message: req.Message, arrived: req.Arrived,
 		due: gather.Due(req.Arrived, req.Route.Target, req.CallerPath, writeLag), writeLag: writeLag,
 	}
+	if req.delegated {
+		c.due, c.writeLag = req.due, 0
+	}
+	if req.extra {
+		c.due = gather.ExtendDue(c.due, c.due.Sub(req.Arrived), time.Now())
+	}
+	c.extra = req.extra
+	c.restrict = req.extra || req.delegated
 	c.variant = c
-	c.runUntilEnd(ctx)
-	callerLeft := ctx.Err() != nil
-	a := c.finish()
-	c.logAnswer(&req, &a, callerLeft)
-	s.Dispatcher.Metrics().RouteRequest(req.Route.Name, a.Outcome, a.MissingShards, time.Since(req.Arrived))
-	return a
+	return c
+}
+
+// runBeside gathers the answer while another daemon may still answer, and returns the answer that comes first.
+func (c *routeCall) runBeside(ctx context.Context, other *delegation) RouteAnswer {
+	defer other.end(false)
+	c.startAttempts(ctx)
+	for {
+		select {
+		case <-c.done:
+			return c.finish()
+		case r := <-other.result:
+			if a, ok := other.answer(&r); ok && len(a.Replies) > 0 {
+				c.finish()
+				return a
+			}
+		case <-ctx.Done():
+			return c.finish()
+		}
+	}
 }
 
 // onStarted schedules an evaluation for when the answer is due.
@@ -298,9 +365,8 @@
 		Dur("after", now.Sub(q.Started)).Msg("attempt_failed")
 }
 
-// logAnswer logs the result of a request, with the times and counts that led to it.
+// logAnswer logs the result of a request that this daemon gathered, with the times and counts that led to it.
 func (c *routeCall) logAnswer(req *RouteRequest, a *RouteAnswer, callerLeft bool) {
-	now := time.Now()
 	event := c.searcher.Log.Info()
 	if a.Outcome != model.OutcomeComplete {
 		c.logMissing(event)
@@ -308,12 +374,20 @@
 	if c.hedges > 0 {
 		event.Dur("hedge_first", c.firstHedge.Sub(req.Arrived)).Dur("hedge_last", c.lastHedge.Sub(req.Arrived))
 	}
+	event.Uint32("attempts", c.attempts).Int("hedges", c.hedges).Int("retries", c.retries).
+		Int("lent", c.remoteCharges).Int("budget_refused", c.budgetRefused).Int("other_region", c.otherRegion).
+		Bool("delegated", req.delegated).Bool("extra", req.extra)
+	logRequest(event, req, a, c.due, c.writeLag, callerLeft)
+}
+
+// logRequest logs what is known of each answered request.
+func logRequest(event *zerolog.Event, req *RouteRequest, a *RouteAnswer, due time.Time, lag time.Duration, callerLeft bool) {
+	now := time.Now()
 	event.Str("id", req.Message.ID).Str("route", string(req.Route.Name)).
 		Uint64("version", uint64(req.Topology.Routing.Version)).Uint64("topology", uint64(req.Topology.Revision)).
 		Str("outcome", string(a.Outcome)).Int("shards", len(req.Shards)).Int("missing", a.MissingShards).
-		Uint32("attempts", c.attempts).Int("hedges", c.hedges).Int("retries", c.retries).
-		Int("lent", c.remoteCharges).Int("budget_refused", c.budgetRefused).Int("other_region", c.otherRegion).
-		Dur("pushback", a.Pushback).Bool("caller_left", callerLeft).Dur("took", now.Sub(req.Arrived)).Dur("due", c.due.Sub(req.Arrived)).Dur("lag", c.writeLag).
+		Dur("pushback", a.Pushback).Bool("caller_left", callerLeft).
+		Dur("took", now.Sub(req.Arrived)).Dur("due", due.Sub(req.Arrived)).Dur("lag", lag).
 		Dur("target", req.Route.Target).Dur("caller_rtt", req.CallerPath.RoundTrip).
 		Bool("caller_connected", req.CallerPath.NewConnection).Dur("left", req.Deadline.Sub(now)).Msg("request_answered")
 }
--- a/internal/testing/fakebackend/fake.go
+++ b/internal/testing/fakebackend/fake.go
@@ -17,6 +17,8 @@
 	// Status, if not StatusOK, is the result of the first Times queries, or of all if Times is 0.
 	Status backend.Status
 	Times  int
+	// RetryAfter is the retry hint of results with a Status other than StatusOK.
+	RetryAfter time.Duration
 	// Delay is the time that a query or a health request takes.
 	Delay time.Duration
 	// Version is the current index version, where 0 means 1, and Retained are the older versions that the server still holds.
@@ -41,11 +43,13 @@
 	queries map[model.ServerName]int
 	warmed  map[model.ServerName]int
 	cancels int
+	// cancelled counts, for each server, the queries whose sender ended them.
+	cancelled map[model.ServerName]int
 }
 
 // New returns a connector whose servers follow scripts. A server without a script follows the zero Script.
 func New(scripts map[model.ServerName]Script) *Connector {
-	return &Connector{scripts: scripts, queries: map[model.ServerName]int{}, warmed: map[model.ServerName]int{}}
+	return &Connector{scripts: scripts, queries: map[model.ServerName]int{}, warmed: map[model.ServerName]int{}, cancelled: map[model.ServerName]int{}}
 }
 
 // Connect implements backend.Connector.
@@ -60,6 +64,13 @@
 	return c.queries[name]
 }
 
+// Cancelled returns the number of queries to a server that their sender ended.
+func (c *Connector) Cancelled(name model.ServerName) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cancelled[name]
+}
+
 // Warmed returns the number of connections that were opened to a server in advance.
 func (c *Connector) Warmed(name model.ServerName) int {
 	c.mu.Lock()
@@ -101,10 +112,13 @@
 	select {
 	case <-time.After(script.Delay):
 	case <-ctx.Done():
+		s.connector.mu.Lock()
+		s.connector.cancelled[s.name]++
+		s.connector.mu.Unlock()
 		return backend.QueryResult{Status: backend.StatusCancelled}
 	}
 	if script.Status != backend.StatusOK && (script.Times == 0 || n <= script.Times) {
-		return backend.QueryResult{Status: script.Status}
+		return backend.QueryResult{Status: script.Status, RetryAfter: script.RetryAfter}
 	}
 	if req.Message != nil {
 		return backend.QueryResult{Reply: backend.QueryReply{ID: req.ID, Shard: req.Shard, Message: script.messageReply(s.name)}}
