Hold delegated requests to the same replicas, whatever each daemon finds usable

A daemon that does not respond in time is avoided at once. A request that another daemon may have run is not reported as not run.

--- a/internal/decision/routing/choose.go
+++ b/internal/decision/routing/choose.go
@@ -235,9 +235,9 @@
 	return b
 }
 
-// Restrict leaves at most n candidates usable: the nearest ones, among equally near ones those that rank highest for the key.
-// Daemons in one zone that handle the same request leave the same candidates, unless they differ in which servers leave. If
-// none of these is usable, all candidates stay as they are.
+// Restrict leaves at most n candidates: the nearest ones, among equally near ones those that rank highest for the key. Daemons in
+// one zone that handle the same request leave the same candidates, unless they differ in which servers leave. It leaves them
+// also if none of them is usable, since the other daemon may find one of them usable.
 func Restrict(cs []Candidate, key string, n int) {
 	if len(cs) <= n {
 		return
@@ -255,9 +255,6 @@
 		)
 	})
 	kept = kept[:min(n, len(kept))]
-	if !slices.ContainsFunc(kept, func(i int) bool { return cs[i].Usable }) {
-		return
-	}
 	for i := range cs {
 		if !slices.Contains(kept, i) {
 			cs[i].Usable, cs[i].Probe = false, false
--- a/internal/dispatch/delegate.go
+++ b/internal/dispatch/delegate.go
@@ -49,14 +49,19 @@
 // CancelDelegation tells the other daemon that the answer is not needed any longer.
 func (d *Dispatcher) CancelDelegation(id backend.AttemptID) { d.forwarding.forwards.Cancel(id) }
 
+// AvoidDaemon leaves another daemon out for a while, since it did not respond in time.
+func (d *Dispatcher) AvoidDaemon(m model.Member) {
+	now := time.Now()
+	d.forwarding.owners.Avoid(m, now.Add(avoidFailed), now)
+}
+
 // CheckDaemon finds out whether another daemon responds, without waiting for it. onResponse is called if it does.
 func (d *Dispatcher) CheckDaemon(to model.Member, rank model.Rank, onResponse func()) {
 	d.ready.Push(&tables.Attempt{Rank: rank, Run: func() {
 		ctx, cancel := context.WithTimeout(context.Background(), minCheckTimeout)
 		defer cancel()
 		if _, err := d.forwarding.sender.Forward(ctx, to.Address, forwarding.Batch{From: d.forwarding.self}); err != nil {
-			now := time.Now()
-			d.forwarding.owners.Avoid(to, now.Add(avoidFailed), now)
+			d.AvoidDaemon(to)
 			return
 		}
 		onResponse()
--- a/internal/query/scatter/delegate.go
+++ b/internal/query/scatter/delegate.go
@@ -72,6 +72,7 @@
 		}),
 		timer.Schedule(now.Add(times.GiveUp), func() {
 			if !d.responded.Load() {
+				d.searcher.Dispatcher.AvoidDaemon(d.to)
 				d.giveUp()
 			}
 		}),
--- a/internal/query/scatter/route.go
+++ b/internal/query/scatter/route.go
@@ -319,7 +319,7 @@
 		a.Outcome = model.OutcomeComplete
 	case covered >= gather.RequiredShards(len(c.shards), c.minCoverage()):
 		a.Outcome = model.OutcomePartial
-	case covered == 0 && c.possiblyRun == 0:
+	case covered == 0 && c.possiblyRun == 0 && !c.extra:
 		a.Outcome = model.OutcomeNotRun
 		a.Pushback, _ = c.searcher.Dispatcher.PushbackUntil(c.shardList(), gather.RequiredShards(len(c.shards), c.minCoverage()), time.Now())
 	default:
