Send of a second reply between daemons only the records that an answer can use

Change: a daemon that sends an attempt for another one returns at most as many records as the answer has, and no headers (forwarding.Query.TrimTo).

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -111,6 +111,7 @@
 
 			BounceAfter: q.BounceAfter,
 			MergeWait:   q.MergeWait,
+			TrimTo:      q.TrimTo,
 			Charge:      q.Charge,
 		},
 		Pending: tables.Pending{Peer: target, OnResult: func(r forwarding.Result) { f.finish(q, r) }},
@@ -272,7 +273,7 @@
 	request := query.Request
 	request.Deadline = now.Add(query.Left)
 	ctx, cancelContext := context.WithDeadline(context.Background(), request.Deadline.Add(forwardGrace))
-	q := &QueryAttempt{Server: s, Rank: query.Rank, Request: request, BounceAfter: query.BounceAfter, MergeWait: query.MergeWait}
+	q := &QueryAttempt{Server: s, Rank: query.Rank, Request: request, BounceAfter: query.BounceAfter, MergeWait: query.MergeWait, TrimTo: query.TrimTo}
 	q.Done = func(q *QueryAttempt, r backend.QueryResult) {
 		cancelContext()
 		f.returnResult(from, q, r)
@@ -330,7 +331,7 @@
 	result := forwarding.Result{ID: q.Request.ID, Result: r, Waited: q.waited, Returned: now}
 	wait := resultBatchDelay
 	if q.Request.Message != nil {
-		result.Limit = q.Request.Limit
+		result.Limit, result.TrimTo = q.Request.Limit, q.TrimTo
 		wait = q.MergeWait
 		mayWait = mayWait && result.Limit > 0 && wait > 0
 	}
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -24,6 +24,8 @@
 	Gather bool
 	// MergeWait is how long that daemon may hold the reply back to merge it with others.
 	MergeWait time.Duration
+	// TrimTo is the number of records of a reply to a message that are needed; 0 means the whole reply.
+	TrimTo int
 	// ForwardTo, if its Instance is set, is the daemon that sends the attempt and charges it to its own budget of extra
 	// attempts. Charge is the share of that budget that the attempt may use.
 	ForwardTo model.Member
--- a/internal/forwarding/compact.go
+++ b/internal/forwarding/compact.go
@@ -95,10 +95,15 @@
 	for i := range b.Results {
 		r := &b.Results[i]
 		m := r.Result.Reply.Message
-		if r.Limit == 0 || r.Result.Status != backend.StatusOK || !m.Successful() || len(m.Shards) > 0 {
+		if r.Result.Status != backend.StatusOK || !m.Successful() || len(m.Shards) > 0 {
 			continue
 		}
-		groups[keyOf(r.ID)] = append(groups[keyOf(r.ID)], r)
+		switch {
+		case r.Limit > 0:
+			groups[keyOf(r.ID)] = append(groups[keyOf(r.ID)], r)
+		case r.TrimTo > 0:
+			r.Result.Reply.Message = trimReply(m, r.TrimTo)
+		}
 	}
 	for _, group := range groups {
 		mergeGroup(group)
@@ -108,7 +113,15 @@
 		if r.Result.Reply.Message != nil || r.Merged {
 			r.Result.Reply.ID, r.Result.Reply.Shard = backend.AttemptID{}, ""
 		}
-		r.Limit = 0
+		r.Limit, r.TrimTo = 0, 0
+	}
+}
+
+// trimReply returns the reply of one shard with at most limit records, and without the headers, which are not part of an answer
+// over many shards. The reply itself stays unchanged, since other attempts may refer to it.
+func trimReply(m *backend.MessageReply, limit int) *backend.MessageReply {
+	return &backend.MessageReply{
+		StatusCode: m.StatusCode, Body: gather.MergeRecords([][]byte{m.Body}, limit), Signatures: m.Signatures,
 	}
 }
 
--- a/internal/forwarding/compact_test.go
+++ b/internal/forwarding/compact_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"testing"
 	"time"
 
@@ -69,6 +70,26 @@
 		Expect(b.Results[1].Result.Reply.Message.Shards).To(Equal([]model.ShardName{"s0"}))
 	})
 
+	It("sends of a reply that is not merged only the records that can be part of an answer", func() {
+		// Guards against the bytes of records and headers that no answer uses, and against a change of the reply itself, to which
+		// other attempts refer.
+		r := reply("q1", 2, "s0", 'a')
+		r.Limit, r.TrimTo = 0, 2
+		original := r.Result.Reply.Message
+		original.Header = http.Header{"X-Request-Id": {"q1"}}
+		original.Body = []byte("aaaaaaaaaaaaaaaa" + "cccccccccccccccc" + "bbbbbbbbbbbbbbbb" + "rest")
+		b := forwarding.Batch{Results: []forwarding.Result{r, reply("q1", 1, "s1", 'd')}}
+		b.Compact()
+		b.Expand()
+		trimmed := b.Results[0].Result.Reply.Message
+		Expect(string(trimmed.Body)).To(Equal("cccccccccccccccc" + "bbbbbbbbbbbbbbbb"))
+		Expect(trimmed.Signatures).To(Equal([]string{"signed s0"}))
+		Expect(trimmed.Header).To(BeEmpty())
+		Expect(trimmed.Shards).To(BeEmpty())
+		Expect(b.Results[1].Result.Reply.Message.Shards).To(Equal([]model.ShardName{"s1"}))
+		Expect(original.Body).To(HaveLen(3*gather.RecordBytes + 4))
+	})
+
 	It("keeps merged replies when it is sent again", func() {
 		// Guards against merging the replies of an undelivered batch a second time, which would list shards twice.
 		b := forwarding.Batch{Results: []forwarding.Result{reply("q1", 1, "s0", 'a'), reply("q1", 2, "s1", 'c')}}
--- a/internal/forwarding/messages.go
+++ b/internal/forwarding/messages.go
@@ -29,6 +29,8 @@
 	// BounceAfter is how long the attempt may wait at the receiver before it is sent; 0 means until the deadline. After that it
 	// ends with backend.StatusBusy.
 	BounceAfter time.Duration
+	// TrimTo is the number of records of the reply to a message that the sender needs; 0 means the whole reply.
+	TrimTo int
 	// MergeWait is how long the receiver may hold a reply back to merge it with the replies of other shards.
 	MergeWait time.Duration
 	// Charge is the share of the receiver's own budget for extra attempts that this attempt may use; 0 if the sender has charged
@@ -85,9 +87,10 @@
 	// sent: StampDelays replaces it with Delayed.
 	Returned time.Time
 	Delayed  time.Duration
-	// Limit is the maximum number of records in the reply to a message; 0 means that the reply is not merged. It is not sent:
-	// Compact clears it.
-	Limit int
+	// Limit is the maximum number of records in the reply to a message; 0 means that the reply is not merged. TrimTo is the
+	// maximum for a reply that is not merged; 0 means that it stays unchanged. Neither is sent: Compact clears them.
+	Limit  int
+	TrimTo int
 	// Merged means, between Compact and Expand, that the reply is part of the merged reply in an earlier result of the batch that
 	// belongs to the same caller's request.
 	Merged bool
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -175,6 +175,7 @@
 		Probe:     probe,
 		Gather:    charge.local && merges && (sh.attempts == 1 || inOtherZone(sh.pending, server)),
 		MergeWait: mergeWait,
+		TrimTo:    c.variant.maxRecords(),
 		ForwardTo: through,
 		Charge:    charge.remoteFraction,
 		Request:   c.subRequest(sh),
--- a/internal/query/scatter/querycall.go
+++ b/internal/query/scatter/querycall.go
@@ -56,6 +56,8 @@
 
 func (c *queryCall) remoteMerge() (mergeWait time.Duration, ok bool) { return 0, false }
 
+func (c *queryCall) maxRecords() int { return 0 }
+
 func (c *queryCall) onStarted() {}
 
 func (c *queryCall) onResult(i int, q *dispatch.QueryAttempt, r backend.QueryResult, now time.Time) {
--- a/internal/query/scatter/routeattempts.go
+++ b/internal/query/scatter/routeattempts.go
@@ -33,6 +33,13 @@
 	return gather.MergeWait(c.due.Sub(c.arrived)), c.route.Index != nil
 }
 
+func (c *routeCall) maxRecords() int {
+	if c.route.Index == nil {
+		return 0
+	}
+	return c.route.Index.Results
+}
+
 func (c *routeCall) countRequest(sh *shardState, now time.Time) {
 	c.searcher.Dispatcher.ServiceBudgets.OnRequest(c.service(sh), now)
 }
--- a/internal/query/scatter/variant.go
+++ b/internal/query/scatter/variant.go
@@ -34,6 +34,9 @@
 	// remoteMerge reports whether attempts may go through daemons near the servers, which merge the replies, and how long a
 	// reply may wait there for others.
 	remoteMerge() (mergeWait time.Duration, ok bool)
+	// maxRecords returns the number of records of a reply to a message that can be part of the answer; 0 means that replies stay
+	// unchanged.
+	maxRecords() int
 	// onStarted is called once the first attempts have started.
 	onStarted()
 	// onResult handles the result of one attempt.
