--- a/cmd/oleandersill-platform/main.go
+++ b/cmd/oleandersill-platform/main.go
@@ -27,6 +27,9 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	// A signal that comes while the daemon starts is handled once it has started.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	path := flag.String("settings", "", "path of the settings file (TOML); default: the path in the environment variable that the platform sets")
 	metricsPort := flag.Uint("metrics-port", 0, "port for metrics at the instance's own address; 0 disables them")
 	flag.Parse()
@@ -44,8 +47,6 @@
 	defer out.Close()
 	log := telemetry.NewLogger(out, zerolog.InfoLevel)
 	daemon.RedirectStandardLog(log)
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	d, err := daemon.Start(s, uint16(*metricsPort), log)
 	if err != nil {
 		log.Error().Err(err).Msg("start_failed")
--- a/cmd/oleandersilld/main.go
+++ b/cmd/oleandersilld/main.go
@@ -26,6 +26,9 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	// A signal that comes while the daemon starts is handled once it has started.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	path := flag.String("settings", "", "path of the settings file (YAML)")
 	flag.Parse()
 	s, err := settings.Load(*path)
@@ -43,14 +46,12 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitStartFailed
 	}
-	return serve(d)
+	return serve(d, signals)
 }
 
 // serve waits until a signal or an operator's request starts a drain, and stops the daemon once it has drained. It returns
 // early if a signal arrives during the drain.
-func serve(d *daemon.Daemon) int {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+func serve(d *daemon.Daemon, signals <-chan os.Signal) int {
 	select {
 	case s := <-signals:
 		d.BeginDrain(s.String())
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -95,6 +95,8 @@
 	return "the daemon was not reached: " + e.cause.Error()
 }
 
+var errReplyTooLarge = fmt.Errorf("the reply is larger than %d bytes", maxReplyBytes)
+
 // Do sends a request. The error is a *Failure or, if no reply arrived, a *NoReplyError.
 func (c *Client) Do(ctx context.Context, r Request) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
@@ -110,7 +112,10 @@
 		return Reply{}, &NoReplyError{Sent: sent.Load(), cause: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	if err == nil && len(body) > maxReplyBytes {
+		err = errReplyTooLarge
+	}
 	if err != nil {
 		return Reply{}, &NoReplyError{Sent: true, cause: err}
 	}
--- a/internal/cli/query/import.go
+++ b/internal/cli/query/import.go
@@ -54,6 +54,9 @@
 		if size == 0 || size != len(*separator) || strings.ContainsRune("\"\r\n", r) || r == utf8.RuneError {
 			return cli.Failf(cli.ExitUsage, "-separator must be one character")
 		}
+		if format != cli.FormatYAML && format != cli.FormatJSON {
+			return cli.Failf(cli.ExitUsage, "-o must be yaml or json")
+		}
 		o.Separator = r
 		inv, err := importFile(*path, o)
 		if err != nil {
--- a/internal/decision/budget/fleet.go
+++ b/internal/decision/budget/fleet.go
@@ -34,9 +34,14 @@
 	return FleetShare{rule: rule, window: NewWindow(0, 0, rule.Span, started), started: started}
 }
 
-// SetRule changes the rule. The counts are kept, and so is the window's length: a new Span only changes how long
-// restartSlackFraction applies.
-func (f *FleetShare) SetRule(rule FleetRule) { f.rule = rule }
+// SetRule changes the rule at now. The counts are kept unless the Span changes. With another Span they start anew, and the
+// slack is that of a daemon that has just started, since what was spent before is not known for the new window.
+func (f *FleetShare) SetRule(rule FleetRule, now time.Time) {
+	if rule.Span != f.rule.Span {
+		*f = NewFleetShare(rule, now)
+	}
+	f.rule = rule
+}
 
 // OnRequest counts one request to the service.
 func (f *FleetShare) OnRequest(now time.Time) { f.window.OnRequest(now) }
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -254,6 +254,7 @@
 		c.budgetRefused++
 		return
 	}
+	c.variant.onRetried()
 	c.searcher.Dispatcher.Metrics().Retry(c.variant.service(sh))
 	c.sendToAnotherReplica(i, charge, now)
 }
--- a/internal/query/scatter/delegate_test.go
+++ b/internal/query/scatter/delegate_test.go
@@ -217,7 +217,7 @@
 	It("counts as extra ones the attempts that the strong daemon may have sent already", func() {
 		// Guards against a fleet that exceeds its budget of extra attempts when daemons are lost.
 		weak, _ := newZonePair(nil, nil)
-		weak.searcher.Dispatcher.ServiceBudgets.SetRule(budget.FleetRule{Span: time.Hour})
+		weak.searcher.Dispatcher.ServiceBudgets.SetRule(budget.FleetRule{Span: time.Hour}, time.Now())
 		weak.setFault(linkHung)
 		a, _ := weak.serve(context.Background())
 		Expect(a.Outcome).To(Equal(model.OutcomeFailed))
--- a/internal/query/scatter/hedge.go
+++ b/internal/query/scatter/hedge.go
@@ -68,6 +68,7 @@
 		return
 	}
 	if c.prepareAttempt(i, target, false, charge, now) {
+		c.variant.onHedged(now)
 		c.searcher.Dispatcher.Metrics().Hedge(c.variant.service(sh))
 	}
 	sh.hedgeAt = time.Time{}
--- a/internal/query/scatter/querycall.go
+++ b/internal/query/scatter/querycall.go
@@ -58,6 +58,10 @@
 
 func (c *queryCall) maxRecords() int { return 0 }
 
+func (c *queryCall) onHedged(time.Time) {}
+
+func (c *queryCall) onRetried() {}
+
 func (c *queryCall) onStarted() {}
 
 func (c *queryCall) onResult(i int, q *dispatch.QueryAttempt, r backend.QueryResult, now time.Time) {
--- a/internal/query/scatter/region_test.go
+++ b/internal/query/scatter/region_test.go
@@ -59,7 +59,7 @@
 
 // exhaustBudget sets a rule that leaves the daemon's own budget without extra attempts.
 func (r *regionDaemon) exhaustBudget() {
-	r.searcher.Dispatcher.ServiceBudgets.SetRule(budget.FleetRule{Span: time.Hour})
+	r.searcher.Dispatcher.ServiceBudgets.SetRule(budget.FleetRule{Span: time.Hour}, time.Now())
 }
 
 // countSignatures returns the number of signatures in the replies; each shard that a reply covers adds one.
--- a/internal/query/scatter/route.go
+++ b/internal/query/scatter/route.go
@@ -73,10 +73,9 @@
 	readyAt  time.Time
 	dueTimer *pool.TimerEntry
 	failure  *backend.MessageReply
-	// hedges and retries count also those that were not sent because no budget covered them.
 	hedges  int
 	retries int
-	// firstHedge and lastHedge are when the first and the last of the hedges were due; zero without one.
+	// firstHedge and lastHedge are when the first and the last of the hedges were sent; zero without one.
 	firstHedge time.Time
 	lastHedge  time.Time
 	// remoteCharges counts the extra attempts that this daemon's budget did not cover, to be charged to another daemon's.
--- a/internal/query/scatter/routeattempts.go
+++ b/internal/query/scatter/routeattempts.go
@@ -45,18 +45,20 @@
 }
 
 func (c *routeCall) spendHedge(sh *shardState, now time.Time) budgetCharge {
+	return c.spend(sh, hedgeBudgetFractions[c.req.Rank], now)
+}
+
+func (c *routeCall) spendRetry(sh *shardState, now time.Time) budgetCharge { return c.spend(sh, 1, now) }
+
+func (c *routeCall) onHedged(now time.Time) {
 	c.hedges++
 	c.lastHedge = now
 	if c.firstHedge.IsZero() {
 		c.firstHedge = now
 	}
-	return c.spend(sh, hedgeBudgetFractions[c.req.Rank], now)
 }
 
-func (c *routeCall) spendRetry(sh *shardState, now time.Time) budgetCharge {
-	c.retries++
-	return c.spend(sh, 1, now)
-}
+func (c *routeCall) onRetried() { c.retries++ }
 
 // spend charges an extra attempt to this daemon's part of the service's budget, or else to the daemon that sends the
 // attempt. In a large fleet each daemon's part is small, so that some daemons run out while others have budget left.
--- a/internal/query/scatter/variant.go
+++ b/internal/query/scatter/variant.go
@@ -50,6 +50,9 @@
 	// covers the attempt.
 	spendHedge(sh *shardState, now time.Time) budgetCharge
 	spendRetry(sh *shardState, now time.Time) budgetCharge
+	// onHedged and onRetried are called when a hedge or a retry that a budget covers is sent.
+	onHedged(now time.Time)
+	onRetried()
 	// maxAttempts returns the maximum number of attempts of a shard, including the first one.
 	maxAttempts() int
 	// mayHedge reports whether a shard may get another attempt in addition to the pending one.
--- a/internal/tables/servicebudgets.go
+++ b/internal/tables/servicebudgets.go
@@ -35,13 +35,17 @@
 	t.daemons.Observe(n, now)
 }
 
-// SetRule changes the rule of all services.
-func (t *ServiceBudgets) SetRule(rule budget.FleetRule) {
+// SetRule changes the rule of all services at now.
+func (t *ServiceBudgets) SetRule(rule budget.FleetRule, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if rule.Span != t.rule.Span {
+		// Services that are counted from now on have no counts of the new window either.
+		t.startedAt = now
+	}
 	t.rule = rule
 	for _, f := range t.services {
-		f.SetRule(rule)
+		f.SetRule(rule, now)
 	}
 }
 
--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -63,10 +63,16 @@
 			continue
 		}
 		tokens--
-		if n := w.dropped.Swap(0); n > 0 {
-			logger.Warn().Uint64("lines", n).Msg("log_lines_dropped")
-		}
+		w.logDropped(logger)
 		// A failure to write to the log cannot be reported anywhere.
 		_, _ = out.Write(line)
 	}
+	w.logDropped(logger)
+}
+
+// logDropped logs the number of lines that were dropped since its last call, if there are any.
+func (w *BoundedWriter) logDropped(logger zerolog.Logger) {
+	if n := w.dropped.Swap(0); n > 0 {
+		logger.Warn().Uint64("lines", n).Msg("log_lines_dropped")
+	}
 }
--- a/internal/telemetry/bounded_test.go
+++ b/internal/telemetry/bounded_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
@@ -38,4 +40,23 @@
 		Expect(strings.Count(out.String(), "line\n")).To(BeNumerically("<", 2000))
 		Expect(out.String()).To(MatchRegexp(`event=log_lines_dropped lines=\d+`))
 	})
+
+	It("counts each line as written or dropped, also those that are dropped last", func() {
+		// Guards against a log that ends with lines missing and does not say so.
+		const lines = 5000
+		var out bytes.Buffer
+		w := telemetry.NewBoundedWriter(&out)
+		for range lines {
+			_, err := w.Write([]byte("line\n"))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		w.Close()
+		counted := strings.Count(out.String(), "line\n")
+		for _, match := range regexp.MustCompile(`lines=(\d+)`).FindAllStringSubmatch(out.String(), -1) {
+			n, err := strconv.Atoi(match[1])
+			Expect(err).NotTo(HaveOccurred())
+			counted += n
+		}
+		Expect(counted).To(Equal(lines))
+	})
 })
