Send a second attempt as late as its server can still reply in time

Cause: hedges were sent at the 95th percentile of a server's latency, or at a sixth of the time at the earliest, so that a tenth of the shards of an answer were asked twice although most of their first servers replied soon after, within the time in which an earlier answer has no benefit. They cost bytes between regions, budget and the servers' time.

Change: a hedge leaves the best other replica one and a half times its expected time (gather.HedgeDelay), and is sent at half of the time at the latest (0.45 before).

--- a/internal/decision/gather/gather.go
+++ b/internal/decision/gather/gather.go
@@ -21,7 +21,9 @@
 	// minHedgeFraction and maxHedgeFraction bound the hedge delay, as fractions of the time until the answer is due. An earlier
 	// hedge loads servers for little benefit; a later one leaves the second server too little time.
 	minHedgeFraction = 0.17
-	maxHedgeFraction = 0.45
+	maxHedgeFraction = 0.5
+	// secondAttemptFactor is how many times its expected time a hedge is given.
+	secondAttemptFactor = 1.5
 	// mergeWaitFraction is the fraction of the time until the answer is due for which a shard's reply may wait to be merged with
 	// other replies, and maxMergeWait bounds that time. Each reply that is merged into another saves most of its bytes.
 	mergeWaitFraction = 0.06
@@ -114,13 +116,15 @@
 }
 
 // HedgeDelay returns the time after which a hedge is sent to a shard that has not replied. observed is a high quantile of the
-// shard's latency, 0 if none was observed, and due the time from the request's arrival until its answer is due.
-func HedgeDelay(observed, due time.Duration) time.Duration {
+// shard's latency, 0 if none was observed, second the expected time of an attempt at another replica, 0 if there is none, and due
+// the time from the request's arrival until its answer is due. An answer before it is due has no benefit, so the hedge is sent as
+// late as the second attempt allows: by then most of the servers that are only somewhat slow have replied.
+func HedgeDelay(observed, second, due time.Duration) time.Duration {
 	latest := fractionOf(due, maxHedgeFraction)
-	if observed == 0 {
+	if observed == 0 || second == 0 {
 		return latest
 	}
-	return min(latest, max(fractionOf(due, minHedgeFraction), observed))
+	return min(latest, max(fractionOf(due, minHedgeFraction), observed, due-fractionOf(second, secondAttemptFactor)))
 }
 
 // MergeWait returns how long the reply of one shard may wait to be merged with replies of other shards. due is the time from
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -181,7 +181,7 @@
 		Request:   c.subRequest(sh),
 		Done:      func(q *dispatch.QueryAttempt, r backend.QueryResult) { c.onAttemptEnd(i, q, r) },
 	}
-	sh.hedgeAt = c.variant.hedgeTime(server, now)
+	sh.hedgeAt = c.variant.hedgeTime(server, c.secondCost(server), now)
 	if sh.attempts == 1 && c.req.Rank != model.RankDeferred && !sh.hedgeAt.IsZero() && len(c.records) > 1 {
 		// A first attempt that waits for capacity at its server for longer than the hedge delay ends and is sent to another
 		// replica; later attempts keep waiting.
@@ -192,6 +192,21 @@
 	return true
 }
 
+// secondCost returns the expected time of an attempt at the best of the loaded candidates other than the given server, or 0 if
+// none is usable.
+func (c *call) secondCost(server *tables.Server) time.Duration {
+	best := time.Duration(0)
+	for i := range c.candidates {
+		if !c.candidates[i].Usable || c.records[i] == server {
+			continue
+		}
+		if cost := c.candidates[i].Cost(); best == 0 || cost < best {
+			best = cost
+		}
+	}
+	return best
+}
+
 // remoteSender returns the daemon that sends an attempt at a server and charges it to its own budget, or the zero Member if
 // no other daemon is charged. It returns false if another daemon would have to be charged and there is none.
 func (c *call) remoteSender(server *tables.Server, charge budgetCharge) (model.Member, bool) {
--- a/internal/query/scatter/querycall.go
+++ b/internal/query/scatter/querycall.go
@@ -193,7 +193,7 @@
 
 // hedgeTime uses the shortest hedge delay of the shard's replicas, which loadCandidates has put into c.records, but at
 // least the delay that the rule requires. It returns zero if hedging is off or no latency was observed.
-func (c *queryCall) hedgeTime(_ *tables.Server, now time.Time) time.Time {
+func (c *queryCall) hedgeTime(_ *tables.Server, _ time.Duration, now time.Time) time.Time {
 	rule := c.req.Topology.Rules.Hedge
 	if rule.MaxRatio <= 0 || c.searcher.Dispatcher.Policy() == model.PolicyBaseline {
 		return time.Time{}
--- a/internal/query/scatter/route.go
+++ b/internal/query/scatter/route.go
@@ -73,8 +73,8 @@
 	readyAt  time.Time
 	dueTimer *pool.TimerEntry
 	failure  *backend.MessageReply
-	hedges  int
-	retries int
+	hedges   int
+	retries  int
 	// firstHedge and lastHedge are when the first and the last of the hedges were sent; zero without one.
 	firstHedge time.Time
 	lastHedge  time.Time
--- a/internal/query/scatter/routeattempts.go
+++ b/internal/query/scatter/routeattempts.go
@@ -48,7 +48,9 @@
 	return c.spend(sh, hedgeBudgetFractions[c.req.Rank], now)
 }
 
-func (c *routeCall) spendRetry(sh *shardState, now time.Time) budgetCharge { return c.spend(sh, 1, now) }
+func (c *routeCall) spendRetry(sh *shardState, now time.Time) budgetCharge {
+	return c.spend(sh, 1, now)
+}
 
 func (c *routeCall) onHedged(now time.Time) {
 	c.hedges++
@@ -74,9 +76,9 @@
 
 func (c *routeCall) mayHedge(sh *shardState) bool { return sh.attempts < c.maxAttempts() }
 
-// hedgeTime returns when the server will have taken longer than usual.
-func (c *routeCall) hedgeTime(server *tables.Server, now time.Time) time.Time {
-	return now.Add(gather.HedgeDelay(server.HedgeDelay(), c.due.Sub(c.arrived)))
+// hedgeTime returns when the server will have taken longer than usual, but as late as another replica can still reply in time.
+func (c *routeCall) hedgeTime(server *tables.Server, second time.Duration, now time.Time) time.Time {
+	return now.Add(gather.HedgeDelay(server.HedgeDelay(), second, c.due.Sub(c.arrived)))
 }
 
 func (c *routeCall) postponeHedges(now time.Time) time.Time {
--- a/internal/query/scatter/variant.go
+++ b/internal/query/scatter/variant.go
@@ -57,8 +57,9 @@
 	maxAttempts() int
 	// mayHedge reports whether a shard may get another attempt in addition to the pending one.
 	mayHedge(sh *shardState) bool
-	// hedgeTime returns when a hedge of an attempt that starts now at the server is due; zero if none is.
-	hedgeTime(server *tables.Server, now time.Time) time.Time
+	// hedgeTime returns when a hedge of an attempt that starts now at the server is due; zero if none is. second is the expected
+	// time of an attempt at another replica; 0 if there is none.
+	hedgeTime(server *tables.Server, second time.Duration, now time.Time) time.Time
 	// postponeHedges returns a later time for hedges that are due now, or zero if they are to be sent.
 	postponeHedges(now time.Time) time.Time
 }
