Ask the next daemon before the store when a source of updates fails

Change: the next source is followed, and the store is read after three in a row failed or once the data is too old, as before. While the store does not answer, a daemon that no others follow calls it less often as the fleet grows (30 ms a daemon, at most 4 s), and asks a peer every 0.7 s meanwhile.

TestControlState (whole control state under faults) passes.

--- a/internal/command/follow/follower.go
+++ b/internal/command/follow/follower.go
@@ -21,6 +21,9 @@
 	// times the base.
 	minBackoff = 60 * time.Millisecond
 	maxBackoff = 700 * time.Millisecond
+	// backoffPerDaemon and maxFollowerBackoff let the base grow with the fleet in daemons that no others follow.
+	backoffPerDaemon   = 30 * time.Millisecond
+	maxFollowerBackoff = 4 * time.Second
 )
 
 // Peers calls other daemons.
--- a/internal/command/follow/peers.go
+++ b/internal/command/follow/peers.go
@@ -39,14 +39,24 @@
 	f.applyPeerUpdate(&update)
 	if update.StoreUnreachable || time.Since(update.ConfirmedAt) > fresh.MaxAge()-fresh.PeerReplyMargin() {
 		f.excludeSource(r, source, gossip.SourceStale, nil)
+		return
 	}
+	r.failedSources = 0
 }
 
-// excludeSource stops following a daemon for a while; the store is read next.
+// maxFailedSources is how many sources in a row are tried before the store is read. Usually the next one has read the store
+// by then, and the store is spared the calls of a whole zone.
+const maxFailedSources = 3
+
+// excludeSource stops following a daemon for a while. The next source is followed, or the store is read after several failures;
+// followPeer reads the store in any case once the data is too old.
 func (f *Follower) excludeSource(r *readState, source model.Member, fault gossip.SourceFault, err error) {
 	now, at := time.Now(), f.deps.Registry.Position()
 	r.sources.Exclude(source.Instance, fault, now)
-	r.readStoreNext = true
+	r.failedSources++
+	if r.failedSources >= maxFailedSources {
+		r.readStoreNext, r.failedSources = true, 0
+	}
 	f.deps.Log.Warn().Err(err).Str("source", string(source.Instance)).Bool("late", fault == gossip.SourceStale).
 		Dur("heard_ago", now.Sub(at.ConfirmedAt)).Uint64("revision", uint64(at.Revision)).Msg("store_source_rested")
 }
--- a/internal/command/follow/read.go
+++ b/internal/command/follow/read.go
@@ -26,6 +26,8 @@
 	lostSince time.Time
 	backoff   time.Duration
 	leaving   leavingExchange
+	// failedSources counts the consecutive sources that failed.
+	failedSources int
 	// peersAsked counts the calls to peers while the store does not answer.
 	peersAsked int
 }
@@ -102,9 +104,23 @@
 		f.deps.Registry.SetStoreUnreachable(true)
 		f.deps.Log.Warn().Err(err).Uint64("revision", uint64(f.deps.Registry.Position().Revision)).Msg("store_lost")
 	}
-	f.queryPeer(ctx, r)
-	pool.Sleep(ctx, r.backoff/2+rand.N(r.backoff)) //nolint:gosec // spreads calls
-	r.backoff = min(2*r.backoff, maxBackoff)
+	pause := r.backoff/2 + rand.N(r.backoff) //nolint:gosec // spreads calls
+	r.backoff = min(2*r.backoff, f.maxStoreBackoff(r))
+	for pause > 0 && ctx.Err() == nil {
+		f.queryPeer(ctx, r)
+		pool.Sleep(ctx, min(pause, maxBackoff))
+		pause -= maxBackoff
+	}
+}
+
+// maxStoreBackoff returns the longest base of the delay between calls to a store that does not answer. The daemons that others
+// follow call it often; the others hear from them when it answers again, and would only add to its load.
+func (f *Follower) maxStoreBackoff(r *readState) time.Duration {
+	members := f.deps.Registry.Members()
+	if f.deps.Peers == nil || r.sources.Leads(members) {
+		return maxBackoff
+	}
+	return min(maxFollowerBackoff, max(maxBackoff, time.Duration(len(members))*backoffPerDaemon))
 }
 
 func (f *Follower) handleStoreSuccess(r *readState, now time.Time) {
--- a/internal/decision/gossip/source.go
+++ b/internal/decision/gossip/source.go
@@ -97,6 +97,16 @@
 	return fleetHighest, true
 }
 
+// Leads reports whether self is the highest-ranked daemon of its zone, which the others of the zone follow.
+func (s *SourceSelector) Leads(members []model.Member) bool {
+	for _, m := range members {
+		if m.Address != "" && m.Instance != s.self.Instance && m.Zone == s.self.Zone && ranksHigher(m, s.self) {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *SourceSelector) excluded(instance model.InstanceID, now time.Time) bool {
 	return now.Before(s.excludedUntil[instance])
 }
