--- a/internal/decision/ownership/preferred.go
+++ b/internal/decision/ownership/preferred.go
@@ -19,8 +19,7 @@
 
 // Preferred returns the members of a zone to which other daemons should send work for the zone: those of the largest capacity
 // that have together preferredShare of the zone's capacity, and at least minPreferred. All daemons with the same list choose
-// the same members, and when a member joins or leaves, at most about one more member changes. The result is sorted by
-// instance, as members is.
+// the same members, and when one of them leaves, the others stay preferred. The result is sorted by instance, as members is.
 func Preferred(members []model.Member) []model.Member {
 	if len(members) <= minPreferred {
 		return members
--- a/internal/decision/retrydelay/retrydelay.go
+++ b/internal/decision/retrydelay/retrydelay.go
@@ -24,9 +24,12 @@
 	return time.Duration(float64(mean(remaining)) * (1 - jitter + 2*jitter*rnd.Float64()))
 }
 
-// AfterPushback returns the delay for a caller whose request no server takes before rest has passed. It is never shorter than
-// rest, since an earlier retry would be refused as well.
+// AfterPushback is like RetryAfter for a request that no server takes before rest has passed; 0 means that it was refused for
+// another reason. The delay is never shorter than rest, since an earlier retry would be refused as well.
 func AfterPushback(rest, remaining time.Duration, rnd *rand.Rand) time.Duration {
+	if rest <= 0 {
+		return RetryAfter(remaining, rnd)
+	}
 	return rest + time.Duration(float64(mean(remaining))*rnd.Float64())
 }
 
--- a/internal/decision/retrydelay/retrydelay_test.go
+++ b/internal/decision/retrydelay/retrydelay_test.go
@@ -27,3 +27,17 @@
 	Expect(longest - shortest).To(BeNumerically(">", remaining/6))
 	Expect(retrydelay.RetryAfter(0, rnd)).To(BeNumerically(">", 0))
 })
+
+var _ = It("no caller retries before the servers take requests again, and callers do not retry together", func() {
+	// Guards against a Retry-After that is not true, and against a burst when the servers' rest ends.
+	const rest, remaining = 3 * time.Second, 1500 * time.Millisecond
+	rnd := rand.New(rand.NewPCG(1, 2))
+	shortest, longest := time.Hour, time.Duration(0)
+	for range 1000 {
+		delay := retrydelay.AfterPushback(rest, remaining, rnd)
+		shortest, longest = min(shortest, delay), max(longest, delay)
+	}
+	Expect(shortest).To(BeNumerically(">=", rest))
+	Expect(longest - shortest).To(BeNumerically(">", remaining/6))
+	Expect(retrydelay.AfterPushback(0, remaining, rnd)).To(BeNumerically("<", remaining))
+})
--- a/internal/dispatch/delegate.go
+++ b/internal/dispatch/delegate.go
@@ -18,6 +18,10 @@
 	// delegatedPerCore is the number of answers per core of this daemon that it gathers for others at a time. Beyond that the
 	// other daemons gather for themselves, since this one would take longer.
 	delegatedPerCore = 24
+	// minDelegateCapacity is the capacity that is assumed of a daemon that does not state its own, in cores.
+	minDelegateCapacity = 0.25
+	// checkTimeout is how long CheckDaemon waits for a response before the other daemon is avoided.
+	checkTimeout = 500 * time.Millisecond
 )
 
 // Gatherer gathers the answers that other daemons delegated to this one.
@@ -58,7 +62,7 @@
 // CheckDaemon finds out whether another daemon responds, without waiting for it. onResponse is called if it does.
 func (d *Dispatcher) CheckDaemon(to model.Member, rank model.Rank, onResponse func()) {
 	d.ready.Push(&tables.Attempt{Rank: rank, Run: func() {
-		ctx, cancel := context.WithTimeout(context.Background(), minCheckTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 		defer cancel()
 		if _, err := d.forwarding.sender.Forward(ctx, to.Address, forwarding.Batch{From: d.forwarding.self}); err != nil {
 			d.AvoidDaemon(to)
@@ -68,9 +72,6 @@
 	}})
 }
 
-// minCheckTimeout is how long CheckDaemon waits for a response before the other daemon is avoided.
-const minCheckTimeout = 500 * time.Millisecond
-
 // gatherFor gathers an answer for another daemon and returns it in a batch. It reports whether this daemon still takes work of
 // others.
 func (f *Forwarding) gatherFor(from model.Member, query *forwarding.Query, now time.Time) bool {
@@ -105,6 +106,3 @@
 	}
 	return true
 }
-
-// minDelegateCapacity is the capacity that is assumed of a daemon that does not state its own, in cores.
-const minDelegateCapacity = 0.25
