State the time that a forwarded query has when there is a connection to send it on

The time was computed when a query was queued; opening a connection to a daemon that restarted at the same moment took a second.

Change: peer.Client stamps a batch once it has the connection; the absolute deadline is not sent any longer; queries whose time is over are refused as not run.

Result: the new spec of internal/peer fails without the stamp.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -258,6 +258,10 @@
 // other daemons.
 func (f *Forwarding) accept(from model.Member, query *forwarding.Query) bool {
 	now := time.Now()
+	if query.Left <= 0 {
+		f.refuse(from, query, backend.StatusDeadlinePassed)
+		return true
+	}
 	if query.Gather != nil {
 		return f.gatherFor(from, query, now)
 	}
--- a/internal/forwarding/compact.go
+++ b/internal/forwarding/compact.go
@@ -26,6 +26,22 @@
 	}
 }
 
+// StampDeadlines replaces the deadlines of the queries by the time that is left at now. It is called when there is a connection
+// to send the batch on, which may take as long as a query has.
+func (b *Batch) StampDeadlines(now time.Time) {
+	for i := range b.Queries {
+		q := &b.Queries[i]
+		if deadline := q.Request.Deadline; !deadline.IsZero() {
+			q.Left, q.Request.Deadline = deadline.Sub(now), time.Time{}
+		}
+		if g := q.Gather; g != nil && !g.Due.IsZero() {
+			stamped := *g
+			stamped.DueLeft, stamped.Due = g.Due.Sub(now), time.Time{}
+			q.Gather = &stamped
+		}
+	}
+}
+
 // Expand reverses Compact. Each result whose reply was merged gets the merged reply, which names its shards, or
 // backend.StatusOwnerLost if the merged reply is not in the batch.
 func (b *Batch) Expand() {
--- a/internal/forwarding/messages.go
+++ b/internal/forwarding/messages.go
@@ -24,7 +24,7 @@
 	Server  model.ServerName
 	Rank    model.Rank
 	Request backend.QueryRequest
-	// Left is the time until the deadline.
+	// Left is the time until the deadline, set by StampDeadlines.
 	Left time.Duration
 	// BounceAfter is how long the attempt may wait at the receiver before it is sent; 0 means until the deadline. After that it
 	// ends with backend.StatusBusy.
@@ -49,7 +49,9 @@
 	Route model.RouteName
 	// Version is the version of the routing configuration that the request is handled by.
 	Version model.RoutingVersion
-	// DueLeft is the time until the sender needs the answer, even if shards are missing.
+	// Due is when the sender needs the answer, even if shards are missing. It is not sent: StampDeadlines replaces it with DueLeft,
+	// the time until then.
+	Due     time.Time
 	DueLeft time.Duration
 }
 
--- a/internal/peer/call_bench_test.go
+++ b/internal/peer/call_bench_test.go
@@ -13,8 +13,11 @@
 	"oleandersill.example/oleandersill/internal/tables"
 )
 
-// Forward accepts a batch and ignores it.
-func (q *queries) Forward(forwarding.Batch, *forwarding.Receipt) error { return nil }
+// Forward records the batch.
+func (q *queries) Forward(b forwarding.Batch, _ *forwarding.Receipt) error {
+	q.batch = b
+	return nil
+}
 
 // BenchmarkForwardCall measures a call that delivers a batch with one sub-request and one result over a loopback connection.
 func BenchmarkForwardCall(b *testing.B) {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -99,7 +99,7 @@
 // Forward delivers sub-requests, results and cancellations to the peer.
 func (c *Client) Forward(ctx context.Context, address string, b forwarding.Batch) (forwarding.Receipt, error) {
 	var reply forwarding.Receipt
-	err := c.call(ctx, address, MethodForward, b, &reply)
+	err := c.call(ctx, address, MethodForward, &b, &reply)
 	return reply, err
 }
 
@@ -131,6 +131,9 @@
 	if err != nil {
 		return err
 	}
+	if b, ok := args.(*forwarding.Batch); ok {
+		b.StampDeadlines(time.Now())
+	}
 	call := conn.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -13,8 +13,10 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"oleandersill.example/oleandersill/internal/backend"
 	"oleandersill.example/oleandersill/internal/configdoc"
 	"oleandersill.example/oleandersill/internal/decision/gossip"
+	"oleandersill.example/oleandersill/internal/forwarding"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/peer"
 	"oleandersill.example/oleandersill/internal/tables"
@@ -29,6 +31,8 @@
 	parts []peer.PackedPart
 	// block, if set, makes Digest wait until it is closed.
 	block chan struct{}
+	// batch is the batch that Forward received.
+	batch forwarding.Batch
 }
 
 // Digest replies with the digest that was sent.
@@ -125,6 +129,31 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	It("state the time that is left when the connection is there, not when the batch was made", func() {
+		// Guards against servers that work for callers who have stopped waiting, after a connection to a restarted daemon took long.
+		const connecting, timeout = 300 * time.Millisecond, time.Second
+		address, stop := serve("127.0.0.1:0")
+		defer stop()
+		c := peer.NewClient(peer.ClientConfig{
+			Order: tables.OrderPeers, Token: "right", Traffic: &traffic, MaxConns: peer.MaxDataConns,
+			Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+				time.Sleep(connecting)
+				return (&net.Dialer{}).DialContext(ctx, network, address)
+			},
+		})
+		DeferCleanup(c.Close)
+		deadline := time.Now().Add(timeout)
+		batch := forwarding.Batch{Queries: []forwarding.Query{{
+			Left: timeout, Request: backend.QueryRequest{Deadline: deadline}, Gather: &forwarding.Gather{Due: deadline, DueLeft: timeout},
+		}}}
+		_, err := c.Forward(context.Background(), address, batch)
+		Expect(err).NotTo(HaveOccurred())
+		q := service.batch.Queries[0]
+		Expect(q.Left).To(And(BeNumerically("<=", timeout-connecting), BeNumerically(">", 0)))
+		Expect(q.Gather.DueLeft).To(BeNumerically("<=", timeout-connecting))
+		Expect(q.Request.Deadline).To(BeZero(), "clocks of daemons differ")
+	})
+
 	It("succeed again after the peer restarts at the same address", func() {
 		// Guards against a kept connection that is used further although the peer has closed it.
 		address, stop := serve("127.0.0.1:0")
--- a/internal/query/scatter/delegate.go
+++ b/internal/query/scatter/delegate.go
@@ -52,9 +52,9 @@
 	}
 	query := forwarding.Query{
 		Rank: req.Route.Rank, Left: req.Deadline.Sub(now),
-		Request: backend.QueryRequest{ID: d.id, Message: req.Message},
+		Request: backend.QueryRequest{ID: d.id, Message: req.Message, Deadline: req.Deadline},
 		Gather: &forwarding.Gather{
-			Route: req.Route.Name, Version: req.Topology.Routing.Version, DueLeft: d.due.Sub(now),
+			Route: req.Route.Name, Version: req.Topology.Routing.Version, Due: d.due, DueLeft: d.due.Sub(now),
 		},
 	}
 	s.Dispatcher.StartDelegation(to, &query, func(r forwarding.Result) { d.result <- r })
