--- /dev/null
+++ b/review/standins/record.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// Record is the log of a run: what was sent, answered and run.
+type Record struct {
+	mu    sync.Mutex
+	file  *os.File
+	start time.Time
+}
+
+// OpenRecord creates the record file.
+func OpenRecord(path string) (*Record, error) {
+	f, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	return &Record{file: f, start: time.Now()}, nil
+}
+
+// Printf writes one line with the time since the start of the run.
+func (r *Record) Printf(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(r.file, "%8.3f %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// Seconds returns a time as seconds since the start of the run.
+func (r *Record) Seconds(t time.Time) float64 { return t.Sub(r.start).Seconds() }
+
+// Close closes the file.
+func (r *Record) Close() { _ = r.file.Close() }
