--- a/review/standins/odd.go
+++ b/review/standins/odd.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,13 +22,18 @@
 	}
 }
 
+// pause stops load from sending while it is set.
+var pause atomic.Bool
+
 // load sends requests to each daemon at the given interval until stop is closed.
 func load(consumers []*Consumer, method, path string, interval time.Duration, stop <-chan struct{}) *sync.WaitGroup {
 	var wg sync.WaitGroup
-	for _, c := range consumers {
+	for i, c := range consumers {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
+			// The consumers are out of step.
+			time.Sleep(interval * time.Duration(i) / time.Duration(len(consumers)))
 			t := time.NewTicker(interval)
 			defer t.Stop()
 			for n := 0; ; n++ {
@@ -36,6 +42,9 @@
 					return
 				case <-t.C:
 				}
+				if pause.Load() {
+					continue
+				}
 				wg.Add(1)
 				go func() {
 					defer wg.Done()
@@ -63,7 +72,7 @@
 		s.SetWork(60 * time.Millisecond)
 	}
 	w.Configure([]Route{packsRoute("unsafe")}, "offline-packs")
-	if err := w.StartDaemons(3); err != nil {
+	if err := w.StartDaemons("luzon-manila", "luzon-baguio", "luzon-manila"); err != nil {
 		return false, err
 	}
 	var consumers []*Consumer
@@ -77,7 +86,6 @@
 	leaver := w.Servers["i-1"]
 	odd := leaver.Entry()
 	delete(odd, "cold_remaining_ms")
-	leaver.StopBeating()
 	w.Store.Delete("servers/i-1")
 	gone := time.Now()
 	w.Record.Printf("server i-1: its entry is removed, it serves on for a while")
--- a/review/standins/path.go
+++ b/review/standins/path.go
@@ -28,7 +28,7 @@
 		}
 	}
 	w.Configure([]Route{packsRoute("unsafe")}, "offline-packs", "bookmarks")
-	if err := w.StartDaemons(3); err != nil {
+	if err := w.StartDaemons("luzon-manila", "luzon-baguio", "luzon-manila"); err != nil {
 		return false, err
 	}
 	var consumers []*Consumer
--- a/review/standins/record.go
+++ b/review/standins/record.go
@@ -12,6 +12,8 @@
 	mu    sync.Mutex
 	file  *os.File
 	start time.Time
+	// Quiet leaves out single arrivals at servers, of which some cases have too many.
+	Quiet bool
 }
 
 // OpenRecord creates the record file.
--- a/review/standins/server.go
+++ b/review/standins/server.go
@@ -3,15 +3,13 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 )
 
-// heartbeatInterval is heartbeat_interval_ms of the settings.
-const heartbeatInterval = 1200 * time.Millisecond
-
 // Arrival is a request that reached a server.
 type Arrival struct {
 	ID   string
@@ -34,16 +32,15 @@
 
 	mu       sync.Mutex
 	state    string
-	beating  bool
 	sequence int
 	// work is how long a request runs.
 	work time.Duration
-	// leaving adds Server-Leaving to all answers.
-	leaving bool
-	// refuseUntil is until when requests are refused with 503 and Retry-After.
-	refuseUntil time.Time
-	arrivals    []Arrival
-	runs        map[string]int
+	// shed is the share of the requests that are refused with 503.
+	shed     float64
+	arrivals []Arrival
+	runs     map[string]int
+	// body is the body of answers, unless it is empty.
+	body string
 }
 
 // StartServer starts a server on a free loopback port and registers it.
@@ -54,12 +51,11 @@
 	}
 	s := &Server{
 		ID: id, Service: service, Zone: zone, Born: time.Now().UnixMilli(), record: record, store: store, addr: l.Addr().String(),
-		state: "ready", beating: true, work: 5 * time.Millisecond, runs: map[string]int{},
+		state: "ready", work: 5 * time.Millisecond, runs: map[string]int{},
 	}
 	s.http = &http.Server{Handler: s}
 	go func() { _ = s.http.Serve(l) }()
-	s.Beat()
-	go s.heartbeat()
+	s.Register()
 	return s, nil
 }
 
@@ -74,40 +70,27 @@
 	}
 }
 
-// Beat writes the entry once.
-func (s *Server) Beat() { s.store.Put("servers/"+s.ID, s.Entry()) }
-
-func (s *Server) heartbeat() {
-	for {
-		time.Sleep(heartbeatInterval)
-		s.mu.Lock()
-		beating := s.beating
-		s.mu.Unlock()
-		if beating {
-			s.Beat()
-		}
-	}
-}
+// Register writes the entry. Later heartbeats change nothing but its sequence, and so do not change the entry.
+func (s *Server) Register() { s.store.Put("servers/"+s.ID, s.Entry()) }
 
-// StopBeating ends the heartbeats.
-func (s *Server) StopBeating() {
+// SetWork sets how long a request runs.
+func (s *Server) SetWork(d time.Duration) {
 	s.mu.Lock()
-	s.beating = false
+	s.work = d
 	s.mu.Unlock()
 }
 
-// StartBeating resumes the heartbeats at once.
-func (s *Server) StartBeating() {
+// SetShed sets the share of the requests that the server refuses.
+func (s *Server) SetShed(share float64) {
 	s.mu.Lock()
-	s.beating = true
+	s.shed = share
 	s.mu.Unlock()
-	s.Beat()
 }
 
-// SetWork sets how long a request runs.
-func (s *Server) SetWork(d time.Duration) {
+// SetBody sets the body of answers.
+func (s *Server) SetBody(body string) {
 	s.mu.Lock()
-	s.work = d
+	s.body = body
 	s.mu.Unlock()
 }
 
@@ -118,7 +101,7 @@
 	return append([]Arrival(nil), s.arrivals...)
 }
 
-// Stop ends the server: all its connections close.
+// Stop ends the server: all its connections close, and new ones are refused.
 func (s *Server) Stop() { _ = s.http.Close() }
 
 // ServeHTTP implements http.Handler.
@@ -126,16 +109,10 @@
 	h := w.Header()
 	h["Date"], h["Content-Type"] = nil, nil
 	s.mu.Lock()
-	leaving, work, refuse := s.leaving, s.work, time.Until(s.refuseUntil)
+	work, shed, body := s.work, s.shed, s.body
 	s.mu.Unlock()
-	if leaving {
-		h.Set("Server-Leaving", "1")
-	}
 	if r.URL.Path == "/health" {
 		h.Set("X-Instance-Id", s.ID)
-		if leaving {
-			w.WriteHeader(503)
-		}
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
@@ -147,9 +124,8 @@
 		w.WriteHeader(421)
 		return
 	}
-	if refuse > 0 {
+	if rand.Float64() < shed {
 		h.Set("X-Not-Executed", "1")
-		h.Set("Retry-After", fmt.Sprintf("%.2f", refuse.Seconds()))
 		s.note(id, r, 503)
 		w.WriteHeader(503)
 		return
@@ -161,7 +137,9 @@
 	time.Sleep(work)
 	h.Set("X-Response-Stamp", s.ID+"."+id)
 	h.Set("X-Server-Load", "1,0,4")
-	body := "served " + id
+	if body == "" {
+		body = "served " + id
+	}
 	h.Set("Content-Length", fmt.Sprint(len(body)))
 	w.WriteHeader(200)
 	_, _ = io.WriteString(w, body)
@@ -172,5 +150,8 @@
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, a)
 	s.mu.Unlock()
+	if s.record.Quiet {
+		return
+	}
 	s.record.Printf("server %s: arrival of %s %s %s, status %d", s.ID, id, r.Method, r.RequestURI, status)
 }
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -37,6 +37,8 @@
 	changed  chan struct{}
 	leases   map[uint64]storeLease
 	nextID   uint64
+	// down makes the store answer 503 to all calls.
+	down bool
 
 	http *http.Server
 	addr string
@@ -75,6 +77,16 @@
 	s.mu.Unlock()
 }
 
+// SetDown starts or ends an outage: all calls, waiting watches too, are answered 503.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	s.down = down
+	close(s.changed)
+	s.changed = make(chan struct{})
+	s.mu.Unlock()
+	s.record.Printf("store: down %t", down)
+}
+
 // Delete removes a key.
 func (s *Store) Delete(key string) {
 	s.mu.Lock()
@@ -147,7 +159,14 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	time.Sleep(2 * time.Millisecond)
+	time.Sleep(4 * time.Millisecond)
+	s.mu.Lock()
+	down := s.down
+	s.mu.Unlock()
+	if down {
+		w.WriteHeader(503)
+		return
+	}
 	switch p := r.URL.Path; {
 	case p == "/kv-range":
 		s.serveRange(w, r)
@@ -216,8 +235,12 @@
 				events = append(events, it)
 			}
 		}
-		rev, changed := s.revision, s.changed
+		rev, changed, down := s.revision, s.changed, s.down
 		s.mu.Unlock()
+		if down {
+			w.WriteHeader(503)
+			return
+		}
 		if len(events) > 0 {
 			answer(w, 200, map[string]any{"events": events, "current_rev": rev})
 			return
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -60,15 +60,14 @@
 	w.Record.Printf("operator: version %d acknowledged", w.version)
 }
 
-// StartDaemons starts n daemons and waits until all are ready.
-func (w *World) StartDaemons(n int) error {
-	ips, err := freeIPs(n)
+// StartDaemons starts a daemon in each of the zones and waits until all are ready.
+func (w *World) StartDaemons(zones ...string) error {
+	ips, err := freeIPs(len(zones))
 	if err != nil {
 		return err
 	}
-	zones := []string{"luzon-manila", "luzon-baguio"}
 	for i, ip := range ips {
-		d, err := NewDaemon(w.Record, w.dir, fmt.Sprintf("front-%d", i+1), zones[i%2], ip, w.Store.Addr(), ips[:min(3, n)])
+		d, err := NewDaemon(w.Record, w.dir, fmt.Sprintf("front-%d", i+1), zones[i], ip, w.Store.Addr(), ips[:min(3, len(ips))])
 		if err != nil {
 			return err
 		}
