--- a/review/standins/daemon.go
+++ b/review/standins/daemon.go
@@ -159,12 +159,6 @@
 	return nil
 }
 
-// Signal sends a signal to the process.
-func (d *Daemon) Signal(sig syscall.Signal) {
-	d.record.Printf("daemon %s: %v", d.Name, sig)
-	_ = d.cmd.Process.Signal(sig)
-}
-
 // Kill ends the process and waits for its end.
 func (d *Daemon) Kill() {
 	if d.cmd == nil {
--- a/review/standins/record.go
+++ b/review/standins/record.go
@@ -32,8 +32,5 @@
 	fmt.Fprintf(r.file, "%8.3f %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// Seconds returns a time as seconds since the start of the run.
-func (r *Record) Seconds(t time.Time) float64 { return t.Sub(r.start).Seconds() }
-
 // Close closes the file.
 func (r *Record) Close() { _ = r.file.Close() }
--- a/review/standins/restart.go
+++ b/review/standins/restart.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"os"
+	"regexp"
 	"strings"
 	"sync"
 	"time"
@@ -159,6 +160,9 @@
 	return machines >= minMachines, nil
 }
 
+// sourceDir matches the directory of a source file in a stack trace.
+var sourceDir = regexp.MustCompile(`\t/\S*/`)
+
 // logPanic copies the first panic of a daemon to the record.
 func (w *World) logPanic() {
 	for _, d := range w.Daemons {
@@ -167,7 +171,8 @@
 			continue
 		}
 		if i := bytes.Index(raw, []byte("panic:")); i >= 0 {
-			w.Record.Printf("log of %s:\n%s", d.Name, raw[i:min(len(raw), i+1800)])
+			trace := sourceDir.ReplaceAll(raw[i:min(len(raw), i+1800)], []byte("\t"))
+			w.Record.Printf("log of %s:\n%s", d.Name, trace)
 			return
 		}
 	}
--- a/review/standins/server.go
+++ b/review/standins/server.go
@@ -12,8 +12,7 @@
 
 // Arrival is a request that reached a server.
 type Arrival struct {
-	ID   string
-	From string
+	ID string
 	// Target is the path and query as received.
 	Target string
 	At     time.Time
@@ -31,7 +30,6 @@
 	http   *http.Server
 
 	mu       sync.Mutex
-	state    string
 	sequence int
 	// work is how long a request runs.
 	work time.Duration
@@ -51,7 +49,7 @@
 	}
 	s := &Server{
 		ID: id, Service: service, Zone: zone, Born: time.Now().UnixMilli(), record: record, store: store, addr: l.Addr().String(),
-		state: "ready", work: 5 * time.Millisecond, runs: map[string]int{},
+		work: 5 * time.Millisecond, runs: map[string]int{},
 	}
 	s.http = &http.Server{Handler: s}
 	go func() { _ = s.http.Serve(l) }()
@@ -65,7 +63,7 @@
 	defer s.mu.Unlock()
 	s.sequence++
 	return map[string]any{
-		"service": s.Service, "address": s.addr, "zone": s.Zone, "version": "v1", "slots": 4, "state": s.state,
+		"service": s.Service, "address": s.addr, "zone": s.Zone, "version": "v1", "slots": 4, "state": "ready",
 		"cold_remaining_ms": 0, "sequence": s.sequence, "born": s.Born,
 	}
 }
@@ -146,7 +144,7 @@
 }
 
 func (s *Server) note(id string, r *http.Request, status int) {
-	a := Arrival{ID: id, From: r.RemoteAddr, Target: r.RequestURI, At: time.Now(), Status: status}
+	a := Arrival{ID: id, Target: r.RequestURI, At: time.Now(), Status: status}
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, a)
 	s.mu.Unlock()
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -94,20 +94,6 @@
 	s.mu.Unlock()
 }
 
-// Keys returns the keys with a prefix.
-func (s *Store) Keys(prefix string) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var keys []string
-	for k := range s.items {
-		if strings.HasPrefix(k, prefix) {
-			keys = append(keys, k)
-		}
-	}
-	sort.Strings(keys)
-	return keys
-}
-
 func (s *Store) put(key string, value []byte, lease uint64) {
 	s.revision++
 	created := s.revision
