--- a/review/standins/load.go
+++ b/review/standins/load.go
@@ -22,7 +22,7 @@
 var pause atomic.Bool
 
 // load sends requests to each daemon at the given interval until stop is closed.
-func load(consumers []*Consumer, method, path string, interval time.Duration, stop <-chan struct{}) *sync.WaitGroup {
+func load(consumers []*Consumer, method, path string, interval, limit time.Duration, stop <-chan struct{}) *sync.WaitGroup {
 	var wg sync.WaitGroup
 	for i, c := range consumers {
 		wg.Add(1)
@@ -48,7 +48,7 @@
 					if method == "POST" {
 						body = fmt.Sprintf("pack %d", n)
 					}
-					c.Send(method, host, path, body, packLimit)
+					c.Send(method, host, path, body, limit)
 				}()
 			}
 		}()
--- a/review/standins/odd.go
+++ b/review/standins/odd.go
@@ -30,7 +30,7 @@
 		consumers = append(consumers, NewConsumer(w.Record, d))
 	}
 	stop := make(chan struct{})
-	wg := load(consumers, "POST", "/packs/1", 50*time.Millisecond, stop)
+	wg := load(consumers, "POST", "/packs/1", 50*time.Millisecond, packLimit, stop)
 	time.Sleep(6 * time.Second)
 
 	leaver := w.Servers["i-1"]
--- a/review/standins/restart.go
+++ b/review/standins/restart.go
@@ -120,7 +120,7 @@
 	for _, d := range w.Daemons[killedDaemons:] {
 		consumers = append(consumers, NewConsumer(w.Record, d))
 	}
-	wg := load(consumers, "GET", "/say/1", sayInterval, stop)
+	wg := load(consumers, "GET", "/say/1", sayInterval, packLimit, stop)
 	time.Sleep(5 * time.Second)
 	if trouble {
 		for i := range queryShards * serversPerShard {
--- a/review/standins/server.go
+++ b/review/standins/server.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -39,6 +40,10 @@
 	runs     map[string]int
 	// body is the body of answers, unless it is empty.
 	body string
+	// slots is how many requests run at the same time, and queueLimit how many more wait; 0 slots stands for no bound.
+	slots, queueLimit int
+	running, waiting  int
+	free              *sync.Cond
 }
 
 // StartServer starts a server on a free loopback port and registers it.
@@ -51,6 +56,7 @@
 		ID: id, Service: service, Zone: zone, Born: time.Now().UnixMilli(), record: record, store: store, addr: l.Addr().String(),
 		work: 5 * time.Millisecond, runs: map[string]int{},
 	}
+	s.free = sync.NewCond(&s.mu)
 	s.http = &http.Server{Handler: s}
 	go func() { _ = s.http.Serve(l) }()
 	s.Register()
@@ -62,8 +68,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sequence++
+	slots := 4
+	if s.slots > 0 {
+		slots = s.slots
+	}
 	return map[string]any{
-		"service": s.Service, "address": s.addr, "zone": s.Zone, "version": "v1", "slots": 4, "state": "ready",
+		"service": s.Service, "address": s.addr, "zone": s.Zone, "version": "v1", "slots": slots, "state": "ready",
 		"cold_remaining_ms": 0, "sequence": s.sequence, "born": s.Born,
 	}
 }
@@ -92,6 +102,53 @@
 	s.mu.Unlock()
 }
 
+// SetSlots bounds the requests that run and those that wait.
+func (s *Server) SetSlots(slots, queueLimit int) {
+	s.mu.Lock()
+	s.slots, s.queueLimit = slots, queueLimit
+	s.mu.Unlock()
+}
+
+// begin waits for a slot. It returns false if the server is full.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.slots == 0 {
+		return true
+	}
+	if s.running >= s.slots {
+		if s.waiting >= s.queueLimit {
+			return false
+		}
+		s.waiting++
+		for s.running >= s.slots {
+			s.free.Wait()
+		}
+		s.waiting--
+	}
+	s.running++
+	return true
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.slots > 0 {
+		s.running--
+		s.free.Signal()
+	}
+}
+
+// load returns the value of X-Server-Load.
+func (s *Server) load() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.slots == 0 {
+		return "1,0,4"
+	}
+	return fmt.Sprintf("%d,%d,%d", s.running, s.waiting, s.slots)
+}
+
 // Arrivals returns the requests that reached the server, without liveness checks.
 func (s *Server) Arrivals() []Arrival {
 	s.mu.Lock()
@@ -107,7 +164,7 @@
 	h := w.Header()
 	h["Date"], h["Content-Type"] = nil, nil
 	s.mu.Lock()
-	work, shed, body := s.work, s.shed, s.body
+	shed, body := s.shed, s.body
 	s.mu.Unlock()
 	if r.URL.Path == "/health" {
 		h.Set("X-Instance-Id", s.ID)
@@ -118,23 +175,30 @@
 	h.Set("X-Request-Id", id)
 	if want := r.Header.Get("X-Expected-Instance"); want != "" && want != s.ID {
 		h.Set("X-Instance-Id", s.ID)
-		s.note(id, r, 421)
+		s.note(id, r, 421, time.Now())
 		w.WriteHeader(421)
 		return
 	}
-	if rand.Float64() < shed {
-		h.Set("X-Not-Executed", "1")
-		s.note(id, r, 503)
-		w.WriteHeader(503)
+	arrived := time.Now()
+	limit, _ := strconv.Atoi(r.Header.Get("X-Time-Remaining"))
+	if rand.Float64() < shed || !s.begin() {
+		s.refuse(w, r, id, arrived)
+		return
+	}
+	defer s.end()
+	if limit > 0 && time.Since(arrived) > time.Duration(limit)*time.Millisecond {
+		// Its time limit has passed while it waited.
+		s.refuse(w, r, id, arrived)
 		return
 	}
 	s.mu.Lock()
 	s.runs[id]++
+	work := s.work
 	s.mu.Unlock()
-	s.note(id, r, 200)
+	s.note(id, r, 200, arrived)
 	time.Sleep(work)
 	h.Set("X-Response-Stamp", s.ID+"."+id)
-	h.Set("X-Server-Load", "1,0,4")
+	h.Set("X-Server-Load", s.load())
 	if body == "" {
 		body = "served " + id
 	}
@@ -143,8 +207,16 @@
 	_, _ = io.WriteString(w, body)
 }
 
-func (s *Server) note(id string, r *http.Request, status int) {
-	a := Arrival{ID: id, Target: r.RequestURI, At: time.Now(), Status: status}
+// refuse answers that a request was not run.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, id string, arrived time.Time) {
+	w.Header().Set("X-Not-Executed", "1")
+	w.Header().Set("X-Server-Load", s.load())
+	s.note(id, r, 503, arrived)
+	w.WriteHeader(503)
+}
+
+func (s *Server) note(id string, r *http.Request, status int, arrived time.Time) {
+	a := Arrival{ID: id, Target: r.RequestURI, At: arrived, Status: status}
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, a)
 	s.mu.Unlock()
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -15,8 +15,10 @@
 	Store   *Store
 	Daemons []*Daemon
 	Servers map[string]*Server
-	dir     string
-	version int
+	// MaxConnections is how many connections each server accepts.
+	MaxConnections int
+	dir            string
+	version        int
 }
 
 // NewWorld starts a store.
@@ -29,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &World{Record: record, Store: store, Servers: map[string]*Server{}, dir: dir}, nil
+	return &World{Record: record, Store: store, Servers: map[string]*Server{}, MaxConnections: 110, dir: dir}, nil
 }
 
 // AddServer starts a server.
@@ -49,7 +51,7 @@
 	w.version += 3
 	list := []map[string]any{}
 	for _, s := range services {
-		list = append(list, map[string]any{"name": s, "health_path": "/health", "max_connections": 110})
+		list = append(list, map[string]any{"name": s, "health_path": "/health", "max_connections": w.MaxConnections})
 	}
 	w.Store.Put("op/config", map[string]any{
 		"version": w.version, "routes": routes, "services": list,
