--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
 for program in target/oleandersill-platform target/review-standins; do
   [ -x "$program" ] || { echo "$program is missing: build as deploy/system.toml says, then run review/build.sh" >&2; exit 2; }
 done
-exec timeout -k 5 110 target/review-standins odd-entry "$here/record.txt"
+exec timeout -k 5 110 target/review-standins queued "$here/record.txt"
--- a/review/standins/consumer.go
+++ b/review/standins/consumer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +16,8 @@
 type Answer struct {
 	ID, Path, Daemon string
 	Sent, Ended      time.Time
+	// FullySent is when the last byte of the request was sent; zero if it was not.
+	FullySent time.Time
 	// Status is 0 if the connection ended without a complete answer.
 	Status int
 	Stamp  string
@@ -26,6 +29,8 @@
 type Consumer struct {
 	record *Record
 	daemon *Daemon
+	// CheckIdle makes the consumer notice, before it sends on a kept connection, that the daemon has closed it.
+	CheckIdle bool
 
 	mu      sync.Mutex
 	idle    []*consumerConn
@@ -86,6 +91,7 @@
 	if _, err := io.WriteString(conn, text); err != nil {
 		return err
 	}
+	a.FullySent = time.Now()
 	resp, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
 	if err != nil {
 		return err
@@ -107,22 +113,54 @@
 
 // connection returns a kept connection, or a new one.
 func (c *Consumer) connection() (*consumerConn, error) {
+	if conn := c.takeIdle(); conn != nil {
+		return conn, nil
+	}
+	raw, err := net.DialTimeout("tcp", c.daemon.Front(), time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &consumerConn{Conn: raw, reader: bufio.NewReader(raw)}, nil
+}
+
+// takeIdle returns a kept connection, or nil if there is none.
+func (c *Consumer) takeIdle() *consumerConn {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	for n := len(c.idle); n > 0; n = len(c.idle) {
 		conn := c.idle[n-1]
 		c.idle = c.idle[:n-1]
-		if time.Since(conn.usedAt) < maxIdle {
-			c.mu.Unlock()
-			return conn, nil
+		if time.Since(conn.usedAt) < maxIdle && !(c.CheckIdle && conn.closedByPeer()) {
+			return conn
 		}
 		_ = conn.Close()
 	}
+	return nil
+}
+
+// HasIdle reports whether the consumer has a kept connection that can be used.
+func (c *Consumer) HasIdle() bool {
+	conn := c.takeIdle()
+	if conn == nil {
+		return false
+	}
+	c.mu.Lock()
+	c.idle = append(c.idle, conn)
 	c.mu.Unlock()
-	raw, err := net.DialTimeout("tcp", c.daemon.Front(), time.Second)
-	if err != nil {
-		return nil, err
+	return true
+}
+
+// peekTimeout is how long closedByPeer waits for the end of a connection.
+const peekTimeout = 100 * time.Microsecond
+
+// closedByPeer reports whether the daemon has closed the connection, or sent something without a request.
+func (c *consumerConn) closedByPeer() bool {
+	if c.SetReadDeadline(time.Now().Add(peekTimeout)) != nil {
+		return true
 	}
-	return &consumerConn{Conn: raw, reader: bufio.NewReader(raw)}, nil
+	_, err := c.reader.Peek(1)
+	var timeout net.Error
+	return !errors.As(err, &timeout) || !timeout.Timeout()
 }
 
 // Answers returns the answers so far.
