Answer every request that a stopping daemon of the platform has taken

Cause: at the end of the grace time the drain calls RefuseQueued, which was empty on the platform. Requests of routes wait in the records of the servers, of which the drain knew nothing; http.Server.Close then cut them, and those that a server still ran too.

Change: dispatch.Drain ends what waits for a server as not run and keeps non-idempotent attempts from being sent; the router refuses later requests; EndRequests answers what a server still runs 150 ms before the drain is out of time.

Why it works: the queue is the only place where a request can wait unsent, an attempt is queued before the check of the drain, and both the worker and the drain move an attempt out of its waiting state by the same compare-and-swap.

--- a/internal/command/drain/drainer.go
+++ b/internal/command/drain/drainer.go
@@ -8,8 +8,13 @@
 	"github.com/rs/zerolog"
 )
 
-// responseMargin is the time beyond its deadline that a request may need until its response is written.
-const responseMargin = 2 * time.Second
+const (
+	// responseMargin is the time beyond its deadline that a request may need until its response is written.
+	responseMargin = 2 * time.Second
+	// endMargin is the time that is reserved at the end of a drain for writing the responses of the requests that EndRequests
+	// ends.
+	endMargin = 150 * time.Millisecond
+)
 
 // Listener serves requests on a port; http.Server implements it.
 type Listener interface {
@@ -31,13 +36,16 @@
 	LongestRequest func() time.Duration
 	// RefuseQueued refuses all work that has not started.
 	RefuseQueued func()
+	// EndRequests, if set, ends the requests that are still in flight shortly before the drain is out of time, so that their
+	// callers get a response and not a closed connection.
+	EndRequests func()
 	// Listeners returns the ports in the order in which they close.
 	Listeners func() []Listener
 	Log       zerolog.Logger
 }
 
 // Drainer drains a daemon once: it withdraws readiness and waits for Grace, refuses queued work as not run, and then closes
-// the ports and waits for the requests in flight. Create it with New.
+// the ports and waits for the requests in flight, which it ends shortly before the timeout. Create it with New.
 type Drainer struct {
 	cfg      Config
 	once     sync.Once
@@ -85,8 +93,12 @@
 
 func (d *Drainer) run(grace time.Duration) {
 	defer close(d.done)
-	ctx, cancel := context.WithTimeout(context.Background(), d.maxDuration(grace))
+	timeout := d.maxDuration(grace)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	if d.cfg.EndRequests != nil {
+		defer time.AfterFunc(timeout-endMargin, d.cfg.EndRequests).Stop()
+	}
 	listeners := d.cfg.Listeners()
 	// Idle connections stay open: http.Server.SetKeepAlivesEnabled would close them, possibly while a caller is sending its
 	// next request. Each response during the drain closes its connection instead.
--- a/internal/command/drain/drainer_test.go
+++ b/internal/command/drain/drainer_test.go
@@ -106,6 +106,29 @@
 		Expect(calls.list).To(ContainElements("close callers", "close operators"))
 	})
 
+	// Guards against requests that are cut off without a response when the time is over.
+	It("ends the requests in flight before it closes their connections", func() {
+		var ended time.Duration
+		suite.InBubble(func() {
+			begin := time.Now()
+			requests, endRequests := context.WithCancel(context.Background())
+			d := drain.New(drain.Config{
+				Grace: time.Second, Timeout: 3 * time.Second, Log: zerolog.Nop(),
+				RefuseQueued: func() {}, EndRequests: endRequests,
+				Listeners: func() []drain.Listener {
+					return []drain.Listener{&recordingListener{name: "callers", steps: &stepRecorder{}, shutdown: func(ctx context.Context) error {
+						<-requests.Done()
+						ended = time.Since(begin)
+						return ctx.Err()
+					}}}
+				},
+			})
+			d.Start("test")
+			<-d.Done()
+		})
+		Expect(ended).To(BeNumerically("~", 2900*time.Millisecond, 99*time.Millisecond))
+	})
+
 	// Guards against a planned stop that interrupts a request in flight, also if the deadline of the request lies beyond the
 	// drain's timeout.
 	DescribeTable("lets a request in flight complete", func(timeout time.Duration, longest func() time.Duration) {
--- a/internal/command/relay/relay.go
+++ b/internal/command/relay/relay.go
@@ -31,6 +31,7 @@
 	ReasonNoServer Reason = "no_server"
 	ReasonDeadline Reason = "deadline"
 	ReasonBudget   Reason = "budget"
+	ReasonDraining Reason = "draining"
 )
 
 // Result is the outcome of a request.
@@ -84,6 +85,9 @@
 	// reachedServer reports whether the previous attempt reached a server, so that the next one draws on the budget.
 	reachedServer := false
 	for len(e.tried) < max(1, e.req.Route.MaxAttempts) {
+		if d.Draining() {
+			return Result{Outcome: model.OutcomeNotRun, Reason: ReasonDraining}
+		}
 		if reachedServer && !d.ServiceBudgets.Spend(service, 1, time.Now()) {
 			return Result{Outcome: model.OutcomeNotRun, Reason: ReasonBudget}
 		}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -81,6 +82,9 @@
 	forwarding *Forwarding
 	rollouts   *tables.Rollouts
 	zones      *tables.Zones
+	// draining is closed by Drain.
+	draining  chan struct{}
+	drainOnce sync.Once
 	// randStreams counts the random sources that Rand has returned.
 	randStreams atomic.Uint64
 }
@@ -102,6 +106,7 @@
 		ready:          tables.NewReadyAttempts(),
 		rollouts:       tables.NewRollouts(),
 		zones:          tables.NewZones(time.Now()),
+		draining:       make(chan struct{}),
 		observer:       observer,
 	}
 	d.pools = startWorkers(d.ready, cfg.Workers)
@@ -181,14 +186,6 @@
 	return cs, records
 }
 
-// submit acquires capacity at the server for the attempt and queues it for a worker. If the server has none, the attempt is
-// queued in the server's record.
-func (d *Dispatcher) submit(a *tables.Attempt) {
-	if a.Server.Acquire(a) {
-		d.ready.Push(a)
-	}
-}
-
 func (d *Dispatcher) release(s *tables.Server) {
 	for _, a := range s.Release(time.Now()) {
 		d.ready.Push(a)
--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -47,17 +47,18 @@
 }
 
 // Execute sends the attempt when its server has capacity and a worker is free, and waits for the outcome. ctx must carry
-// the request's deadline. An attempt that is still queued when ctx is done is withdrawn.
+// the request's deadline. An attempt that is still queued when ctx is done, or when the daemon drains, is withdrawn.
 func (d *Dispatcher) Execute(ctx context.Context, a *ExecuteAttempt) ExecuteOutcome {
 	a.d = d
 	a.ctx = ctx
 	a.done = make(chan ExecuteOutcome, 1)
-	a.attempt = tables.Attempt{Server: a.Server, Rank: a.Rank, Run: a.run}
+	a.attempt = tables.Attempt{Server: a.Server, Rank: a.Rank, Run: a.run, Reject: a.reject}
 	d.submit(&a.attempt)
 	select {
 	case outcome := <-a.done:
 		return outcome
 	case <-ctx.Done():
+	case <-d.draining:
 	}
 	if a.state.CompareAndSwap(stateWaiting, stateWithdrawn) {
 		a.Server.RemoveWaiting(&a.attempt)
@@ -67,6 +68,15 @@
 	return <-a.done
 }
 
+// reject ends an attempt that was removed from its server's queue, so that the request may be sent to another server.
+func (a *ExecuteAttempt) reject() {
+	if !a.state.CompareAndSwap(stateWaiting, stateWithdrawn) {
+		return
+	}
+	a.endProbe()
+	a.done <- ExecuteOutcome{Attempted: true, Result: backend.ExecuteResult{Status: unsentStatus}}
+}
+
 // run is called by a worker after capacity at the server was acquired. For a withdrawn attempt it only releases the
 // capacity.
 func (a *ExecuteAttempt) run() {
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -92,21 +92,25 @@
 
 // onBounce ends the attempt with StatusBusy if it is still waiting for capacity at its server.
 func (q *QueryAttempt) onBounce() {
-	if !q.Server.RemoveWaiting(&q.attempt) {
-		return
+	if q.Server.RemoveWaiting(&q.attempt) {
+		q.reject()
 	}
+}
+
+// reject ends an attempt that was removed from its server's queue, so that the sub-request may be sent to another replica.
+func (q *QueryAttempt) reject() {
 	q.stop()
 	if q.Probe {
 		q.Server.EndProbe()
 	}
-	q.Done(q, backend.QueryResult{Status: backend.StatusBusy})
+	q.Done(q, backend.QueryResult{Status: unsentStatus})
 }
 
 func (q *QueryAttempt) prepare(ctx context.Context, d *Dispatcher, now time.Time) {
 	q.d = d
 	q.Started = now
 	q.ctx, q.stop = context.WithCancel(ctx)
-	q.attempt = tables.Attempt{Server: q.Server, Rank: q.Rank, Run: q.run}
+	q.attempt = tables.Attempt{Server: q.Server, Rank: q.Rank, Run: q.run, Reject: q.reject}
 }
 
 // Forwarded reports whether the attempt was forwarded to another daemon. Such an attempt may have been sent even if Cancel
