Send nothing to a server that is gone from what waited for it

Cause: the record of a removed server left the table, but its queue lived on, and the check before a send looks at the record only, which did not say that the entry was gone. Also: records replaced after a change of max_connections never heard of draining; a probe was not checked again after its health request; an attempt that was not sent was charged to the budget of extra attempts.

Change: records that are removed or replaced are retired; a record that is retired or leaving rejects what waits at once, and what is queued later. A change of max_connections keeps the record.

Why it works: an attempt is queued before the record is checked, and the record is marked before its queue is emptied, so that one of the two sides always sees the other.

--- a/internal/command/report/topology.go
+++ b/internal/command/report/topology.go
@@ -127,8 +127,8 @@
 }
 
 // updateConnectionBudget updates the connection budget of a server that remains, and keeps the state learned about it. The
-// budget depends on the number of daemons that may run: with the budget of a smaller fleet, a larger one would exceed what
-// the server accepts.
+// budget depends on the server's connections and on the number of daemons that may run: with the budget of a smaller fleet, a
+// larger one would exceed what the server accepts.
 func (r *Recorder) updateConnectionBudget(rec *tables.Server, spec *model.Server, connections int) {
 	if rec.Budget() != connections {
 		rec.SetBudget(connections, r.Connector.Connect(spec, connections)).Close()
@@ -136,8 +136,7 @@
 }
 
 func sameEndpoint(a, b *model.Server) bool {
-	return a.Address == b.Address && a.Connections == b.Connections && a.Service == b.Service && a.Shard == b.Shard &&
-		a.Started == b.Started
+	return a.Address == b.Address && a.Service == b.Service && a.Shard == b.Shard && a.Started == b.Started
 }
 
 func (r *Recorder) applyRules(t *model.Topology, capacity map[model.ServiceName]*serviceCapacity, now time.Time) {
--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -89,8 +89,7 @@
 		return
 	}
 	begin := time.Now()
-	if refusal := refusalOf(a.Server, begin); refusal.Status != backend.StatusOK {
-		a.endUnsent(backend.ExecuteResult{Status: refusal.Status, RetryAfter: refusal.RetryAfter})
+	if a.endIfRefused(begin) {
 		return
 	}
 	if a.Probe && !a.healthy() {
@@ -98,6 +97,10 @@
 		a.done <- ExecuteOutcome{Attempted: true, Result: backend.ExecuteResult{Status: backend.StatusUnreachable}}
 		return
 	}
+	// The health request may have taken long.
+	if a.Probe && a.endIfRefused(time.Now()) {
+		return
+	}
 	if !a.MaySend() {
 		a.endProbe()
 		a.d.release(a.Server)
@@ -112,6 +115,16 @@
 	a.done <- ExecuteOutcome{Attempted: true, Result: result, Slowdown: slowdown}
 }
 
+// endIfRefused ends the attempt if it must not be sent, and reports whether it did.
+func (a *ExecuteAttempt) endIfRefused(now time.Time) (ended bool) {
+	refusal, refused := refusalOf(a.Server, now)
+	if !refused && !a.d.Draining() {
+		return false
+	}
+	a.endUnsent(backend.ExecuteResult{Status: unsentStatus, RetryAfter: refusal.RetryAfter})
+	return true
+}
+
 // endUnsent ends the attempt without sending it, so that the request may be sent to another server.
 func (a *ExecuteAttempt) endUnsent(r backend.ExecuteResult) {
 	a.endProbe()
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -152,7 +152,7 @@
 // asked for no further requests.
 func (q *QueryAttempt) run() {
 	begin := time.Now()
-	if refusal := refusalOf(q.Server, begin); refusal.Status != backend.StatusOK {
+	if refusal, refused := refusalOf(q.Server, begin); refused {
 		q.endUnsent(refusal)
 		return
 	}
@@ -173,18 +173,6 @@
 	q.Done(q, result)
 }
 
-// refusalOf returns the result of an attempt that must not be sent, because the server is leaving or wants no requests at now.
-// Its status is StatusOK if the attempt may be sent.
-func refusalOf(s *tables.Server, now time.Time) backend.QueryResult {
-	if s.Leaving() {
-		return backend.QueryResult{Status: backend.StatusDraining}
-	}
-	if rest := s.Pushback(now); rest > 0 {
-		return backend.QueryResult{Status: backend.StatusBusy, RetryAfter: rest}
-	}
-	return backend.QueryResult{Status: backend.StatusOK}
-}
-
 // endUnsent ends an attempt that acquired capacity without sending it.
 func (q *QueryAttempt) endUnsent(r backend.QueryResult) {
 	if q.Probe {
--- a/internal/dispatch/queueing.go
+++ b/internal/dispatch/queueing.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"oleandersill.example/oleandersill/internal/backend"
 	"oleandersill.example/oleandersill/internal/tables"
 )
@@ -12,7 +14,7 @@
 	d.drainOnce.Do(func() {
 		close(d.draining)
 		for _, s := range d.Servers.All() {
-			rejectAll(s.TakeWaiting())
+			s.RejectWaiting()
 		}
 	})
 }
@@ -27,12 +29,6 @@
 	}
 }
 
-func rejectAll(attempts []*tables.Attempt) {
-	for _, a := range attempts {
-		a.Reject()
-	}
-}
-
 // submit acquires capacity at the server for the attempt and queues it for a worker. If the server has none, the attempt is
 // queued in the server's record.
 func (d *Dispatcher) submit(a *tables.Attempt) {
@@ -40,12 +36,26 @@
 		d.ready.Push(a)
 		return
 	}
-	// The attempt is queued before the check: Drain takes either this attempt or is seen here.
-	if d.Draining() && a.Server.RemoveWaiting(a) {
+	// The attempt is queued before the check: what rejects the waiting attempts either finds this one or is seen here.
+	if (d.Draining() || !a.Server.Sendable()) && a.Server.RemoveWaiting(a) {
 		// The caller of submit may hold a lock that the end of the attempt needs.
 		d.ready.Push(&tables.Attempt{Server: a.Server, Rank: a.Rank, Run: a.Reject})
 	}
 }
 
-// unsentStatus is the status of attempts that were removed from a server's queue.
+// unsentStatus is the status of attempts that this daemon did not send. It costs no server anything, so the request may be sent to
+// another one without a charge to a budget.
 const unsentStatus = backend.StatusBusy
+
+// refusalOf returns the result of an attempt that must not be sent, because the server is leaving, its record is retired or it
+// wants no requests at now. It returns false if the attempt may be sent. A daemon that forwarded the attempt learns from the
+// result that the server is leaving.
+func refusalOf(s *tables.Server, now time.Time) (backend.QueryResult, bool) {
+	r := backend.QueryResult{Status: unsentStatus}
+	if !s.Sendable() {
+		r.Reply.Load.Draining = s.Leaving()
+		return r, true
+	}
+	r.RetryAfter = s.Pushback(now)
+	return r, r.RetryAfter > 0
+}
--- a/internal/tables/server.go
+++ b/internal/tables/server.go
@@ -44,6 +44,8 @@
 	quantile     budget.Quantile
 	joined       time.Time
 	leaving      time.Time
+	// retired means that no attempt may be sent any longer, because the record was removed from the table or replaced.
+	retired bool
 	// reportedEjected is the ejection state that TakeEjectionChange last reported.
 	reportedEjected bool
 }
@@ -95,11 +97,13 @@
 	return s.spec
 }
 
-// SetSpec replaces the server's entry. Name, service, shard and address must not change.
+// SetSpec replaces the server's entry. Name, service, shard and address must not change. If the server is leaving, the waiting
+// attempts are rejected.
 func (s *Server) SetSpec(spec *model.Server) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.spec = spec
+	s.mu.Unlock()
+	s.rejectUnsendable()
 }
 
 // Name returns the server's name.
@@ -117,8 +121,8 @@
 	c.FailureRate = routing.DecayFailureRate(s.failureRate, now.Sub(s.lastOutcome))
 	c.RampUpFraction = routing.RampUpFraction(s.joined, now)
 	c.Pushback = s.pushback.Remaining(now)
-	c.Leaving = !s.leaving.IsZero() || s.spec.Leaving
-	open := !c.Leaving && c.Pushback == 0 && s.budget > 0
+	c.Leaving = s.isLeaving()
+	open := !c.Leaving && !s.retired && c.Pushback == 0 && s.budget > 0
 	c.Usable = open && !s.health.Ejected()
 	c.Probe = open && s.health.ProbeDue(now)
 }
@@ -151,18 +155,36 @@
 	return s.limit.Limit()
 }
 
-// AcceptsWork reports whether the server may get new work: it is neither leaving nor ejected.
+// AcceptsWork reports whether the server may get new work: it is neither leaving nor removed nor ejected.
 func (s *Server) AcceptsWork() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.leaving.IsZero() && !s.spec.Leaving && !s.health.Ejected()
+	return !s.isLeaving() && !s.retired && !s.health.Ejected()
 }
 
 // Leaving reports whether the server is leaving, as observed, reported by a peer or stated by the inventory.
 func (s *Server) Leaving() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.leaving.IsZero() || s.spec.Leaving
+	return s.isLeaving()
+}
+
+func (s *Server) isLeaving() bool { return !s.leaving.IsZero() || s.spec.Leaving }
+
+// Sendable reports whether attempts may be sent to the server: it is not leaving, and its record is in use.
+func (s *Server) Sendable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.isLeaving() && !s.retired
+}
+
+// Retire records that the record was removed from the table or replaced, and rejects the waiting attempts. The state of the
+// server is unknown from then on, so no attempt may be sent.
+func (s *Server) Retire() {
+	s.mu.Lock()
+	s.retired = true
+	s.mu.Unlock()
+	s.rejectUnsendable()
 }
 
 // HedgeDelay returns the observed latency quantile of the server, or 0 without observations.
@@ -172,11 +194,12 @@
 	return s.quantile.Value()
 }
 
-// MarkLeaving records that the server is leaving, unless that is recorded already.
+// MarkLeaving records that the server is leaving, unless that is recorded already, and rejects the waiting attempts.
 func (s *Server) MarkLeaving(now time.Time) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.markLeaving(now)
+	s.mu.Unlock()
+	s.rejectUnsendable()
 }
 
 func (s *Server) markLeaving(now time.Time) {
--- a/internal/tables/serverobserve.go
+++ b/internal/tables/serverobserve.go
@@ -47,8 +47,14 @@
 	Slowdown float64
 }
 
-// Observe records the end of an attempt.
+// Observe records the end of an attempt. If it shows that the server is leaving, the waiting attempts are rejected.
 func (s *Server) Observe(o Observation, now time.Time) ObservationResult {
+	r := s.record(o, now)
+	s.rejectUnsendable()
+	return r
+}
+
+func (s *Server) record(o Observation, now time.Time) ObservationResult {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if o.HeldVersions != nil {
--- a/internal/tables/serverqueue.go
+++ b/internal/tables/serverqueue.go
@@ -106,8 +106,21 @@
 	return false
 }
 
-// TakeWaiting removes and returns all waiting attempts, those of the most urgent rank first.
-func (s *Server) TakeWaiting() []*Attempt {
+// RejectWaiting rejects all waiting attempts, those of the most urgent rank first. The caller must hold no lock.
+func (s *Server) RejectWaiting() {
+	for _, a := range s.takeWaiting() {
+		a.Reject()
+	}
+}
+
+// rejectUnsendable rejects the waiting attempts if none may be sent any longer.
+func (s *Server) rejectUnsendable() {
+	if !s.Sendable() {
+		s.RejectWaiting()
+	}
+}
+
+func (s *Server) takeWaiting() []*Attempt {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.queued == 0 {
--- a/internal/tables/servers.go
+++ b/internal/tables/servers.go
@@ -5,7 +5,8 @@
 	"oleandersill.example/oleandersill/internal/model"
 )
 
-// Servers indexes the server records by name. A removed record stays in use until the attempts that refer to it have ended.
+// Servers indexes the server records by name. A removed or replaced record is retired: the attempts that were sent go on, and no
+// other is sent.
 // Owner: command/report.
 type Servers struct {
 	mu      lockorder.Mutex
@@ -37,18 +38,26 @@
 	return dst
 }
 
-// Put adds or replaces a record.
+// Put adds a record. It retires the one that it replaces.
 func (t *Servers) Put(s *Server) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	before := t.records[s.Name()]
 	t.records[s.Name()] = s
+	t.mu.Unlock()
+	if before != nil && before != s {
+		before.Retire()
+	}
 }
 
-// Remove removes the record of the named server, if there is one.
+// Remove removes and retires the record of the named server, if there is one.
 func (t *Servers) Remove(name model.ServerName) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	removed := t.records[name]
 	delete(t.records, name)
+	t.mu.Unlock()
+	if removed != nil {
+		removed.Retire()
+	}
 }
 
 // Len returns the number of records.
