--- a/internal/decision/directory/directory.go
+++ b/internal/decision/directory/directory.go
@@ -32,6 +32,8 @@
 	// leaving holds the servers that stated in a reply that they leave, and leavingSequence numbers the marks.
 	leaving         map[model.ServerName]leavingMark
 	leavingSequence LeavingSequence
+	// dropped holds the servers that were dropped and had stated when they started, with the time at which Expire found them first.
+	dropped map[model.ServerName]time.Time
 }
 
 type entry struct {
@@ -45,21 +47,27 @@
 func New(drainPeriod time.Duration) *Directory {
 	return &Directory{
 		drainPeriod: drainPeriod, entries: map[model.ServerName]*entry{}, leaving: map[model.ServerName]leavingMark{},
+		dropped: map[model.ServerName]time.Time{},
 	}
 }
 
-// Put records an entry and reports whether the server is new or its registration changed. An entry that is not newer than the
-// known one is ignored.
+// Put records an entry and reports whether the server is new or its registration changed, or whether it was dropped. An entry that
+// is not newer than the known one is ignored. One that does not say when the server started, although the server did before, is
+// not the server's own, and names no server to use.
 func (d *Directory) Put(r model.Registration, revision Revision) bool {
 	e := d.entries[r.Name]
+	if e != nil && (revision < e.revision || (revision == e.revision && e.useUntil.IsZero())) {
+		return false
+	}
+	if r.Started == 0 && d.statedStart(r.Name) {
+		return d.DropServer(r.Name)
+	}
+	delete(d.dropped, r.Name)
 	if e == nil {
 		d.entries[r.Name] = &entry{registration: r, revision: revision}
 		d.clearMarkOfOtherRun(&r)
 		return true
 	}
-	if revision < e.revision || (revision == e.revision && e.useUntil.IsZero()) {
-		return false
-	}
 	changed := e.registration != r
 	e.registration, e.revision, e.useUntil = r, revision, time.Time{}
 	d.clearMarkOfOtherRun(&r)
@@ -71,7 +79,7 @@
 	if d.entries[name] == nil {
 		return false
 	}
-	delete(d.entries, name)
+	d.drop(name)
 	return true
 }
 
@@ -84,7 +92,7 @@
 		return false
 	}
 	if e.registration.Leaving || d.markedLeaving(&e.registration) {
-		delete(d.entries, name)
+		d.drop(name)
 		return true
 	}
 	e.useUntil = now.Add(d.drainFraction(removalGrace))
@@ -123,10 +131,11 @@
 // Expire drops the servers whose grace period has ended and returns their names.
 func (d *Directory) Expire(now time.Time) []model.ServerName {
 	d.expireMarks(now)
+	d.expireDropped(now)
 	var dropped []model.ServerName
 	for name, e := range d.entries {
 		if !e.useUntil.IsZero() && !now.Before(e.useUntil) {
-			delete(d.entries, name)
+			d.drop(name)
 			dropped = append(dropped, name)
 		}
 	}
--- a/internal/decision/directory/directory_test.go
+++ b/internal/decision/directory/directory_test.go
@@ -57,6 +57,46 @@
 		Expect(d.Expire(start.Add(drainPeriod - 300*time.Millisecond))).To(ConsistOf(model.ServerName("a")))
 	})
 
+	DescribeTable("does not use a server because of an entry that lacks the start that the server had stated",
+		func(leave func(d *directory.Directory)) {
+			// Guards against an entry of another writer that brings a server back that is gone, or clears its leaving mark.
+			d := directory.New(drainPeriod)
+			stated := server("a", false)
+			stated.Started = 1
+			d.Put(stated, 1)
+			d.MarkLeaving(model.LeavingServer{Server: "a", Started: 1}, start)
+			leave(d)
+			d.Put(server("a", false), 5)
+			Expect(names(d)).To(BeEmpty())
+			d.Put(stated, 6)
+			Expect(d.Servers()[0].Leaving).To(BeTrue())
+			other := stated
+			other.Started = 2
+			d.Put(other, 7)
+			Expect(d.Servers()[0].Leaving).To(BeFalse())
+		},
+		Entry("while its own entry is there", func(*directory.Directory) {}),
+		Entry("after its own entry was removed", func(d *directory.Directory) { d.RemoveEntry("a", start, start) }),
+		Entry("after another odd entry", func(d *directory.Directory) { d.DropServer("a") }),
+		Entry("after its time has passed", func(d *directory.Directory) {
+			d.RemoveEntry("a", start, start)
+			d.Expire(start.Add(drainPeriod))
+		}),
+	)
+
+	It("remembers a dropped server for a while only", func() {
+		// Guards against memory that grows with each server that was ever used, and against a name that can never be used again.
+		d := directory.New(drainPeriod)
+		stated := server("a", false)
+		stated.Started = 1
+		d.Put(stated, 1)
+		d.DropServer("a")
+		d.Expire(start)
+		d.Expire(start.Add(time.Hour))
+		d.Put(server("a", false), 5)
+		Expect(names(d)).To(ConsistOf("a"))
+	})
+
 	It("immediately drops a server that announced that it leaves", func() {
 		// Guards against requests to a server that has shut down as announced.
 		d := directory.New(drainPeriod)
