Take sub-requests of other daemons only once the first Topology is installed

Cause: the records of the servers are there before the first Topology is installed, and a sub-request that ended in between had its end recorded with a Topology that was nil.

Change: a starting daemon refuses sub-requests as not sent and says so in its receipt; others leave it out for 3 s. Sub-requests for unknown servers are refused as not sent too, in place of owner_lost. Why it works: attempts are the only reports to the recorder, and none can start before the Topology that the recorder needs; it is never taken away again.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -19,8 +19,8 @@
 	// whole timeout if the daemon does not respond. With few senders, all other batches would be delayed in a fleet of several
 	// regions or after the loss of several daemons.
 	maxSenders = 1024
-	// avoidFailed is how long this daemon does not use another daemon as an owner of servers after a batch to it failed.
-	// avoidDraining is the same for a daemon that is stopping.
+	// avoidFailed is how long this daemon does not use another daemon as an owner of servers after a batch to it failed, or while
+	// it starts. avoidDraining is the same for a daemon that is stopping.
 	avoidFailed   = 3 * time.Second
 	avoidDraining = 10 * time.Second
 	// maxPreconnects limits the number of daemons to which connections are opened ahead of use after a membership change. In a
@@ -205,8 +205,11 @@
 		f.d.zones.RecordRoundTrip(to.Zone, now.Sub(began))
 		f.d.recordZoneReply(to.Zone)
 	}
-	if receipt.Draining || receipt.Refused {
+	switch {
+	case receipt.Draining || receipt.Refused:
 		f.owners.Avoid(to, now.Add(avoidDraining), now)
+	case receipt.Starting:
+		f.owners.Avoid(to, now.Add(avoidFailed), now)
 	}
 	if receipt.Refused {
 		f.failPending(f.forwards.TakePendingAt(to.Instance), backend.StatusOwnerLost)
@@ -250,9 +253,12 @@
 			p.OnResult(r)
 		}
 	}
-	return forwarding.Receipt{Draining: f.draining(), Refused: refused}
+	return forwarding.Receipt{Draining: f.draining(), Refused: refused, Starting: f.starting()}
 }
 
+// starting reports whether this daemon has no Topology yet.
+func (f *Forwarding) starting() bool { return f.d.Config.Current() == nil }
+
 // accept sends a sub-request for another daemon. The sub-request is never forwarded again, so that daemons with different
 // views of the membership cannot forward it in a loop. accept returns false if this daemon no longer takes sub-requests of
 // other daemons.
@@ -266,8 +272,9 @@
 		return f.gatherFor(from, query, now)
 	}
 	s := f.d.Servers.Get(query.Server)
-	if s == nil || !query.Valid() {
-		f.refuse(from, query, backend.StatusOwnerLost)
+	// The records of servers are there before the first Topology is installed, which recording the end of an attempt needs.
+	if f.starting() || s == nil || !query.Valid() {
+		f.refuse(from, query, unsentStatus)
 		return true
 	}
 	if query.Charge > 0 && !f.d.spendExtra(query.Request.Service, query.Charge, now) {
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -72,6 +72,18 @@
 }
 
 func newNode(id model.InstanceID, script fakebackend.Script) *node {
+	n, t := newNodeOf(id, script)
+	n.Config.Install(t)
+	return n
+}
+
+// newStartingNode returns a node that has applied its first Topology to the tables of servers and has not installed it yet.
+func newStartingNode(id model.InstanceID, script fakebackend.Script) *node {
+	n, _ := newNodeOf(id, script)
+	return n
+}
+
+func newNodeOf(id model.InstanceID, script fakebackend.Script) (*node, *model.Topology) {
 	n := &node{self: model.Member{Instance: id, Incarnation: 1, Zone: "z", Address: string(id)}, owners: tables.NewOwners()}
 	n.connector = fakebackend.New(map[model.ServerName]fakebackend.Script{serverName: script})
 	config := tables.NewConfig()
@@ -86,11 +98,10 @@
 		}}}},
 	}, model.Rules{Ranks: []model.RankRule{{Rank: "deferred", MinShare: 0.2}}})
 	recorder.ApplyTopology(t, time.Now())
-	config.Install(t)
 	n.forwarding = n.EnableForwarding(dispatch.ForwardingConfig{
 		Sender: n, Self: n.self, Owners: n.owners, Draining: func() bool { return n.draining },
 	})
-	return n
+	return n, t
 }
 
 // newPair returns two nodes, of which the second one is the owner of the server in the views of both.
--- a/internal/dispatch/queueing_test.go
+++ b/internal/dispatch/queueing_test.go
@@ -9,6 +9,7 @@
 
 	"oleandersill.example/oleandersill/internal/backend"
 	"oleandersill.example/oleandersill/internal/dispatch"
+	"oleandersill.example/oleandersill/internal/forwarding"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/testing/fakebackend"
 )
@@ -71,3 +72,25 @@
 	Entry("the daemon drains", func(n *node) { n.Drain() }),
 	Entry("the server is leaving", func(n *node) { n.Servers.Get(serverName).MarkLeaving(time.Now()) }),
 )
+
+// Guards against a restarted daemon that ends when a sub-request of another daemon ends before its first Topology is installed.
+var _ = It("a daemon takes sub-requests of others only once its first Topology is installed", func() {
+	requester, owner := newPair(fakebackend.Script{Status: backend.StatusShed})
+	starting := newStartingNode("owner", fakebackend.Script{Status: backend.StatusShed})
+	DeferCleanup(starting.Close)
+	requester.peer, starting.peer = starting, requester
+	results := make(chan backend.Status, 1)
+	requester.startAttempt(1, model.RankUrgent, func(r backend.QueryResult) { results <- r.Status })
+	Eventually(results).WithTimeout(5 * time.Second).Should(Receive(Equal(backend.StatusBusy)))
+	Expect(starting.connector.Queries(serverName)).To(BeZero())
+	// The requester sends its attempts itself for a while.
+	requester.startAttempt(2, model.RankUrgent, func(r backend.QueryResult) { results <- r.Status })
+	Eventually(results).WithTimeout(5 * time.Second).Should(Receive(Equal(backend.StatusShed)))
+	Expect(requester.connector.Queries(serverName)).To(Equal(1))
+	starting.Config.Install(owner.Config.Current())
+	receipt := starting.forwarding.Receive(forwarding.Batch{From: requester.self, Queries: []forwarding.Query{{
+		Server: serverName, Left: time.Second, Request: requester.newAttempt(3, model.RankUrgent, nil).Request,
+	}}})
+	Expect(receipt.Starting).To(BeFalse())
+	Eventually(func() int { return starting.connector.Queries(serverName) }).WithTimeout(5 * time.Second).Should(Equal(1))
+})
--- a/internal/forwarding/messages.go
+++ b/internal/forwarding/messages.go
@@ -110,6 +110,8 @@
 type Receipt struct {
 	// Draining means that the receiver is stopping. It serves the batch, but should get no further queries.
 	Draining bool
+	// Starting means that the receiver has no configuration yet and sends nothing for others.
+	Starting bool
 	// Refused means that the receiver no longer accepts queries and dropped those of the batch without sending them.
 	Refused bool
 }
