Run the specs of partitioned zones on a virtual clock

The bounds of the specs, 200 ms to 5 s, hold the evidence of zones, whose calls must be noticed in time; a machine under load delays them.

--- a/internal/dispatch/zones_test.go
+++ b/internal/dispatch/zones_test.go
@@ -16,6 +16,7 @@
 	"oleandersill.example/oleandersill/internal/forwarding"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/tables"
+	"oleandersill.example/oleandersill/internal/testing/suite"
 )
 
 // servers is the number of servers in the remote zone. With two daemons, each owns some of them.
@@ -117,7 +118,9 @@
 		Sender: z, Self: model.Member{Instance: "self", Zone: "near"}, Owners: owners,
 		Draining: func() bool { return false },
 	})
-	DeferCleanup(z.Close)
+	suite.CloseAtEnd(z.Close)
+	// Only calls that begin after the dispatcher, which counts as the zone's last reply, are evidence.
+	time.Sleep(time.Millisecond)
 	return z
 }
 
@@ -162,24 +165,26 @@
 	// used again after the partition has healed.
 	DescribeTable("ends pending attempts, gets one probe at a time and is used again once it responds",
 		func(members ...model.Member) {
-			z := newRemoteZone(members...)
-			results := z.queryAll()
-			endedUnreachable := 0
-			for range servers {
-				var r backend.QueryResult
-				Eventually(results).WithTimeout(5 * time.Second).Should(Receive(&r))
-				if r.Status == backend.StatusZoneUnreachable {
-					endedUnreachable++
+			suite.SpecInBubble(func() {
+				z := newRemoteZone(members...)
+				results := z.queryAll()
+				endedUnreachable := 0
+				for range servers {
+					var r backend.QueryResult
+					Eventually(results).WithTimeout(5 * time.Second).Should(Receive(&r))
+					if r.Status == backend.StatusZoneUnreachable {
+						endedUnreachable++
+					}
 				}
-			}
-			Expect(endedUnreachable).To(BeNumerically(">", 0))
-			Expect(z.unreachable()).To(BeTrue())
-			Expect(z.usableServers()).To(BeZero())
-			time.Sleep(2 * time.Second)
-			Expect(z.probes.Load()).To(BeNumerically("<=", 11), "two confirming probes, then probes at least 250 ms apart")
-			z.partitioned.Store(false)
-			Eventually(z.unreachable).WithTimeout(5 * time.Second).Should(BeFalse())
-			Expect(z.usableServers()).To(Equal(servers))
+				Expect(endedUnreachable).To(BeNumerically(">", 0))
+				Expect(z.unreachable()).To(BeTrue())
+				Expect(z.usableServers()).To(BeZero())
+				time.Sleep(2 * time.Second)
+				Expect(z.probes.Load()).To(BeNumerically("<=", 11), "two confirming probes, then probes at least 250 ms apart")
+				z.partitioned.Store(false)
+				Eventually(z.unreachable).WithTimeout(5 * time.Second).Should(BeFalse())
+				Expect(z.usableServers()).To(Equal(servers))
+			})
 		},
 		Entry("with daemons that own the servers", daemons[0], daemons[1]),
 		Entry("without daemons"),
@@ -187,7 +192,7 @@
 
 	// Guards against a non-idempotent request that is sent to a zone from which no reply can arrive, so that its outcome is
 	// unknown.
-	It("is sent no non-idempotent request", func() {
+	It("is sent no non-idempotent request", suite.Bubbled(func() {
 		z := newRemoteZone(daemons...)
 		z.queryAll()
 		Eventually(z.unreachable).WithTimeout(5 * time.Second).Should(BeTrue())
@@ -196,37 +201,37 @@
 		})
 		Expect(outcome.Result.Status.ProvablyNotRun()).To(BeTrue())
 		Expect(z.executes.Load()).To(BeZero())
-	})
+	}))
 
 	// Guards against dropped results for daemons of a zone that this daemon still considers unreachable although the partition
 	// has healed.
-	It("is used again once one of its daemons sends a batch", func() {
+	It("is used again once one of its daemons sends a batch", suite.Bubbled(func() {
 		z := newRemoteZone(daemons...)
 		z.queryAll()
 		Eventually(z.unreachable).WithTimeout(5 * time.Second).Should(BeTrue())
 		z.forwarding.Receive(forwarding.Batch{From: daemons[0]})
 		Expect(z.unreachable()).To(BeFalse())
-	})
+	}))
 
 	// Guards against queries that use up the open connections to each server before a zone with one daemon is marked
 	// unreachable.
-	It("is detected by probes if one daemon owns all servers", func() {
+	It("is detected by probes if one daemon owns all servers", suite.Bubbled(func() {
 		z := newRemoteZone(daemons[0])
 		z.queryAll()
 		Eventually(z.unreachable).WithTimeout(time.Second).Should(BeTrue())
-	})
+	}))
 
 	// Guards against a zone that is marked unreachable because of a lost daemon although its servers respond.
-	It("is not marked unreachable for one lost daemon", func() {
+	It("is not marked unreachable for one lost daemon", suite.Bubbled(func() {
 		z := newRemoteZone(daemons[0])
 		z.queryAll()
 		time.AfterFunc(100*time.Millisecond, func() { z.partitioned.Store(false) })
 		Eventually(z.probes.Load).WithTimeout(5 * time.Second).Should(BeNumerically(">", 0))
 		Consistently(z.unreachable).WithTimeout(time.Second).Should(BeFalse())
-	})
+	}))
 
 	// Guards against fixed timeouts that suit only the round-trip times between the regions of one deployment.
-	It("is not marked unreachable for a long round-trip time", func() {
+	It("is not marked unreachable for a long round-trip time", suite.Bubbled(func() {
 		z := newRemoteZone(daemons...)
 		z.partitioned.Store(false)
 		z.roundTrip = 320 * time.Millisecond
@@ -236,14 +241,14 @@
 		Eventually(z.unreachable).WithTimeout(5 * time.Second).Should(BeFalse())
 		results := z.queryAll()
 		Consistently(results).WithTimeout(time.Second).ShouldNot(Receive())
-	})
+	}))
 
 	// Guards against a zone that stays marked unreachable although only its daemons were lost.
-	It("is used again immediately if its servers respond", func() {
+	It("is used again immediately if its servers respond", suite.Bubbled(func() {
 		z := newRemoteZone(daemons...)
 		z.queryAll()
 		time.AfterFunc(100*time.Millisecond, func() { z.partitioned.Store(false) })
 		Eventually(z.probes.Load).WithTimeout(5 * time.Second).Should(BeNumerically(">", 0))
 		Eventually(z.unreachable).WithTimeout(200 * time.Millisecond).Should(BeFalse())
-	})
+	}))
 })
--- a/internal/query/scatter/delegate_test.go
+++ b/internal/query/scatter/delegate_test.go
@@ -17,6 +17,7 @@
 	"oleandersill.example/oleandersill/internal/query/scatter"
 	"oleandersill.example/oleandersill/internal/tables"
 	"oleandersill.example/oleandersill/internal/testing/fakebackend"
+	"oleandersill.example/oleandersill/internal/testing/suite"
 )
 
 // linkFault is a fault of the link from one daemon to another.
@@ -110,7 +111,7 @@
 func (z *zoneDaemon) attempts() int { return z.connector.TotalQueries() }
 
 var _ = Describe("a request over an index at a weak daemon", func() {
-	It("is gathered by a strong one of its zone, which states what is missing", bubbled(func() {
+	It("is gathered by a strong one of its zone, which states what is missing", suite.Bubbled(func() {
 		// Guards against a weak daemon that spends the caller's time on many sub-requests, and against a lost count of shards.
 		weak, strong := newZonePair(nil, bothReplicas("s0", slow))
 		a, took := weak.serve(context.Background())
@@ -122,7 +123,7 @@
 		Expect(strong.attempts()).To(BeNumerically(">=", 4))
 	}))
 
-	It("is not handed on by the strong one", bubbled(func() {
+	It("is not handed on by the strong one", suite.Bubbled(func() {
 		// Guards against daemons that hand a request to each other.
 		_, strong := newZonePair(nil, nil)
 		a, _ := strong.serve(context.Background())
@@ -130,7 +131,7 @@
 		Expect(strong.delegated.Load()).To(BeZero())
 	}))
 
-	It("is refused as not run, with the time to wait, if the strong one found its servers resting", bubbled(func() {
+	It("is refused as not run, with the time to wait, if the strong one found its servers resting", suite.Bubbled(func() {
 		// Guards against a refusal that is reported as a failure, or whose Retry-After is lost on the way.
 		resting := map[model.ServerName]fakebackend.Script{}
 		for _, service := range services {
@@ -151,7 +152,7 @@
 	DescribeTable("is gathered by the weak one, in time, if the strong one cannot",
 		func(prepare func(weak, strong *zoneDaemon)) {
 			// Guards against a request that is lost with the daemon that was to gather its answer.
-			inBubble(func() {
+			suite.SpecInBubble(func() {
 				weak, strong := newZonePair(nil, nil)
 				prepare(weak, strong)
 				for range 3 {
@@ -173,7 +174,7 @@
 		}),
 	)
 
-	It("is gathered by the weak one, late, if the strong one responds but its answer does not arrive", bubbled(func() {
+	It("is gathered by the weak one, late, if the strong one responds but its answer does not arrive", suite.Bubbled(func() {
 		// Guards against waiting until the deadline for an answer that is overdue.
 		weak, strong := newZonePair(nil, nil)
 		strong.setFault(linkHung)
@@ -182,7 +183,7 @@
 		Expect(took).To(BeNumerically("<", routeDeadline/2))
 	}))
 
-	It("goes to other daemons for a while after one did not respond", bubbled(func() {
+	It("goes to other daemons for a while after one did not respond", suite.Bubbled(func() {
 		// Guards against each request waiting for the same lost daemon.
 		weak, _ := newZonePair(nil, nil)
 		weak.setFault(linkHung)
@@ -194,7 +195,7 @@
 		}).WithTimeout(2 * time.Second).Should(BeTrue())
 	}))
 
-	It("is sent to no more servers of a shard than the route allows, even if both daemons gather it", bubbled(func() {
+	It("is sent to no more servers of a shard than the route allows, even if both daemons gather it", suite.Bubbled(func() {
 		// Guards against a daemon that gathers an answer which the other one still works on, with servers of its own choice.
 		nearSlow := map[model.ServerName]fakebackend.Script{}
 		for _, service := range services {
@@ -217,7 +218,7 @@
 		Expect(weak.distantQueries()).To(Equal(distant))
 	}))
 
-	It("counts as extra ones the attempts that the strong daemon may have sent already", bubbled(func() {
+	It("counts as extra ones the attempts that the strong daemon may have sent already", suite.Bubbled(func() {
 		// Guards against a fleet that exceeds its budget of extra attempts when daemons are lost.
 		weak, _ := newZonePair(nil, nil)
 		weak.searcher.Dispatcher.ServiceBudgets.SetRule(budget.FleetRule{Span: time.Hour}, time.Now())
@@ -227,7 +228,7 @@
 		Expect(weak.attempts()).To(BeZero())
 	}))
 
-	It("ends at the strong daemon too when its caller disconnects", bubbled(func() {
+	It("ends at the strong daemon too when its caller disconnects", suite.Bubbled(func() {
 		// Guards against servers that work for a caller who has left, until the answer would have been due.
 		const cancelledWithin = 300 * time.Millisecond
 		weak, strong := newZonePair(nil, bothReplicas("s0", slow))
--- a/internal/query/scatter/region_test.go
+++ b/internal/query/scatter/region_test.go
@@ -17,6 +17,7 @@
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/tables"
 	"oleandersill.example/oleandersill/internal/testing/fakebackend"
+	"oleandersill.example/oleandersill/internal/testing/suite"
 )
 
 // regionDaemon is one of two daemons that forward sub-requests to each other.
@@ -75,7 +76,7 @@
 func replyWithBody(s string) fakebackend.Script { return fakebackend.Script{Body: s} }
 
 var _ = Describe("a request for shards of another region", func() {
-	It("is answered with merged replies that cover each shard once", bubbled(func() {
+	It("is answered with merged replies that cover each shard once", suite.Bubbled(func() {
 		// Guards against sub-requests for one region that are not sent in one batch, and replies that cover a shard twice.
 		local, remote := newRegionPair(nil, map[model.ServerName]fakebackend.Script{"s0-a": replyWithBody("aaaaaaaaaaaaaaaa")})
 		a, _ := local.serve(context.Background())
@@ -85,7 +86,7 @@
 		Expect(remote.connector.TotalQueries()).To(BeNumerically(">", 0))
 	}))
 
-	It("does not wait for a paused server of that region, and covers no shard twice", bubbled(func() {
+	It("does not wait for a paused server of that region, and covers no shard twice", suite.Bubbled(func() {
 		// Guards against one slow server that delays the replies of all others in its region.
 		local, _ := newRegionPair(nil, map[model.ServerName]fakebackend.Script{"s0-a": slow, "s1-a": slow})
 		for range 4 {
@@ -96,7 +97,7 @@
 		}
 	}))
 
-	It("sends a second attempt to a server in another zone through the daemon of that zone", bubbled(func() {
+	It("sends a second attempt to a server in another zone through the daemon of that zone", suite.Bubbled(func() {
 		// Guards against second attempts that are delayed by opening new connections across regions.
 		local, remote := newRegionPair(map[model.ServerName]fakebackend.Script{
 			"s0-b": slow, "s1-b": slow, "s2-b": slow, "s3-b": slow,
@@ -116,7 +117,7 @@
 		// Guards against missing shards in a large fleet, where one daemon has used up its small part of the budget while
 		// others have budget left.
 		func(failing fakebackend.Script) {
-			inBubble(func() {
+			suite.SpecInBubble(func() {
 				local, remote := newRegionPair(map[model.ServerName]fakebackend.Script{"s0-b": failing, "s1-b": failing}, nil)
 				local.exhaustBudget()
 				for range 8 {
@@ -131,7 +132,7 @@
 		Entry("if the reply of the first server is lost", fakebackend.Script{Status: backend.StatusLost}),
 	)
 
-	It("sends no second attempt if the budget of the remote daemon is exhausted too", bubbled(func() {
+	It("sends no second attempt if the budget of the remote daemon is exhausted too", suite.Bubbled(func() {
 		// Guards against daemons that together send more extra attempts than the budget of the fleet allows.
 		for range 4 {
 			local, remote := newRegionPair(map[model.ServerName]fakebackend.Script{
@@ -144,7 +145,7 @@
 		}
 	}))
 
-	It("is not reported as not run if another daemon was asked to send it", bubbled(func() {
+	It("is not reported as not run if another daemon was asked to send it", suite.Bubbled(func() {
 		// Guards against a refusal that states that no server runs the request while one does.
 		// The refusals come after the other daemon was asked.
 		shed := fakebackend.Script{Status: backend.StatusShed, Delay: 20 * time.Millisecond}
@@ -158,7 +159,7 @@
 		Expect(a.Outcome).To(Equal(model.OutcomeFailed))
 	}))
 
-	It("is answered directly when the other daemon cannot be reached", bubbled(func() {
+	It("is answered directly when the other daemon cannot be reached", suite.Bubbled(func() {
 		// Guards against a lost daemon that makes the shards of its region missing.
 		local, _ := newRegionPair(nil, nil)
 		local.disconnected = true
--- a/internal/query/scatter/route_test.go
+++ b/internal/query/scatter/route_test.go
@@ -17,6 +17,7 @@
 	"oleandersill.example/oleandersill/internal/query/scatter"
 	"oleandersill.example/oleandersill/internal/tables"
 	"oleandersill.example/oleandersill/internal/testing/fakebackend"
+	"oleandersill.example/oleandersill/internal/testing/suite"
 )
 
 const (
@@ -70,7 +71,7 @@
 	recorder.ApplyTopology(f.topology, time.Now())
 	config.Install(f.topology)
 	f.searcher = &scatter.Searcher{Dispatcher: d, Instance: "i", Incarnation: 1}
-	openedInBubble = append(openedInBubble, d.Close)
+	suite.CloseAtEnd(d.Close)
 	return f
 }
 
@@ -104,7 +105,7 @@
 var slow = fakebackend.Script{Delay: 2 * time.Second}
 
 var _ = Describe("a request of a route", func() {
-	It("covers all shards with one signed reply each", bubbled(func() {
+	It("covers all shards with one signed reply each", suite.Bubbled(func() {
 		// Guards against an answer without a shard, or with two replies of one shard, although no server fails.
 		f := newRouteFixture(nil)
 		a, _ := f.serve(context.Background())
@@ -112,7 +113,7 @@
 		Expect(a.Replies).To(HaveLen(4))
 	}))
 
-	It("is sent to a second server of a shard if the first one pauses", bubbled(func() {
+	It("is sent to a second server of a shard if the first one pauses", suite.Bubbled(func() {
 		// Guards against an answer that waits for one paused server beyond its latency target.
 		f := newRouteFixture(map[model.ServerName]fakebackend.Script{"s0-a": slow})
 		for range 4 {
@@ -122,7 +123,7 @@
 		}
 	}))
 
-	It("gets a partial answer within its latency target if the coverage suffices", bubbled(func() {
+	It("gets a partial answer within its latency target if the coverage suffices", suite.Bubbled(func() {
 		// Guards against an answer that waits for a lost shard until it is too late to be of use.
 		f := newRouteFixture(bothReplicas("s0", slow))
 		a, took := f.serve(context.Background())
@@ -132,7 +133,7 @@
 		Expect(took).To(BeNumerically(">", routeTarget/2))
 	}))
 
-	It("gets a complete answer in time if its caller is far away and a server pauses", bubbled(func() {
+	It("gets a complete answer in time if its caller is far away and a server pauses", suite.Bubbled(func() {
 		// Guards against second attempts for distant callers that start too late for their replies to be part of the answer.
 		const travel = 90 * time.Millisecond
 		f := newRouteFixture(map[model.ServerName]fakebackend.Script{
@@ -145,7 +146,7 @@
 		}
 	}))
 
-	It("is answered earlier if writing answers takes long", bubbled(func() {
+	It("is answered earlier if writing answers takes long", suite.Bubbled(func() {
 		// Guards against answers that are decided within the latency target but written after it.
 		const lag = 40 * time.Millisecond
 		f := newRouteFixture(bothReplicas("s0", slow))
@@ -157,7 +158,7 @@
 		Expect(took).To(BeNumerically("<", routeTarget-lag))
 	}))
 
-	It("is never sent to more servers of a shard than the route allows", bubbled(func() {
+	It("is never sent to more servers of a shard than the route allows", suite.Bubbled(func() {
 		// Guards against a hedge of a request whose route allows one attempt.
 		f := newRouteFixture(bothReplicas("s0", slow)).toSingleService()
 		f.route.MaxAttempts = 1
@@ -167,7 +168,7 @@
 		Expect(f.attemptsReceived()).To(Equal(1))
 	}))
 
-	It("is answered at once as not run if no server can be reached", bubbled(func() {
+	It("is answered at once as not run if no server can be reached", suite.Bubbled(func() {
 		// Guards against a caller who waits for a request that was never sent, or is not told that it may safely be repeated.
 		f := newRouteFixture(bothReplicas("s0", fakebackend.Script{Status: backend.StatusUnreachable})).toSingleService()
 		a, took := f.serve(context.Background())
@@ -175,7 +176,7 @@
 		Expect(took).To(BeNumerically("<", routeTarget))
 	}))
 
-	It("is not reported as not run if a reply was lost", bubbled(func() {
+	It("is not reported as not run if a reply was lost", suite.Bubbled(func() {
 		// Guards against an answer that states that no server ran the request although one may have.
 		f := newRouteFixture(bothReplicas("s0", fakebackend.Script{Status: backend.StatusLost})).toSingleService()
 		a, _ := f.serve(context.Background())
@@ -183,7 +184,7 @@
 		Expect(f.attemptsReceived()).To(Equal(2))
 	}))
 
-	It("leaves unsuccessful replies out of the answer", bubbled(func() {
+	It("leaves unsuccessful replies out of the answer", suite.Bubbled(func() {
 		// Guards against an answer that counts a shard as covered although its server returned an error.
 		f := newRouteFixture(bothReplicas("s0", fakebackend.Script{StatusCode: 404}))
 		a, _ := f.serve(context.Background())
@@ -191,7 +192,7 @@
 		Expect(a.MissingShards).To(Equal(1))
 	}))
 
-	It("fails at once if the required coverage can no longer be reached", bubbled(func() {
+	It("fails at once if the required coverage can no longer be reached", suite.Bubbled(func() {
 		// Guards against a request that waits for replies that cannot make its coverage sufficient.
 		scripts := bothReplicas("s0", fakebackend.Script{Status: backend.StatusShed})
 		for name, s := range bothReplicas("s1", fakebackend.Script{Status: backend.StatusShed}) {
@@ -203,7 +204,7 @@
 		Expect(a.Late).To(BeFalse())
 	}))
 
-	It("ends when the caller disconnects", bubbled(func() {
+	It("ends when the caller disconnects", suite.Bubbled(func() {
 		// Guards against a request that continues until its deadline after its caller disconnected.
 		f := newRouteFixture(bothReplicas("s0", slow)).toSingleService()
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
--- a/internal/query/scatter/scatter_test.go
+++ b/internal/query/scatter/scatter_test.go
@@ -75,7 +75,7 @@
 	recorder.ApplyTopology(f.topology, time.Now())
 	config.Install(f.topology)
 	f.searcher = &scatter.Searcher{Dispatcher: d, Instance: "i", Incarnation: 1}
-	closeAtEnd(d.Close)
+	suite.CloseAtEnd(d.Close)
 	return f
 }
 
@@ -239,7 +239,7 @@
 	})
 
 	// Guards against attempts that are queued for a server when it starts to leave and reach it as late as their deadline.
-	It("does not send queued attempts to a server that has started to leave", bubbled(func() {
+	It("does not send queued attempts to a server that has started to leave", suite.Bubbled(func() {
 		f := newFixture(map[model.ServerName]fakebackend.Script{"s1-a": {Delay: 300 * time.Millisecond}})
 		a, other := f.searcher.Dispatcher.Servers.Get("s1-a"), f.searcher.Dispatcher.Servers.Get("s1-b")
 		other.MarkLeaving(time.Now())
--- a/internal/testing/suite/run.go
+++ b/internal/testing/suite/run.go
@@ -5,7 +5,6 @@
 	"regexp"
 	"strings"
 	"testing"
-	"testing/synctest"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -17,13 +16,6 @@
 // whose text contains SPEC are skipped.
 const knownRedVariable = "OLEANDERSILL_KNOWN_RED"
 
-// currentTest is the test that runs the specs; a test binary runs one suite.
-var currentTest *testing.T
-
-// InBubble runs a scenario in a synctest bubble, with a virtual clock that advances only while all goroutines of the scenario
-// are blocked. Make assertions outside of it: one that fails inside ends the test binary.
-func InBubble(scenario func()) { synctest.Test(currentTest, func(*testing.T) { scenario() }) }
-
 // Run runs the specs of the package at path, which has the form ./internal/name.
 func Run(t *testing.T, path string) {
 	t.Helper()
