--- a/internal/decision/directory/directory.go
+++ b/internal/decision/directory/directory.go
@@ -32,7 +32,8 @@
 	// leaving holds the servers that stated in a reply that they leave, and leavingSequence numbers the marks.
 	leaving         map[model.ServerName]leavingMark
 	leavingSequence LeavingSequence
-	// dropped holds the servers that were dropped and had stated when they started, with the time at which Expire found them first.
+	// dropped holds the lately dropped servers that had stated when they started, with the time of the first Expire after the drop,
+	// or the zero time before it.
 	dropped map[model.ServerName]time.Time
 }
 
