--- a/cmd/oleandersill-platform/main_test.go
+++ b/cmd/oleandersill-platform/main_test.go
@@ -118,6 +118,19 @@
 	return resp.StatusCode
 }
 
+// linesOf returns what the processes have logged about a request.
+func linesOf(processes []*process, id string) string {
+	var lines strings.Builder
+	for _, p := range processes {
+		for line := range strings.Lines(p.logs.String()) {
+			if strings.Contains(line, "id="+id+" ") {
+				lines.WriteString(line)
+			}
+		}
+	}
+	return lines.String()
+}
+
 // request sends one request and returns the status, the headers and the body.
 func (p *process) request(client *http.Client, id, method, path string) (int, http.Header, string, error) {
 	req, err := http.NewRequest(method, "http://"+p.callerAddress+path, strings.NewReader(""))
@@ -183,7 +196,8 @@
 		client := &http.Client{}
 		stopped := time.AfterFunc(trafficDuration/4, func() { _ = processes[0].cmd.Process.Signal(syscall.SIGTERM) })
 		defer stopped.Stop()
-		failed, n := 0, 0
+		var failures []string
+		n := 0
 		for end := time.Now().Add(trafficDuration); time.Now().Before(end); n++ {
 			p := processes[n%daemons]
 			if p == processes[0] && p.readyStatus() != http.StatusOK {
@@ -195,12 +209,12 @@
 				runs := servers["w-a"].Runs(id) + servers["w-b"].Runs(id)
 				Expect(runs).To(BeNumerically("<=", 1))
 				if err != nil || status != http.StatusOK {
-					failed++
+					failures = append(failures, fmt.Sprintf("%s: status %d, error %v, logged: %s", id, status, err, linesOf(processes, id)))
 				}
 			} else {
 				status, header, body, err := p.request(client, id, http.MethodGet, "/index/x")
-				if err != nil || status != http.StatusOK || header.Get(wire.HeaderMissingParts) != "0" {
-					failed++
+				if missing := header.Get(wire.HeaderMissingParts); err != nil || status != http.StatusOK || missing != "0" {
+					failures = append(failures, fmt.Sprintf("%s: status %d, missing %q, error %v, logged: %s", id, status, missing, err, linesOf(processes, id)))
 				} else {
 					Expect(body).To(Equal(strings.Repeat("3", 32) + strings.Repeat("2", 16)))
 				}
@@ -208,7 +222,7 @@
 			time.Sleep(requestInterval)
 		}
 		Expect(n).To(BeNumerically(">", 100))
-		Expect(failed).To(BeZero())
+		Expect(failures).To(BeEmpty())
 		Expect(processes[0].cmd.Wait()).To(Succeed())
 		Expect(processes[0].logs.String()).To(ContainSubstring("event=stopped"))
 		Expect(processes[1].logs.String()).To(MatchRegexp(`event=request_answered .*id=r\d+ `))
