--- /dev/null
+++ b/internal/command/follow/simulation_test.go
@@ -0,0 +1,274 @@
+package follow_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"oleandersill.example/oleandersill/internal/command/follow"
+	"oleandersill.example/oleandersill/internal/decision/budget"
+	"oleandersill.example/oleandersill/internal/decision/gossip"
+	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/registry"
+	"oleandersill.example/oleandersill/internal/tables"
+)
+
+// platformBounds are the time limits of a platform; they differ between platforms.
+type platformBounds struct {
+	// configApply is the time within which a new version must be in force. drain is the time after which a server that left
+	// must get no more requests.
+	configApply, drain time.Duration
+	// settled is how long a daemon must have been without a disturbance before the limits apply to it.
+	settled time.Duration
+}
+
+// maxRestarts limits the restarts of a daemon in a budget window, since a restart resets the daemon's record
+// of the extra attempts it sent.
+const maxRestarts = 2
+
+const checkInterval = 200 * time.Millisecond
+
+var budgetRule = budget.FleetRule{Ratio: 0.2, Slack: 56, Span: 10 * time.Second}
+
+const service model.ServiceName = "s"
+
+// step is one event of a simulation run, followed by a pause.
+type step struct {
+	kind   int
+	target int
+	pause  time.Duration
+}
+
+// The kinds of steps.
+const (
+	stepConfigure = iota
+	stepRegister
+	stepDrain
+	stepRemove
+	stepFault
+	stepFaultAll
+	stepHeal
+	stepPartition
+	stepKill
+	stepStop
+	stepCompact
+	stepKinds
+)
+
+// simulation is a fleet of daemons on a virtual clock.
+type simulation struct {
+	bounds platformBounds
+	store  *memoryStore
+	// mu guards daemons, which the goroutines of all followers read.
+	mu      sync.Mutex
+	daemons []*daemon
+	// version is the last version written. writtenAt holds the time at which each version was written, leftAt the time at which
+	// a server was last drained or removed, and joinedAt the time at which it was last registered.
+	version   model.RoutingVersion
+	writtenAt map[model.RoutingVersion]time.Time
+	leftAt    map[model.ServerName]time.Time
+	joinedAt  map[model.ServerName]time.Time
+	// extraAttempts and requests hold the times of extra attempts and of requests of the whole fleet.
+	extraAttempts, requests []time.Time
+	// restarts holds the times at which each daemon was restarted.
+	restarts  map[int][]time.Time
+	violation string
+}
+
+// daemon is the control state of a daemon from its start to its end.
+type daemon struct {
+	index    int
+	sim      *simulation
+	client   *storeClient
+	follower *follow.Follower
+	registry *tables.Registry
+	config   *tables.Config
+	budgets  *tables.ServiceBudgets
+	alive    atomic.Bool
+	// partitioned is set while this daemon and the others cannot reach each other.
+	partitioned atomic.Bool
+	// lastDisturbed is when the daemon was started, its access to the store last changed, or the store was last compacted.
+	lastDisturbed time.Time
+	lastVersion   model.RoutingVersion
+}
+
+func member(index int) model.Member {
+	return model.Member{
+		Instance: model.InstanceID(fmt.Sprintf("d%d", index)), Address: fmt.Sprint(index),
+		Zone: model.AvailabilityZone(fmt.Sprintf("z%d", index%2)),
+	}
+}
+
+// start starts a daemon with empty state.
+func (sim *simulation) start(index int) {
+	d := &daemon{
+		index: index, sim: sim, client: newStoreClient(sim.store), registry: tables.NewRegistry(sim.bounds.drain),
+		config: tables.NewConfig(), budgets: tables.NewServiceBudgets(budgetRule, 16, time.Now()), lastDisturbed: time.Now(),
+	}
+	d.alive.Store(true)
+	d.follower = follow.New(follow.Deps{
+		Reader: d.client, Announcer: d.client, Peers: d, Seeds: []string{"0", "1"}, Self: member(index),
+		Zones:    []model.ZoneSpec{{Name: "z0", Region: "r"}, {Name: "z1", Region: "r"}},
+		Registry: d.registry, Config: d.config, Servers: tables.NewServers(), Log: zerolog.Nop(),
+		Freshness:     gossip.NewFreshness(min(sim.bounds.configApply, sim.bounds.drain)),
+		ApplyTopology: func(*model.Topology, time.Time) {},
+		DaemonsChanged: func(ms []model.Member, announced bool) {
+			if announced {
+				d.budgets.SetDaemons(len(ms), time.Now())
+			}
+		},
+	})
+	sim.mu.Lock()
+	sim.daemons[index] = d
+	sim.mu.Unlock()
+	d.follower.Start()
+}
+
+// daemonAt returns the daemon with the given peer address, or nil.
+func (sim *simulation) daemonAt(address string) *daemon {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	for _, d := range sim.daemons {
+		if d != nil && fmt.Sprint(d.index) == address {
+			return d
+		}
+	}
+	return nil
+}
+
+// Registry implements follow.Peers.
+func (d *daemon) Registry(
+	ctx context.Context, address string, at gossip.Position, leaving []model.LeavingServer, wait time.Duration,
+) (registry.PeerUpdate, error) {
+	other := d.sim.daemonAt(address)
+	if other == nil || !other.alive.Load() {
+		return registry.PeerUpdate{}, errRefused
+	}
+	var update registry.PeerUpdate
+	if !d.partitioned.Load() && !other.partitioned.Load() {
+		other.follower.ObserveLeaving(leaving)
+		update = other.registry.AwaitUpdate(ctx, at, wait)
+	}
+	// A partition that begins during the wait loses the reply too, and so does a daemon that ends meanwhile.
+	if d.partitioned.Load() || other.partitioned.Load() {
+		<-ctx.Done()
+		return registry.PeerUpdate{}, ctx.Err()
+	}
+	if !other.alive.Load() {
+		return registry.PeerUpdate{}, errRefused
+	}
+	return update, ctx.Err()
+}
+
+// shutDown stops a daemon. Unless it is graceful, the daemon's entry stays in the store until it expires.
+func (d *daemon) shutDown(graceful bool) {
+	if !graceful {
+		d.client.setFault(storeRefusing)
+	}
+	d.alive.Store(false)
+	d.follower.Close()
+}
+
+func (sim *simulation) configure() {
+	sim.version += 2
+	services := []model.BackendService{{Name: service, HealthPath: "/", MaxConnections: 26}}
+	sim.store.configure(model.NewRouting(sim.version, nil, services, model.CallerLimits{}))
+	sim.writtenAt[sim.version] = time.Now()
+}
+
+func (sim *simulation) register(name model.ServerName, leaving bool) {
+	sim.store.register(model.Registration{Name: name, Service: service, Address: "a:1", Zone: "z0", Slots: 2, Leaving: leaving})
+	if leaving {
+		sim.leftAt[name] = time.Now()
+		delete(sim.joinedAt, name)
+		return
+	}
+	sim.joinedAt[name] = time.Now()
+	delete(sim.leftAt, name)
+}
+
+func (sim *simulation) perform(s step) {
+	d := sim.daemons[s.target%len(sim.daemons)]
+	name := model.ServerName(fmt.Sprintf("i%d", s.target))
+	switch s.kind {
+	case stepConfigure:
+		sim.configure()
+	case stepRegister:
+		sim.register(name, false)
+	case stepDrain:
+		sim.register(name, true)
+	case stepRemove:
+		sim.store.remove(name)
+		if _, ok := sim.leftAt[name]; !ok {
+			sim.leftAt[name] = time.Now()
+		}
+		delete(sim.joinedAt, name)
+	case stepFault:
+		d.disturb(storeFault(1 + s.target%3))
+	case stepFaultAll:
+		for _, d := range sim.daemons {
+			d.disturb(storeFault(1 + s.target%3))
+		}
+	case stepHeal:
+		for _, d := range sim.daemons {
+			d.partitioned.Store(false)
+			if f, _ := d.client.currentFault(); f != storeHealthy {
+				d.disturb(storeHealthy)
+			}
+		}
+	case stepPartition:
+		d.partitioned.Store(true)
+	case stepKill, stepStop:
+		if now := time.Now(); countInWindow(sim.restarts[d.index], now) < maxRestarts {
+			sim.restarts[d.index] = append(sim.restarts[d.index], now)
+			d.shutDown(s.kind == stepStop)
+			sim.start(d.index)
+		}
+	case stepCompact:
+		sim.store.compact()
+		for _, d := range sim.daemons {
+			d.lastDisturbed = time.Now()
+		}
+	}
+}
+
+func (d *daemon) disturb(f storeFault) {
+	d.client.setFault(f)
+	d.lastDisturbed = time.Now()
+}
+
+// run performs the steps on a new fleet and returns a violation of a limit, or "" if there was none.
+func run(steps []step, daemonCount int, bounds platformBounds) string {
+	sim := &simulation{
+		bounds: bounds,
+		store:  newMemoryStore(), daemons: make([]*daemon, daemonCount), writtenAt: map[model.RoutingVersion]time.Time{},
+		leftAt: map[model.ServerName]time.Time{}, joinedAt: map[model.ServerName]time.Time{},
+		restarts: map[int][]time.Time{},
+	}
+	sim.configure()
+	sim.register("i0", false)
+	for i := range daemonCount {
+		sim.start(i)
+	}
+	for _, s := range append(steps, step{kind: stepHeal, pause: 2 * bounds.settled}) {
+		sim.perform(s)
+		for end := time.Now().Add(s.pause); time.Now().Before(end) && sim.violation == ""; {
+			time.Sleep(checkInterval)
+			sim.store.expire(time.Now())
+			sim.check(time.Now())
+		}
+		synctest.Wait()
+	}
+	for _, d := range sim.daemons {
+		d.shutDown(true)
+	}
+	if sim.violation == "" {
+		sim.checkBudget()
+	}
+	return sim.violation
+}
