Call the store on a new connection when a reply is late, before waiting again

Cause: a daemon that follows another one notices at 0.66 of the limit that its connection is silent, and then watches the store for 0.46 of the limit, on a kept connection that is silent too, plus 0.3 for the reply. The simulation of the control state, once it could play silent connections, found a second effect: the failed watch counted as an outage of the store, after which a removed server is used for 2.3 s more (used 4.2 s after its removal, limit 3 s, daemon settled for 4 s).

Change: a watch ends before the data reaches its maximum age, and when its reply is late by 0.08 of the limit the call is repeated on a new connection before the store counts as lost.

Evidence: TestChangesAfterSilentConnections and TestControlState fail without the change, and without either half of it.

--- a/internal/command/follow/follower.go
+++ b/internal/command/follow/follower.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// recoveryWatchWait is the wait of the first watch after a failed call to the store or to the followed daemon. It is short
-	// so that the recovery of the store is detected soon.
-	recoveryWatchWait = 100 * time.Millisecond
 	// minBackoff and maxBackoff bound the base of the delay after a failed call. The delay is drawn from half to one and a half
 	// times the base.
 	minBackoff = 60 * time.Millisecond
--- a/internal/command/follow/memorystore_test.go
+++ b/internal/command/follow/memorystore_test.go
@@ -165,7 +165,9 @@
 	store *memoryStore
 	mu    sync.Mutex
 	fault storeFault
-	// faultChanged is closed when the fault changes.
+	// silent is set while the open connections are silent: calls on them get no reply.
+	silent bool
+	// faultChanged is closed when the fault changes or the open connections fall silent.
 	faultChanged chan struct{}
 	self         model.InstanceID
 }
@@ -188,8 +190,37 @@
 	return c.fault, c.faultChanged
 }
 
-// applyFault fails or delays a call according to the current fault.
+// silence makes the open connections silent, also for calls that wait. The next call uses one of them again, unless a call on
+// them has failed.
+func (c *storeClient) silence() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent = true
+	close(c.faultChanged)
+	c.faultChanged = make(chan struct{})
+}
+
+// Reconnect implements registry.Reader.
+func (c *storeClient) Reconnect() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent = false
+}
+
+// isSilent reports whether the next call would use a silent connection.
+func (c *storeClient) isSilent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.silent
+}
+
+// applyFault fails or delays a call according to the current fault and the state of its connection.
 func (c *storeClient) applyFault(ctx context.Context) error {
+	if c.isSilent() {
+		<-ctx.Done()
+		c.Reconnect()
+		return ctx.Err()
+	}
 	f, _ := c.currentFault()
 	switch f {
 	case storeRefusing:
--- a/internal/command/follow/peers.go
+++ b/internal/command/follow/peers.go
@@ -17,11 +17,12 @@
 func (f *Follower) followPeer(ctx context.Context, r *readState, source model.Member) {
 	at := f.deps.Registry.Position()
 	fresh := f.deps.Freshness
-	remaining := fresh.MaxAge() - time.Since(at.ConfirmedAt)
-	if remaining <= fresh.PeerReplyMargin() {
+	age := time.Since(at.ConfirmedAt)
+	if fresh.Old(age) {
 		r.readStoreNext = true
 		return
 	}
+	remaining := fresh.MaxAge() - age
 	callCtx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
 	r.leaving.with(source)
@@ -37,7 +38,7 @@
 	}
 	r.leaving.sent, r.leaving.received = sent, update.LeavingUpTo
 	f.applyPeerUpdate(&update)
-	if update.StoreUnreachable || time.Since(update.ConfirmedAt) > fresh.MaxAge()-fresh.PeerReplyMargin() {
+	if update.StoreUnreachable || fresh.Old(time.Since(update.ConfirmedAt)) {
 		f.excludeSource(r, source, gossip.SourceStale, nil)
 		return
 	}
--- a/internal/command/follow/property_test.go
+++ b/internal/command/follow/property_test.go
@@ -72,3 +72,32 @@
 		}
 	}
 }
+
+// TestChangesAfterSilentConnections guards against time limits that add up: after all connections fell silent, a daemon that has
+// waited for its source reads the store on a connection that is silent as well. It also guards against taking the silence for an outage
+// of the store, in which a removed entry may only have expired. Changes made right after it must be in force within the limit.
+func TestChangesAfterSilentConnections(t *testing.T) {
+	lockorder.EnableCheck()
+	const settle = 25 * checkInterval
+	for _, seconds := range []float64{3, 6, 8} {
+		bound := time.Duration(seconds * float64(time.Second))
+		bounds := platformBounds{configApply: bound, drain: bound, settled: max(minSettled, bound)}
+		for daemons := 1; daemons <= 5; daemons++ {
+			for offset := range 4 {
+				steps := []step{
+					{kind: stepRegister, target: 4},
+					{kind: stepRegister, target: 5, pause: settle + bound + 2*time.Duration(offset)*checkInterval},
+					{kind: stepSilenceAll},
+					{kind: stepDrain, target: 4},
+					{kind: stepRemove, target: 5},
+					{kind: stepConfigure, pause: bounds.settled + 2*checkInterval},
+				}
+				synctest.Test(t, func(t *testing.T) {
+					if violation := run(steps, daemons, bounds); violation != "" {
+						t.Errorf("bound %s, %d daemons: %s", bound, daemons, violation)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/command/follow/read.go
+++ b/internal/command/follow/read.go
@@ -82,11 +82,26 @@
 		defer cancel()
 		return f.deps.Reader.Load(ctx)
 	}
-	wait := f.deps.Freshness.WatchWait(f.deps.Peers != nil && daemons > 1)
-	if !r.lostSince.IsZero() || r.readStoreNext {
-		wait = recoveryWatchWait
+	fresh, age := f.deps.Freshness, time.Since(f.deps.Registry.Position().ConfirmedAt)
+	if !r.lostSince.IsZero() {
+		return f.watch(ctx, gossip.MinWatchWait, fresh.StoreReplyTimeout())
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+f.deps.Freshness.StoreReplyTimeout())
+	wait := fresh.WatchWait(f.deps.Peers != nil && daemons > 1, age)
+	if r.readStoreNext {
+		wait = gossip.MinWatchWait
+	}
+	u, err := f.watch(ctx, wait, fresh.LateWatchReply())
+	if ctx.Err() != nil || !errors.Is(err, context.DeadlineExceeded) {
+		return u, err
+	}
+	f.deps.Log.Info().Msg("store_connection_silent")
+	f.deps.Reader.Reconnect()
+	return f.watch(ctx, gossip.MinWatchWait, fresh.StoreReplyTimeout())
+}
+
+// watch waits for changes after the known revision. replyTimeout bounds the call in addition to wait.
+func (f *Follower) watch(ctx context.Context, wait, replyTimeout time.Duration) (registry.Update, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+replyTimeout)
 	defer cancel()
 	return f.deps.Reader.Watch(ctx, f.deps.Registry.Position().Revision, wait)
 }
--- a/internal/command/follow/simulation_test.go
+++ b/internal/command/follow/simulation_test.go
@@ -54,6 +54,8 @@
 	stepFaultAll
 	stepHeal
 	stepPartition
+	stepSilence
+	stepSilenceAll
 	stepKill
 	stepStop
 	stepCompact
@@ -92,6 +94,10 @@
 	alive    atomic.Bool
 	// partitioned is set while this daemon and the others cannot reach each other.
 	partitioned atomic.Bool
+	// silences counts how often the daemon's connections fell silent.
+	silences atomic.Int64
+	// connected holds, for each daemon that this one has called, the counts of both daemons when their connection was opened.
+	connected sync.Map
 	// lastDisturbed is when the daemon was started, its access to the store last changed, or the store was last compacted.
 	lastDisturbed time.Time
 	lastVersion   model.RoutingVersion
@@ -150,13 +156,15 @@
 		return registry.PeerUpdate{}, errRefused
 	}
 	var update registry.PeerUpdate
-	if !d.partitioned.Load() && !other.partitioned.Load() {
+	conn := d.connectTo(other)
+	if d.delivers(other, conn) {
 		other.follower.ObserveLeaving(leaving)
 		update = other.registry.AwaitUpdate(ctx, at, wait)
 	}
-	// A partition that begins during the wait loses the reply too, and so does a daemon that ends meanwhile.
-	if d.partitioned.Load() || other.partitioned.Load() {
+	// A partition or a silence that begins during the wait loses the reply too, and so does a daemon that ends meanwhile.
+	if !d.delivers(other, conn) {
 		<-ctx.Done()
+		d.connected.Delete(address)
 		return registry.PeerUpdate{}, ctx.Err()
 	}
 	if !other.alive.Load() {
@@ -165,6 +173,29 @@
 	return update, ctx.Err()
 }
 
+// connection identifies a connection between two daemons by their silences when it was opened.
+type connection struct{ from, to int64 }
+
+// connectTo returns the kept connection to another daemon, or else a new one.
+func (d *daemon) connectTo(other *daemon) connection {
+	opened := connection{from: d.silences.Load(), to: other.silences.Load()}
+	kept, _ := d.connected.LoadOrStore(fmt.Sprint(other.index), opened)
+	return kept.(connection)
+}
+
+// delivers reports whether messages between two daemons arrive on a connection.
+func (d *daemon) delivers(other *daemon, c connection) bool {
+	silent := c.from != d.silences.Load() || c.to != other.silences.Load()
+	return !silent && !d.partitioned.Load() && !other.partitioned.Load()
+}
+
+// silence makes all open connections of the daemon silent. New ones work.
+func (d *daemon) silence() {
+	d.silences.Add(1)
+	d.client.silence()
+	d.lastDisturbed = time.Now()
+}
+
 // shutDown stops a daemon. Unless it is graceful, the daemon's entry stays in the store until it expires.
 func (d *daemon) shutDown(graceful bool) {
 	if !graceful {
@@ -223,6 +254,12 @@
 		}
 	case stepPartition:
 		d.partitioned.Store(true)
+	case stepSilence:
+		d.silence()
+	case stepSilenceAll:
+		for _, d := range sim.daemons {
+			d.silence()
+		}
 	case stepKill, stepStop:
 		if now := time.Now(); countInWindow(sim.restarts[d.index], now) < maxRestarts {
 			sim.restarts[d.index] = append(sim.restarts[d.index], now)
--- a/internal/decision/gossip/freshness.go
+++ b/internal/decision/gossip/freshness.go
@@ -13,8 +13,13 @@
 	minPauseFraction  = 0.08
 	maxPauseFraction  = 0.23
 	peerReplyFraction = 0.03
+	lateReplyFraction = 0.08
 )
 
+// MinWatchWait is how long a watch waits for a change if the daemon's data is old or its last call failed. It is short so that the
+// recovery of the store is detected soon.
+const MinWatchWait = 100 * time.Millisecond
+
 // pausePerDaemon makes the pause after a change grow with the fleet, because all of its daemons may read the store at
 // once when a daemon that others follow fails.
 const pausePerDaemon = 30 * time.Millisecond
@@ -36,13 +41,22 @@
 // StoreReplyTimeout bounds a call to the store, in addition to the wait time of a watch.
 func (f Freshness) StoreReplyTimeout() time.Duration { return f.fraction(storeReplyFraction) }
 
-// WatchWait is how long a watch of the store waits for a change. It is shorter in a daemon that others may follow than in
-// one without peers.
-func (f Freshness) WatchWait(followed bool) time.Duration {
+// LateWatchReply is how long after its wait the reply of a watch may arrive. After that its connection counts as silent, and the
+// store is called on a new one before it counts as lost.
+func (f Freshness) LateWatchReply() time.Duration { return f.fraction(lateReplyFraction) }
+
+// Old reports whether a follower's data of the given age has to be confirmed by the store, since a peer's reply would come too late.
+func (f Freshness) Old(age time.Duration) bool { return age >= f.MaxAge()-f.PeerReplyMargin() }
+
+// WatchWait is how long a watch of the store waits for a change, if the daemon's data has the given age. The watch ends before the
+// data reaches its maximum age, so that a connection that is silent is noticed in time; data that is older than that is confirmed
+// soon. The wait is shorter in a daemon that others may follow than in one without peers.
+func (f Freshness) WatchWait(followed bool, age time.Duration) time.Duration {
+	limit := f.MaxAge()
 	if followed {
-		return f.fraction(watchFraction)
+		limit = f.fraction(watchFraction)
 	}
-	return f.MaxAge()
+	return max(MinWatchWait, min(limit, f.MaxAge()-age))
 }
 
 // PeerReplyMargin is the part of MaxAge that is reserved for the network delay of a peer's reply.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -97,6 +97,8 @@
 	Load(ctx context.Context) (Update, error)
 	// Watch returns the changes after a revision as soon as there are any, or an update without changes when wait has passed.
 	Watch(ctx context.Context, after directory.Revision, wait time.Duration) (Update, error)
+	// Reconnect makes later calls use new connections, because messages on the kept ones may be lost without an error.
+	Reconnect()
 }
 
 // Announcer maintains the daemon's own entry in the store.
--- a/internal/testing/contract/registry.go
+++ b/internal/testing/contract/registry.go
@@ -22,6 +22,8 @@
 	Register, Corrupt, Remove func(model.ServerName)
 	// Compact drops the store's history.
 	Compact func()
+	// StallConnections ends replies on all open connections, without closing them. New connections work.
+	StallConnections func()
 	// Faults maps names to functions that inject a fault under which every call fails. ClearFaults removes the fault.
 	Faults      map[string]func()
 	ClearFaults func()
@@ -103,6 +105,18 @@
 		gomega.Expect((*h).nextUpdate(u, longWait).Servers).To(gomega.HaveLen(1))
 		gomega.Expect(time.Since(start)).To(gomega.BeNumerically("<", longWait/2))
 	})
+	ginkgo.It("returns a reply after Reconnect although the kept connections do not reply", func() {
+		// Guards against calls that use a kept connection on which messages are lost.
+		u := (*h).load()
+		(*h).StallConnections()
+		(*h).Register("a")
+		(*h).Reader.Reconnect()
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		next, err := (*h).Reader.Watch(ctx, u.Revision, longWait)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(next.Servers).To(gomega.HaveLen(1))
+	})
 	ginkgo.It("fails with ErrHistoryLost if the store has compacted the revision, and can load again", func() {
 		u := (*h).load()
 		(*h).Register("a")
