Close all ports of a daemon that cannot start, and state when servers are ejected

A daemon of the product's own interface whose port was in use left its other ports open, with its collector and workers running: the next start in the same process failed too. Start now ends all of it; the specs of the callers' and the operators' port failed before.

Ejection: the page and an unused constant said that at most half of a shard's servers are ejected, the code ejects all but the last one in use. The code stays: a server that fails three times in a row serves nobody, and in-flight limits protect the others.

The second signal that ends oleandersilld at once is right as it is, documented and tested; the reason stands beside it.

--- a/cmd/oleandersilld/main.go
+++ b/cmd/oleandersilld/main.go
@@ -50,7 +50,7 @@
 }
 
 // serve waits until a signal or an operator's request starts a drain, and stops the daemon once it has drained. It returns
-// early if a signal arrives during the drain.
+// early if a signal arrives during the drain: who repeats the signal does not want to wait for the requests in flight.
 func serve(d *daemon.Daemon, signals <-chan os.Signal) int {
 	select {
 	case s := <-signals:
--- a/internal/command/report/recorder.go
+++ b/internal/command/report/recorder.go
@@ -83,7 +83,7 @@
 	}
 }
 
-// mayEject reports whether another server of the shard is open, so that this one may be ejected.
+// mayEject reports whether another server of the shard is in use, so that this one may be ejected.
 func (r *Recorder) mayEject(t *model.Topology, s *tables.Server) bool {
 	svc := t.Service(s.Spec().Service)
 	if svc == nil {
@@ -91,18 +91,17 @@
 	}
 	for _, sh := range svc.Shards {
 		if sh.Name == s.Spec().Shard {
-			return r.countOpenOthers(sh, s) > 0
+			return r.hasOtherInUse(sh, s)
 		}
 	}
 	return false
 }
 
-func (r *Recorder) countOpenOthers(sh *model.Shard, s *tables.Server) int {
-	open := 0
+func (r *Recorder) hasOtherInUse(sh *model.Shard, s *tables.Server) bool {
 	for _, other := range sh.Servers {
 		if rec := r.Servers.Get(other.Name); rec != nil && rec != s && rec.AcceptsWork() {
-			open++
+			return true
 		}
 	}
-	return open
+	return false
 }
--- a/internal/daemon/control/plane.go
+++ b/internal/daemon/control/plane.go
@@ -163,14 +163,17 @@
 	})
 }
 
-// Close stops the agent and closes the peers' port and all connections to peers.
+// Close stops the agent and closes the peers' port and all connections to peers. The Plane need not have been started.
 func (p *Plane) Close() {
 	p.Agent.Close()
 	p.client.Close()
 	p.DataClient.Close()
-	if p.http != nil {
+	switch {
+	case p.http != nil:
 		_ = p.http.Close()
 		p.server.Close()
+	case p.listener != nil:
+		_ = p.listener.Close()
 	}
 	p.wg.Wait()
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -82,9 +82,13 @@
 	recorder.OnJoin = d.dispatcher.Warm
 	d.drainer = d.newDrainer()
 	if err := d.openControlPlane(recorder, o.dial); err != nil {
+		d.closeClients()
 		return nil, err
 	}
 	if err := d.listen(); err != nil {
+		d.closePorts()
+		d.closeServices()
+		d.closeClients()
 		return nil, err
 	}
 	d.control.Start()
@@ -153,15 +157,36 @@
 	d.drainer.StartWithoutGrace("stop")
 	<-d.drainer.Done()
 	d.waitForwarded()
+	d.closeServices()
+	d.closeClients()
+	d.log.Info().Msg("stopped")
+}
+
+// closePorts closes the callers' and the operators' port, if open, without a drain.
+func (d *Daemon) closePorts() {
+	for _, srv := range []*http.Server{d.callers, d.operators} {
+		if srv != nil {
+			// The port is closed even if this returns an error.
+			_ = srv.Close()
+		}
+	}
+}
+
+// closeServices ends what runs in the background and closes the peers' port. The callers' and the operators' port are closed
+// already.
+func (d *Daemon) closeServices() {
 	d.control.Close()
 	d.stopCollector()
 	d.wg.Wait()
 	d.executor.Close()
+}
+
+// closeClients ends the workers and closes the connections to servers and to the platform.
+func (d *Daemon) closeClients() {
 	d.dispatcher.Close()
 	d.connector.Close()
 	d.platform.Close()
 	if err := d.metrics.Close(); err != nil {
 		d.log.Warn().Err(err).Msg("metrics_incomplete")
 	}
-	d.log.Info().Msg("stopped")
 }
--- a/internal/daemon/lifecycle_test.go
+++ b/internal/daemon/lifecycle_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -19,6 +20,7 @@
 	"oleandersill.example/oleandersill/internal/standin/backendserver"
 	"oleandersill.example/oleandersill/internal/standin/netfault"
 	"oleandersill.example/oleandersill/internal/standin/platformserver"
+	"oleandersill.example/oleandersill/internal/testing/freeport"
 	"oleandersill.example/oleandersill/internal/testing/suite"
 )
 
@@ -29,6 +31,8 @@
 
 const loopback = "127.0.0.1:0"
 
+func freeAddress() string { return freeport.Next(freeport.Daemon) }
+
 // configuration returns a change to a configuration with one shard, held by server.
 func configuration(server string) configure.Change {
 	return configure.Change{
@@ -120,6 +124,30 @@
 		Expect(st.StoreContact).To(BeTemporally("~", time.Now(), time.Minute))
 	})
 
+	DescribeTable("leaves no port open when it cannot start",
+		func(occupy func(address string)) {
+			// Guards against ports that stay open after a failed start, so that the next start fails too.
+			blocker, err := net.Listen("tcp", loopback)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(blocker.Close)
+			s.CallerAddress, s.OperatorAddress, s.PeerAddress = freeAddress(), freeAddress(), freeAddress()
+			occupy(blocker.Addr().String())
+			_, err = daemon.Start(s, zerolog.New(log))
+			Expect(err).To(HaveOccurred())
+			for _, address := range []string{s.CallerAddress, s.OperatorAddress, s.PeerAddress} {
+				if address == blocker.Addr().String() {
+					continue
+				}
+				l, err := net.Listen("tcp", address)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(l.Close()).To(Succeed())
+			}
+		},
+		Entry("because its peers' port is in use", func(address string) { s.PeerAddress = address }),
+		Entry("because its callers' port is in use", func(address string) { s.CallerAddress = address }),
+		Entry("because its operators' port is in use", func(address string) { s.OperatorAddress = address }),
+	)
+
 	// Guards against a drain that cuts off requests (guarantee G7): those sent before the drain or during its grace time
 	// complete, even if they take longer than the drain's timeout.
 	It("completes requests that are in flight when a drain starts or that arrive during its grace time", func() {
--- a/internal/decision/routing/ejection.go
+++ b/internal/decision/routing/ejection.go
@@ -9,11 +9,9 @@
 	// longest time for which a server that is reachable again stays unused.
 	baseEjection = 500 * time.Millisecond
 	maxEjection  = 2 * time.Second
-	// unresponsiveAfter is the time without any reply after which repeated failures eject a server even beyond the shard's
-	// ejection cap, because its requests would only wait for their deadlines.
+	// unresponsiveAfter is the time without any reply after which repeated failures eject even the last server of a shard that is in
+	// use, because its requests would only wait for their deadlines.
 	unresponsiveAfter = time.Second
-	// MaxEjectedFraction is the ejection cap: the maximum fraction of a shard's servers that are ejected at the same time.
-	MaxEjectedFraction = 0.5
 )
 
 // Health is the circuit breaker of one server: closed (in use), open (ejected), or half-open (one probe in flight). The
@@ -30,7 +28,7 @@
 // OnSuccess records a reply at now, which ends an ejection.
 func (h *Health) OnSuccess(now time.Time) { *h = Health{lastReply: now} }
 
-// OnFailure records an attempt without a reply. mayEject reports whether the shard's ejection cap allows another ejection.
+// OnFailure records an attempt without a reply. mayEject reports whether another server of the shard is in use.
 func (h *Health) OnFailure(now time.Time, mayEject bool) {
 	h.probing = false
 	h.failures++
--- a/internal/testing/freeport/freeport.go
+++ b/internal/testing/freeport/freeport.go
@@ -17,6 +17,8 @@
 	PlatformDaemon = 22000
 	// PlatformSoak is for platform/soak.
 	PlatformSoak = 23000
+	// Daemon is for internal/daemon.
+	Daemon = 24000
 )
 
 // rangeSize is the number of ports in a range.
