Do not gather an answer beside a daemon that still works on it

Cause: a weak daemon that had handed a request on gathered it again once the answer was overdue by a quarter, although the strong daemon had responded to the check.

Change: batches can ask which queries the receiver still works on. An overdue answer is gathered again only if the other daemon is silent or does not work on it any more, and a daemon whose own call failed waits for the other one's answer while that one works on it.

--- a/internal/decision/gather/gather.go
+++ b/internal/decision/gather/gather.go
@@ -28,10 +28,10 @@
 	// other replies, and maxMergeWait bounds that time. Each reply that is merged into another saves most of its bytes.
 	mergeWaitFraction = 0.06
 	maxMergeWait      = 6 * time.Millisecond
-	// checkFraction, giveUpFraction and overdueFraction are the DelegationTimes as fractions of the time until the answer is due.
-	checkFraction   = 0.2
-	giveUpFraction  = 0.4
-	overdueFraction = 1.25
+	// checkFraction, patienceFraction and overdueFraction are the DelegationTimes as fractions of the time until the answer is due.
+	checkFraction    = 0.2
+	patienceFraction = 0.2
+	overdueFraction  = 1.25
 	// coverageTolerance absorbs floating-point rounding of a required coverage that is an exact fraction of the shards.
 	coverageTolerance = 1e-9
 )
@@ -142,19 +142,22 @@
 	return due
 }
 
-// DelegationTimes are the times, after it was asked, at which a daemon that gathers an answer for this one is taken to be lost.
+// DelegationTimes say when a daemon that gathers an answer for this one is taken to be lost.
 type DelegationTimes struct {
-	// Check is when the other daemon is checked. If it has not responded by GiveUp, this daemon gathers the answer itself, for
-	// which the rest of the time must be enough.
-	Check, GiveUp time.Duration
-	// Overdue is when this daemon gathers the answer itself although the other one responded.
+	// Check is the time, after it was asked, at which the other daemon is checked.
+	Check time.Duration
+	// Patience is how long the other daemon may take to respond. After that this daemon gathers the answer itself, for which the
+	// rest of the time must be enough.
+	Patience time.Duration
+	// Overdue is the time, after it was asked, at which the other daemon has to say whether it still works on the answer, and the
+	// interval at which it has to say so again.
 	Overdue time.Duration
 }
 
 // TimeDelegation returns the times for an answer that is due after the given time.
 func TimeDelegation(due time.Duration) DelegationTimes {
 	return DelegationTimes{
-		Check: fractionOf(due, checkFraction), GiveUp: fractionOf(due, giveUpFraction), Overdue: fractionOf(due, overdueFraction),
+		Check: fractionOf(due, checkFraction), Patience: fractionOf(due, patienceFraction), Overdue: fractionOf(due, overdueFraction),
 	}
 }
 
--- a/internal/dispatch/delegate.go
+++ b/internal/dispatch/delegate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"oleandersill.example/oleandersill/internal/backend"
@@ -20,8 +21,8 @@
 	delegatedPerCore = 24
 	// minDelegateCapacity is the capacity that is assumed of a daemon that does not state its own, in cores.
 	minDelegateCapacity = 0.25
-	// checkTimeout is how long CheckDaemon waits for a response before the other daemon is avoided.
-	checkTimeout = 500 * time.Millisecond
+	// inquiryTimeout is how long InquireDelegation waits for a response before the other daemon is avoided.
+	inquiryTimeout = 500 * time.Millisecond
 )
 
 // Gatherer gathers the answers that other daemons delegated to this one.
@@ -59,16 +60,19 @@
 	d.forwarding.owners.Avoid(m, now.Add(avoidFailed), now)
 }
 
-// CheckDaemon finds out whether another daemon responds, without waiting for it. onResponse is called if it does.
-func (d *Dispatcher) CheckDaemon(to model.Member, rank model.Rank, onResponse func()) {
+// InquireDelegation asks another daemon whether it works on the answer with the given id, without waiting for it. onResponse is
+// called if it responds.
+func (d *Dispatcher) InquireDelegation(to model.Member, rank model.Rank, id backend.AttemptID, onResponse func(inProgress bool)) {
 	d.ready.Push(&tables.Attempt{Rank: rank, Run: func() {
-		ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), inquiryTimeout)
 		defer cancel()
-		if _, err := d.forwarding.sender.Forward(ctx, to.Address, forwarding.Batch{From: d.forwarding.self}); err != nil {
+		batch := forwarding.Batch{From: d.forwarding.self, Inquiries: []backend.AttemptID{id}}
+		receipt, err := d.forwarding.sender.Forward(ctx, to.Address, batch)
+		if err != nil {
 			d.AvoidDaemon(to)
 			return
 		}
-		onResponse()
+		onResponse(slices.Contains(receipt.InProgress, id))
 	}})
 }
 
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -253,7 +253,9 @@
 			p.OnResult(r)
 		}
 	}
-	return forwarding.Receipt{Draining: f.draining(), Refused: refused, Starting: f.starting()}
+	return forwarding.Receipt{
+		Draining: f.draining(), Refused: refused, Starting: f.starting(), InProgress: f.forwards.InProgress(b.Inquiries),
+	}
 }
 
 // starting reports whether this daemon has no Topology yet.
--- a/internal/forwarding/messages.go
+++ b/internal/forwarding/messages.go
@@ -16,6 +16,8 @@
 	Queries  []Query
 	Results  []Result
 	Cancels  []backend.AttemptID
+	// Inquiries are queries of earlier batches. The receipt says which of them the receiver still works on.
+	Inquiries []backend.AttemptID
 }
 
 // Query is a sub-request for a server that the receiver owns. Left replaces Request.Deadline, since daemons have no common
@@ -114,4 +116,6 @@
 	Starting bool
 	// Refused means that the receiver no longer accepts queries and dropped those of the batch without sending them.
 	Refused bool
+	// InProgress holds those of the batch's Inquiries that the receiver still works on.
+	InProgress []backend.AttemptID
 }
--- a/internal/query/scatter/delegate.go
+++ b/internal/query/scatter/delegate.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,14 +23,16 @@
 	sentAt   time.Time
 	due      time.Time
 	// lag is the part of the target that is reserved for the way of the answer to the caller through this daemon.
-	lag time.Duration
-	// result receives the other daemon's result. lost is closed once the other daemon has to be assumed lost.
-	result   chan forwarding.Result
-	lost     chan struct{}
-	lostOnce sync.Once
-	timers   []*pool.TimerEntry
+	lag   time.Duration
+	times gather.DelegationTimes
+	// result receives the other daemon's result. lost is closed if the other daemon does not respond to the check.
+	result chan forwarding.Result
+	lost   chan struct{}
+	timers []*pool.TimerEntry
 	// responded is set once the other daemon responded to the check.
 	responded atomic.Bool
+	// progress receives whether the other daemon says that it still works on the answer.
+	progress chan bool
 }
 
 // delegate hands a request to another daemon of the zone, or returns nil if this daemon gathers the answer itself.
@@ -48,8 +49,9 @@
 	d := &delegation{
 		searcher: s, req: req, to: to, sentAt: now, lag: lag, due: gather.Due(req.Arrived, req.Route.Target, req.CallerPath, lag),
 		id:     backend.AttemptID{Request: model.RequestID(req.Message.ID), Incarnation: s.Incarnation},
-		result: make(chan forwarding.Result, 1), lost: make(chan struct{}),
+		result: make(chan forwarding.Result, 1), lost: make(chan struct{}), progress: make(chan bool, 1),
 	}
+	d.times = gather.TimeDelegation(d.due.Sub(now))
 	query := forwarding.Query{
 		Rank: req.Route.Rank, Left: req.Deadline.Sub(now),
 		Request: backend.QueryRequest{ID: d.id, Message: req.Message, Deadline: req.Deadline},
@@ -58,29 +60,36 @@
 		},
 	}
 	s.Dispatcher.StartDelegation(to, &query, func(r forwarding.Result) { d.result <- r })
-	d.watch(now)
+	d.check()
 	return d
 }
 
-// watch checks the other daemon after a while, and closes lost if it does not respond.
-func (d *delegation) watch(now time.Time) {
-	timer := d.searcher.Dispatcher.Timer
-	times := gather.TimeDelegation(d.due.Sub(now))
+// check checks the other daemon after a while, and closes lost if it does not respond.
+func (d *delegation) check() {
+	dispatcher, at := d.searcher.Dispatcher, d.sentAt.Add(d.times.Check)
 	d.timers = append(d.timers,
-		timer.Schedule(now.Add(times.Check), func() {
-			d.searcher.Dispatcher.CheckDaemon(d.to, d.req.Route.Rank, func() { d.responded.Store(true) })
+		dispatcher.Timer.Schedule(at, func() {
+			dispatcher.InquireDelegation(d.to, d.req.Route.Rank, d.id, func(bool) { d.responded.Store(true) })
 		}),
-		timer.Schedule(now.Add(times.GiveUp), func() {
+		dispatcher.Timer.Schedule(at.Add(d.times.Patience), func() {
 			if !d.responded.Load() {
-				d.searcher.Dispatcher.AvoidDaemon(d.to)
-				d.giveUp()
+				dispatcher.AvoidDaemon(d.to)
+				close(d.lost)
 			}
 		}),
-		timer.Schedule(now.Add(times.Overdue), d.giveUp),
 	)
 }
 
-func (d *delegation) giveUp() { d.lostOnce.Do(func() { close(d.lost) }) }
+// inquire asks the other daemon whether it still works on the answer, and passes the response to progress.
+func (d *delegation) inquire() {
+	d.searcher.Dispatcher.InquireDelegation(d.to, d.req.Route.Rank, d.id, func(inProgress bool) {
+		select {
+		case d.progress <- inProgress:
+		default:
+			// The response to an earlier inquiry has not been taken yet.
+		}
+	})
+}
 
 // end cancels the timers, and the other daemon's work if its answer is not needed.
 func (d *delegation) end(needed bool) {
@@ -95,20 +104,50 @@
 // wait returns the answer of the other daemon. If there is none, this daemon has to gather it, with extra set if the other
 // daemon may have sent attempts.
 func (d *delegation) wait(ctx context.Context) (a RouteAnswer, answered, extra bool) {
-	select {
-	case r := <-d.result:
-		if a, ok := d.answer(&r); ok {
-			d.end(true)
-			return a, true, false
-		}
+	r, ok := d.awaitResult(ctx, d.lost)
+	switch {
+	case ok:
 		d.end(true)
-		return a, false, !r.Result.Status.ProvablyNotRun()
-	case <-d.lost:
-		return a, false, true
-	case <-ctx.Done():
+		a, answered = d.answer(&r)
+		return a, answered, !answered && !r.Result.Status.ProvablyNotRun()
+	case ctx.Err() != nil:
 		d.end(false)
 		return RouteAnswer{Outcome: model.OutcomeFailed, MissingShards: len(d.req.Shards), Late: true}, true, false
 	}
+	return a, false, true
+}
+
+// awaitResult waits for the other daemon's result. It returns false if ctx ends, if lost is closed, or if the answer is overdue
+// and the other daemon does not say that it still works on it. While it does, gathering the answer here as well would only add
+// to the load that makes it late.
+func (d *delegation) awaitResult(ctx context.Context, lost <-chan struct{}) (forwarding.Result, bool) {
+	next := time.NewTimer(time.Until(d.sentAt.Add(d.times.Overdue)))
+	defer next.Stop()
+	inquired := false
+	for {
+		select {
+		case r := <-d.result:
+			return r, true
+		case <-lost:
+			return forwarding.Result{}, false
+		case <-ctx.Done():
+			return forwarding.Result{}, false
+		case inProgress := <-d.progress:
+			if !inProgress {
+				return forwarding.Result{}, false
+			}
+			inquired = false
+			next.Reset(d.times.Overdue)
+		case <-next.C:
+			if inquired {
+				d.searcher.Dispatcher.AvoidDaemon(d.to)
+				return forwarding.Result{}, false
+			}
+			inquired = true
+			d.inquire()
+			next.Reset(d.times.Patience)
+		}
+	}
 }
 
 // logAnswer logs the result of a request whose answer the other daemon gathered.
@@ -132,8 +171,16 @@
 	if m := r.Result.Reply.Message; m.Successful() {
 		a.Replies = []*backend.MessageReply{m}
 	}
-	answered := a.Outcome == model.OutcomeComplete || a.Outcome == model.OutcomePartial
-	return a, !answered || len(a.Replies) > 0
+	success := a.Outcome == model.OutcomeComplete || a.Outcome == model.OutcomePartial
+	return a, !success || len(a.Replies) > 0
+}
+
+// answerOr returns the answer in a result, or other if it is no success.
+func (d *delegation) answerOr(r *forwarding.Result, other RouteAnswer) RouteAnswer {
+	if a, ok := d.answer(r); ok && a.answered() {
+		return a
+	}
+	return other
 }
 
 // GatherFor implements dispatch.Gatherer.
--- a/internal/query/scatter/delegate_test.go
+++ b/internal/query/scatter/delegate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +30,8 @@
 	linkRefused
 	// linkHung delivers nothing, and fails only when the sender gives up.
 	linkHung
+	// linkSlow delivers each batch after slowLink.
+	linkSlow
 	// linkLosesReceipts delivers batches, but the sender never hears of it.
 	linkLosesReceipts
 )
@@ -45,6 +48,10 @@
 	delegated atomic.Int32
 }
 
+// slowLink is the delay of linkSlow. A check does not arrive by the time at which the other daemon is given up, and the answer
+// does before it is overdue.
+const slowLink = routeTarget / 2
+
 func (z *zoneDaemon) setFault(f linkFault) { z.fault.Store(int32(f)) }
 
 // Forward implements dispatch.Sender.
@@ -60,6 +67,8 @@
 	case linkHung:
 		<-ctx.Done()
 		return forwarding.Receipt{}, ctx.Err()
+	case linkSlow:
+		time.Sleep(slowLink)
 	case linkLosesReceipts:
 		z.peer.forwarding.Receive(b)
 		<-ctx.Done()
@@ -183,6 +192,30 @@
 		Expect(took).To(BeNumerically("<", routeDeadline/2))
 	}))
 
+	It("is not gathered anew while the strong one still works on its answer, even if that is late", suite.Bubbled(func() {
+		// Guards against a fleet that sends every sub-request twice when servers are slow, and has no extra attempts left for those
+		// that fail.
+		overdue := fakebackend.Script{Delay: 2 * routeTarget}
+		scripts := bothReplicas("s0", overdue)
+		maps.Copy(scripts, bothReplicas("s1", overdue))
+		weak, _ := newZonePair(nil, scripts)
+		a, took := weak.serve(context.Background())
+		Expect(a.Outcome).To(BeElementOf(model.OutcomeComplete, model.OutcomePartial))
+		Expect(took).To(BeNumerically(">", routeTarget))
+		Expect(weak.attempts()).To(BeZero())
+	}))
+
+	It("has the answer of the strong one although the weak one cannot gather it", suite.Bubbled(func() {
+		// Guards against a daemon that gives up its own attempt, for which it has no budget, and with it the other daemon's work.
+		weak, strong := newZonePair(nil, nil)
+		weak.searcher.Dispatcher.ServiceBudgets.SetRule(budget.FleetRule{Span: time.Hour}, time.Now())
+		weak.setFault(linkSlow)
+		a, _ := weak.serve(context.Background())
+		Expect(a.Outcome).To(Equal(model.OutcomeComplete))
+		Expect(weak.attempts()).To(BeZero())
+		Expect(strong.attempts()).To(Equal(len(services)))
+	}))
+
 	It("goes to other daemons for a while after one did not respond", suite.Bubbled(func() {
 		// Guards against each request waiting for the same lost daemon.
 		weak, _ := newZonePair(nil, nil)
--- a/internal/query/scatter/route.go
+++ b/internal/query/scatter/route.go
@@ -143,21 +143,36 @@
 func (c *routeCall) runBeside(ctx context.Context, other *delegation) RouteAnswer {
 	defer other.end(false)
 	c.startAttempts(ctx)
+	otherFailed := false
 	for {
 		select {
 		case <-c.done:
-			return c.finish()
+			a := c.finish()
+			if a.answered() || otherFailed {
+				return a
+			}
+			// The other daemon may have succeeded where this one had no budget for its attempts, which all count as extra ones.
+			if r, ok := other.awaitResult(ctx, nil); ok {
+				return other.answerOr(&r, a)
+			}
+			return a
 		case r := <-other.result:
-			if a, ok := other.answer(&r); ok && len(a.Replies) > 0 {
+			if a := other.answerOr(&r, RouteAnswer{}); a.answered() {
 				c.finish()
 				return a
 			}
+			otherFailed = true
 		case <-ctx.Done():
 			return c.finish()
 		}
 	}
 }
 
+// answered reports whether the answer has replies to return to the caller as a success.
+func (a *RouteAnswer) answered() bool {
+	return len(a.Replies) > 0 && (a.Outcome == model.OutcomeComplete || a.Outcome == model.OutcomePartial)
+}
+
 // onStarted schedules an evaluation for when the answer is due.
 func (c *routeCall) onStarted() {
 	if c.due.Before(c.req.Deadline) {
--- a/internal/tables/forwards.go
+++ b/internal/tables/forwards.go
@@ -190,6 +190,19 @@
 	return cancel
 }
 
+// InProgress returns those of the given sub-requests that were accepted and have neither ended nor been cancelled.
+func (f *Forwards) InProgress(ids []backend.AttemptID) []backend.AttemptID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []backend.AttemptID
+	for _, id := range ids {
+		if _, ok := f.inbound[id]; ok {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 func (f *Forwards) removeInbound(id backend.AttemptID) {
 	if in, ok := f.inbound[id]; ok {
 		delete(f.inbound, id)
