Keep a server's retry hint while its entry is gone

Seen by the review, from reading: the time for which a server wants no requests lived in the server's record, and was forgotten when the entry expired, as in an outage of the store, or was odd for a moment.

Change: report.Recorder keeps the time of a removed server until it has passed, and gives it to the new record if it is the same run of the server at the same address.

--- a/internal/command/report/recorder.go
+++ b/internal/command/report/recorder.go
@@ -27,6 +27,14 @@
 	capacity atomic.Pointer[map[model.ServiceName]*serviceCapacity]
 	// applied is the Topology that the tables correspond to. Only ApplyTopology uses it.
 	applied appliedTopology
+	// removed holds the removed servers that want no requests yet. Only ApplyTopology uses it.
+	removed map[model.ServerName]removedServer
+}
+
+// removedServer is a server whose record was removed, and until when it wants no requests.
+type removedServer struct {
+	spec      *model.Server
+	restUntil time.Time
 }
 
 // serviceCapacity is the sum of a service's in-flight limits. It is updated incrementally, so that the cost of an observation
--- a/internal/command/report/topology.go
+++ b/internal/command/report/topology.go
@@ -1,6 +1,7 @@
 package report
 
 import (
+	"maps"
 	"time"
 
 	"oleandersill.example/oleandersill/internal/decision/admission"
@@ -41,10 +42,10 @@
 			capacity[svc.Name] = (*previousCapacity)[svc.Name]
 			return
 		}
-		capacity[svc.Name] = r.applyService(svc, &next, joined, present)
+		capacity[svc.Name] = r.applyService(svc, &next, joined, present, now)
 	})
 	r.capacity.Store(&capacity)
-	r.removeServers(&previous, &next, present)
+	r.removeServers(&previous, &next, present, now)
 	r.applied = next
 	r.applyRules(t, capacity, now)
 }
@@ -62,11 +63,11 @@
 
 // applyService updates the records of a service's servers and adds their names to present.
 func (r *Recorder) applyService(
-	svc *model.Service, next *appliedTopology, joined time.Time, present map[model.ServerName]bool,
+	svc *model.Service, next *appliedTopology, joined time.Time, present map[model.ServerName]bool, now time.Time,
 ) *serviceCapacity {
 	c := &serviceCapacity{shards: int64(len(svc.Shards))}
 	svc.EachServer(func(spec *model.Server) {
-		rec := r.applyServer(spec, next.daemons, joined)
+		rec := r.applyServer(spec, next.daemons, joined, now)
 		rec.SetMinimums(next.minimums)
 		c.limits.Add(int64(rec.Limit()))
 		present[spec.Name] = true
@@ -76,7 +77,8 @@
 
 // removeServers removes the records of servers of changed services that are not in present. A server may have moved to
 // another service, which then changed too.
-func (r *Recorder) removeServers(previous, next *appliedTopology, present map[model.ServerName]bool) {
+func (r *Recorder) removeServers(previous, next *appliedTopology, present map[model.ServerName]bool, now time.Time) {
+	maps.DeleteFunc(r.removed, func(_ model.ServerName, s removedServer) bool { return !now.Before(s.restUntil) })
 	if previous.topology == nil {
 		return
 	}
@@ -86,12 +88,27 @@
 		}
 		svc.EachServer(func(spec *model.Server) {
 			if !present[spec.Name] {
-				r.Servers.Remove(spec.Name)
+				r.removeServer(spec, now)
 			}
 		})
 	})
 }
 
+// removeServer removes a server's record. If the server wants no requests yet, that is kept: its entry may only have expired.
+func (r *Recorder) removeServer(spec *model.Server, now time.Time) {
+	rec := r.Servers.Get(spec.Name)
+	if rec == nil {
+		return
+	}
+	if rest := rec.Pushback(now); rest > 0 {
+		if r.removed == nil {
+			r.removed = map[model.ServerName]removedServer{}
+		}
+		r.removed[spec.Name] = removedServer{spec: rec.Spec(), restUntil: now.Add(rest)}
+	}
+	r.Servers.Remove(spec.Name)
+}
+
 func minimumShares(t *model.Topology) *fairshare.Minimums {
 	var m fairshare.Minimums
 	for i := range m {
@@ -109,7 +126,7 @@
 	return now
 }
 
-func (r *Recorder) applyServer(spec *model.Server, daemons int, joined time.Time) *tables.Server {
+func (r *Recorder) applyServer(spec *model.Server, daemons int, joined, now time.Time) *tables.Server {
 	connections := limit.ConnectionBudget(spec.Connections, daemons)
 	rec := r.Servers.Get(spec.Name)
 	if rec != nil && sameEndpoint(rec.Spec(), spec) {
@@ -118,6 +135,9 @@
 		return rec
 	}
 	rec = tables.NewServer(spec, r.Connector.Connect(spec, connections), connections, joined)
+	if before, ok := r.removed[spec.Name]; ok && sameEndpoint(before.spec, spec) {
+		rec.SetPushback(before.restUntil.Sub(now), now)
+	}
 	r.Servers.Put(rec)
 	// If there are more daemons than connections, only the owner opens connections, on demand.
 	if r.OnJoin != nil && !spec.Leaving && spec.Connections >= daemons {
--- a/internal/tables/server.go
+++ b/internal/tables/server.go
@@ -134,6 +134,13 @@
 	return s.pushback.Remaining(now)
 }
 
+// SetPushback records that the server wants no attempts from this daemon for the given time from now on.
+func (s *Server) SetPushback(d time.Duration, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pushback.Observe(d, now)
+}
+
 // StartProbe records that a probe is sent to the ejected server.
 func (s *Server) StartProbe() {
 	s.mu.Lock()
