Send single-server requests through daemons near a server that accepts few connections

Cause: for a route over one service each daemon connects to the servers itself. Attempts on a connection that the server resets beyond its limit may have run, as far as the daemon knows. Only routes over an index went through daemons near the servers.

Change: an idempotent attempt at a server in another zone goes through a preferred member of that zone if the server accepts fewer connections than there may be daemons.

--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -168,13 +168,12 @@
 	c.possiblyRun++
 	sh.attempts++
 	sh.tried = append(sh.tried, server.Name())
-	mergeWait, merges := c.variant.remoteMerge()
 	q := &dispatch.QueryAttempt{
 		Server:    server,
 		Rank:      c.req.Rank,
 		Probe:     probe,
-		Gather:    charge.local && merges && (sh.attempts == 1 || inOtherZone(sh.pending, server)),
-		MergeWait: mergeWait,
+		Gather:    charge.local && c.variant.sendsRemotely(server) && (sh.attempts == 1 || inOtherZone(sh.pending, server)),
+		MergeWait: c.variant.mergeWait(),
 		TrimTo:    c.variant.maxRecords(),
 		ForwardTo: through,
 		Charge:    charge.remoteFraction,
--- a/internal/query/scatter/querycall.go
+++ b/internal/query/scatter/querycall.go
@@ -54,7 +54,9 @@
 	return c.searcher.Dispatcher.PreferredVersion(c.req.Service, now)
 }
 
-func (c *queryCall) remoteMerge() (mergeWait time.Duration, ok bool) { return 0, false }
+func (c *queryCall) sendsRemotely(*tables.Server) bool { return false }
+
+func (c *queryCall) mergeWait() time.Duration { return 0 }
 
 func (c *queryCall) maxRecords() int { return 0 }
 
--- a/internal/query/scatter/region_test.go
+++ b/internal/query/scatter/region_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
 
 	"oleandersill.example/oleandersill/internal/backend"
 	"oleandersill.example/oleandersill/internal/decision/budget"
@@ -168,3 +169,24 @@
 		Expect(took).To(BeNumerically("<", routeTarget))
 	}))
 })
+
+var _ = DescribeTable("a request for one server of another region",
+	func(daemons int, direct types.GomegaMatcher) {
+		// Guards against a fleet in which each daemon opens a connection to each server, more than the server accepts.
+		suite.SpecInBubble(func() {
+			// The servers sN-b, which no daemon is near, do not reply.
+			noReply := map[model.ServerName]fakebackend.Script{"s0-b": slow}
+			local, remote := newRegionPair(noReply, noReply)
+			local.toSingleService()
+			local.topology.Inventory.MaxInstances = daemons
+			for range 8 {
+				a, _ := local.serve(context.Background())
+				Expect(a.Outcome).To(Equal(model.OutcomeComplete))
+			}
+			Expect(local.connector.Queries("s0-a")).To(direct)
+			Expect(local.connector.Queries("s0-a") + remote.connector.Queries("s0-a")).To(BeNumerically(">=", 8))
+		})
+	},
+	Entry("goes through a daemon there, if the fleet has more daemons than the server accepts connections", 5, BeZero()),
+	Entry("goes directly to the server otherwise", 4, BeNumerically(">=", 8)),
+)
--- a/internal/query/scatter/routeattempts.go
+++ b/internal/query/scatter/routeattempts.go
@@ -29,8 +29,18 @@
 
 func (c *routeCall) wantedVersion(time.Time) model.IndexVersion { return 0 }
 
-func (c *routeCall) remoteMerge() (mergeWait time.Duration, ok bool) {
-	return gather.MergeWait(c.due.Sub(c.arrived)), c.route.Index != nil
+// sendsRemotely reports whether the answer comes from many shards, or the server accepts fewer connections than there may be
+// daemons, so that not every daemon can have one of its own.
+func (c *routeCall) sendsRemotely(server *tables.Server) bool {
+	inv := &c.req.Topology.Inventory
+	return c.route.Index != nil || server.Spec().Connections < inv.MaxInstances+inv.SurgeInstances
+}
+
+func (c *routeCall) mergeWait() time.Duration {
+	if c.route.Index == nil {
+		return 0
+	}
+	return gather.MergeWait(c.due.Sub(c.arrived))
 }
 
 func (c *routeCall) maxRecords() int {
--- a/internal/query/scatter/variant.go
+++ b/internal/query/scatter/variant.go
@@ -31,9 +31,10 @@
 	service(sh *shardState) model.ServiceName
 	// wantedVersion returns the index version that first attempts request; 0 means the server's current one.
 	wantedVersion(now time.Time) model.IndexVersion
-	// remoteMerge reports whether attempts may go through daemons near the servers, which merge the replies, and how long a
-	// reply may wait there for others.
-	remoteMerge() (mergeWait time.Duration, ok bool)
+	// sendsRemotely reports whether an attempt at the server may go through a daemon near it, which merges the replies, and
+	// mergeWait returns how long a reply may wait there for others.
+	sendsRemotely(server *tables.Server) bool
+	mergeWait() time.Duration
 	// maxRecords returns the number of records of a reply to a message that can be part of the answer; 0 means that replies stay
 	// unchanged.
 	maxRecords() int
