Count unsent attempts by one rule

The bound of three attempts that end unsent and do not count toward a route's limit stood in command/relay and in query/scatter, each with its own counter. budget.UnsentAttempts serves both.

--- a/internal/command/follow/read.go
+++ b/internal/command/follow/read.go
@@ -76,6 +76,8 @@
 	r.readStoreNext = false
 }
 
+// readOnce reads everything, or the changes after the known revision. A reply that is late may have been lost with its connection,
+// so the call is repeated on a new one before the store counts as lost.
 func (f *Follower) readOnce(ctx context.Context, r *readState, daemons int) (registry.Update, error) {
 	if !r.synced {
 		ctx, cancel := context.WithTimeout(ctx, f.deps.Freshness.StoreReplyTimeout())
--- a/internal/command/relay/relay.go
+++ b/internal/command/relay/relay.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/decision/budget"
 	"oleandersill.example/oleandersill/internal/dispatch"
 	"oleandersill.example/oleandersill/internal/model"
 )
@@ -75,13 +76,10 @@
 	relay *Relay
 	req   *Request
 	tried []model.ServerName
-	// unsent is the number of attempts that ended before they were sent and do not count toward the route's attempt limit.
-	unsent int
+	// unsent counts those of tried that do not count toward the route's attempt limit.
+	unsent budget.UnsentAttempts
 }
 
-// maxUnsent bounds execution.unsent.
-const maxUnsent = 3
-
 func (e *execution) send(ctx context.Context) Result {
 	d := e.relay.Dispatcher
 	service := model.ServiceName(e.req.Shard.Name)
@@ -89,7 +87,7 @@
 	reason := ReasonNoServer
 	// reachedServer reports whether the previous attempt reached a server, so that the next one draws on the budget.
 	reachedServer := false
-	for len(e.tried)-e.unsent < max(1, e.req.Route.MaxAttempts) {
+	for len(e.tried)-int(e.unsent) < max(1, e.req.Route.MaxAttempts) {
 		if d.Draining() {
 			return Result{Outcome: model.OutcomeNotRun, Reason: ReasonDraining}
 		}
@@ -106,8 +104,8 @@
 		if end.Attempted {
 			reason = Reason(end.Result.Status.String())
 		}
-		if end.Result.Status == backend.StatusBusy && e.unsent < maxUnsent {
-			e.unsent++
+		if end.Result.Status == backend.StatusBusy {
+			e.unsent.Waive()
 		}
 		reachedServer = end.Attempted && end.Result.Status != backend.StatusUnreachable && end.Result.Status != backend.StatusBusy
 	}
--- a/internal/query/scatter/route.go
+++ b/internal/query/scatter/route.go
@@ -196,9 +196,6 @@
 	}
 }
 
-// maxUnsent is the maximum number of unsent attempts of a shard that do not count toward the route's attempt limit.
-const maxUnsent = 3
-
 // evaluate ends the call unless it has to wait for further replies.
 func (c *routeCall) evaluate(now time.Time) {
 	if gather.Decide(c.gatherState(), now) != gather.Wait {
@@ -239,11 +236,9 @@
 	c.logAttempt(i, q, r.Status, now)
 	switch r.Status {
 	case backend.StatusUnreachable, backend.StatusBusy:
-		// No server received the attempt. Another one needs no budget, and up to maxUnsent such attempts do not count toward
-		// the route's attempt limit.
-		if sh.unsent < maxUnsent {
+		// No server received the attempt, so another one needs no budget.
+		if sh.unsent.Waive() {
 			sh.attempts--
-			sh.unsent++
 		}
 		c.resend(i, now)
 	case backend.StatusOverBudget:
--- a/internal/query/scatter/shard.go
+++ b/internal/query/scatter/shard.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/decision/budget"
 	"oleandersill.example/oleandersill/internal/dispatch"
 	"oleandersill.example/oleandersill/internal/model"
 )
@@ -19,9 +20,9 @@
 	heldVersions []model.IndexVersion
 	pending      []*dispatch.QueryAttempt
 	tried        []model.ServerName
-	// attempts counts the attempts that were or may have been sent, unsent those that ended before they were sent.
+	// attempts counts the attempts toward the route's limit, and unsent those that do not count.
 	attempts int
-	unsent   int
+	unsent   budget.UnsentAttempts
 	// wantVersion is the index version to request; 0 means the server's current one.
 	wantVersion model.IndexVersion
 	// optional marks a shard whose replicas are all ejected: its attempt is a probe, which the answer need not wait for.
