Replace all silent connections to other daemons at the first call without a reply

Cause: a call without a reply closed its own connection and kept the others, so that each daemon found out for one connection after the other, at the cost of a request each. The extra attempts exhausted the budgets, and zones went unreachable and back 28 times a second.

Change: such a call closes the idle connections on which nothing has arrived since it was sent.

Result: the first of two new specs failed before.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -50,6 +50,8 @@
 	// calls is the number of calls in flight.
 	calls    int
 	lastUsed time.Time
+	// lastReply is when the last reply arrived.
+	lastReply time.Time
 }
 
 // ClientConfig configures a Client.
@@ -131,8 +133,9 @@
 	if err != nil {
 		return err
 	}
+	sentAt := time.Now()
 	if b, ok := args.(*forwarding.Batch); ok {
-		b.StampDeadlines(time.Now())
+		b.StampDeadlines(sentAt)
 	}
 	call := conn.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
@@ -143,6 +146,7 @@
 		_ = conn.rpc.Close()
 		<-call.Done
 		err = ctx.Err()
+		c.closeSilent(sentAt)
 	}
 	var returned rpc.ServerError
 	c.release(address, conn, err != nil && !errors.As(err, &returned))
@@ -164,7 +168,7 @@
 	evicted := c.evict(now)
 	existing := c.conns[address]
 	if existing == nil {
-		existing = &clientConn{rpc: dialed}
+		existing = &clientConn{rpc: dialed, lastReply: now}
 		c.conns[address] = existing
 	}
 	existing.calls++
@@ -216,10 +220,29 @@
 	return out
 }
 
+// closeSilent closes the idle connections on which nothing has arrived since the given time, when a call was sent that got no reply:
+// what silenced its connection, such as a network element that lost its state, may have silenced them too. Later calls open new
+// ones, so that they do not find out one after the other.
+func (c *Client) closeSilent(since time.Time) {
+	var silent []*rpc.Client
+	c.mu.Lock()
+	for address, conn := range c.conns {
+		if conn.calls == 0 && conn.lastReply.Before(since) {
+			delete(c.conns, address)
+			silent = append(silent, conn.rpc)
+		}
+	}
+	c.mu.Unlock()
+	closeAll(silent)
+}
+
 func (c *Client) release(address string, conn *clientConn, broken bool) {
 	c.mu.Lock()
 	conn.calls--
-	if broken && c.conns[address] == conn {
+	switch {
+	case !broken:
+		conn.lastReply = time.Now()
+	case c.conns[address] == conn:
 		delete(c.conns, address)
 	}
 	c.mu.Unlock()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -119,6 +119,60 @@
 		Expect(err).To(MatchError(context.DeadlineExceeded))
 	})
 
+	Describe("on connections that may be silent", func() {
+		const patience = 100 * time.Millisecond
+		var dialer *silentDialer
+		var client *peer.Client
+		var addresses []string
+		call := func(n int) error {
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			_, err := client.Digest(ctx, addresses[n], peer.Digest{})
+			return err
+		}
+		BeforeEach(func() {
+			dialer = &silentDialer{dials: map[string]int{}}
+			client = peer.NewClient(peer.ClientConfig{
+				Order: tables.OrderPeers, Token: "right", Traffic: &traffic, Dial: dialer.dial, MaxConns: peer.MaxControlConns,
+			})
+			DeferCleanup(client.Close)
+			addresses = nil
+			for n := range 2 {
+				address, stop := serve("127.0.0.1:0")
+				DeferCleanup(stop)
+				addresses = append(addresses, address)
+				Expect(call(n)).To(Succeed())
+			}
+		})
+
+		It("use new ones once a call got no reply", func() {
+			// Guards against a daemon that finds out for one connection after the other that all of them are silent.
+			dialer.silence()
+			Expect(call(0)).To(MatchError(context.DeadlineExceeded))
+			Expect(call(1)).To(Succeed())
+			Expect(call(0)).To(Succeed())
+		})
+
+		It("use those again on which a reply arrived since", func() {
+			// Guards against closing all connections because one daemon does not answer.
+			waiting := make(chan error, 1)
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), patience)
+				defer cancel()
+				_, err := client.Registry(ctx, addresses[0], gossip.Position{}, nil, 3*patience)
+				waiting <- err
+			}()
+			time.Sleep(patience / 4)
+			Expect(call(1)).To(Succeed())
+			Expect(<-waiting).To(MatchError(context.DeadlineExceeded))
+			Expect(call(1)).To(Succeed())
+			Expect(dialer.dialled(addresses[1])).To(Equal(1))
+			Expect(dialer.dialled(addresses[0])).To(Equal(1))
+			Expect(call(0)).To(Succeed())
+			Expect(dialer.dialled(addresses[0])).To(Equal(2))
+		})
+	})
+
 	It("wait for registry changes as long as the requester asks", func() {
 		// Guards against a follower that treats a source without changes as unresponsive, because the wait of the request is
 		// longer than the timeout of other calls.
