Call the store once when a daemon's data is old

A daemon whose source of updates falls silent called the store twice at first: on the kept connection, and again on a new one once the reply was late. Old data says already that connections may be silent, so the call goes to a new one at once.

A comment of command/configure says timeout in place of a word of the users' pages.

--- a/internal/command/configure/collect.go
+++ b/internal/command/configure/collect.go
@@ -30,7 +30,7 @@
 	// Kept counts the parts that a retained revision references, Removed those that were deleted.
 	Kept    int
 	Removed int
-	// Skipped counts unused parts that changed after they were listed, or that were left because the time limit passed.
+	// Skipped counts unused parts that changed after they were listed, or that were left because the timeout passed.
 	Skipped int
 	// Unconfirmed counts unused parts whose delete failed or got no reply.
 	Unconfirmed int
--- a/internal/command/follow/read.go
+++ b/internal/command/follow/read.go
@@ -88,6 +88,11 @@
 	if !r.lostSince.IsZero() {
 		return f.watch(ctx, gossip.MinWatchWait, fresh.StoreReplyTimeout())
 	}
+	if fresh.Old(age) {
+		// What kept the updates of other daemons away may have silenced the connections to the store too.
+		f.deps.Reader.Reconnect()
+		return f.watch(ctx, gossip.MinWatchWait, fresh.StoreReplyTimeout())
+	}
 	wait := fresh.WatchWait(f.deps.Peers != nil && daemons > 1, age)
 	if r.readStoreNext {
 		wait = gossip.MinWatchWait
