--- a/internal/query/scatter/delegate.go
+++ b/internal/query/scatter/delegate.go
@@ -4,14 +4,12 @@
 	"context"
 	"net/http"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"oleandersill.example/oleandersill/internal/backend"
 	"oleandersill.example/oleandersill/internal/decision/gather"
 	"oleandersill.example/oleandersill/internal/forwarding"
 	"oleandersill.example/oleandersill/internal/model"
-	"oleandersill.example/oleandersill/internal/pool"
 )
 
 // delegation is a request over an index whose answer another daemon of the zone gathers.
@@ -25,13 +23,8 @@
 	// lag is the part of the target that is reserved for the way of the answer to the caller through this daemon.
 	lag   time.Duration
 	times gather.DelegationTimes
-	// result receives the other daemon's result. lost is closed if the other daemon does not respond to the check.
-	result chan forwarding.Result
-	lost   chan struct{}
-	timers []*pool.TimerEntry
-	// responded is set once the other daemon responded to the check.
-	responded atomic.Bool
-	// progress receives whether the other daemon says that it still works on the answer.
+	// result receives the other daemon's result, and progress whether it says that it still works on the answer.
+	result   chan forwarding.Result
 	progress chan bool
 }
 
@@ -49,7 +42,7 @@
 	d := &delegation{
 		searcher: s, req: req, to: to, sentAt: now, lag: lag, due: gather.Due(req.Arrived, req.Route.Target, req.CallerPath, lag),
 		id:     backend.AttemptID{Request: model.RequestID(req.Message.ID), Incarnation: s.Incarnation},
-		result: make(chan forwarding.Result, 1), lost: make(chan struct{}), progress: make(chan bool, 1),
+		result: make(chan forwarding.Result, 1), progress: make(chan bool, 1),
 	}
 	d.times = gather.TimeDelegation(d.due.Sub(now))
 	query := forwarding.Query{
@@ -60,26 +53,9 @@
 		},
 	}
 	s.Dispatcher.StartDelegation(to, &query, func(r forwarding.Result) { d.result <- r })
-	d.check()
 	return d
 }
 
-// check checks the other daemon after a while, and closes lost if it does not respond.
-func (d *delegation) check() {
-	dispatcher, at := d.searcher.Dispatcher, d.sentAt.Add(d.times.Check)
-	d.timers = append(d.timers,
-		dispatcher.Timer.Schedule(at, func() {
-			dispatcher.InquireDelegation(d.to, d.req.Route.Rank, d.id, func(bool) { d.responded.Store(true) })
-		}),
-		dispatcher.Timer.Schedule(at.Add(d.times.Patience), func() {
-			if !d.responded.Load() {
-				dispatcher.AvoidDaemon(d.to)
-				close(d.lost)
-			}
-		}),
-	)
-}
-
 // inquire asks the other daemon whether it still works on the answer, and passes the response to progress.
 func (d *delegation) inquire() {
 	d.searcher.Dispatcher.InquireDelegation(d.to, d.req.Route.Rank, d.id, func(inProgress bool) {
@@ -91,53 +67,49 @@
 	})
 }
 
-// end cancels the timers, and the other daemon's work if its answer is not needed.
-func (d *delegation) end(needed bool) {
-	for _, e := range d.timers {
-		d.searcher.Dispatcher.Timer.Cancel(e)
-	}
-	if !needed {
-		d.searcher.Dispatcher.CancelDelegation(d.id)
-	}
-}
+// cancel ends the other daemon's work, unless its result has arrived.
+func (d *delegation) cancel() { d.searcher.Dispatcher.CancelDelegation(d.id) }
 
 // wait returns the answer of the other daemon. If there is none, this daemon has to gather it, with extra set if the other
 // daemon may have sent attempts.
 func (d *delegation) wait(ctx context.Context) (a RouteAnswer, answered, extra bool) {
-	r, ok := d.awaitResult(ctx, d.lost)
+	r, ok := d.awaitResult(ctx, d.times.Check)
 	switch {
 	case ok:
-		d.end(true)
 		a, answered = d.answer(&r)
 		return a, answered, !answered && !r.Result.Status.ProvablyNotRun()
 	case ctx.Err() != nil:
-		d.end(false)
+		d.cancel()
 		return RouteAnswer{Outcome: model.OutcomeFailed, MissingShards: len(d.req.Shards), Late: true}, true, false
 	}
 	return a, false, true
 }
 
-// awaitResult waits for the other daemon's result. It returns false if ctx ends, if lost is closed, or if the answer is overdue
-// and the other daemon does not say that it still works on it. While it does, gathering the answer here as well would only add
-// to the load that makes it late.
-func (d *delegation) awaitResult(ctx context.Context, lost <-chan struct{}) (forwarding.Result, bool) {
-	next := time.NewTimer(time.Until(d.sentAt.Add(d.times.Overdue)))
+// awaitResult waits for the other daemon's result. From inquireAfter on, counted from when that daemon was asked, it inquires whether
+// that daemon is at work. It returns false if ctx ends, if there is no response, or if the answer is overdue and the other
+// daemon does not work on it any more. While it does, gathering the answer here as well would only add to the load that makes
+// it late.
+func (d *delegation) awaitResult(ctx context.Context, inquireAfter time.Duration) (forwarding.Result, bool) {
+	next := time.NewTimer(time.Until(d.sentAt.Add(inquireAfter)))
 	defer next.Stop()
 	inquired := false
 	for {
 		select {
 		case r := <-d.result:
 			return r, true
-		case <-lost:
-			return forwarding.Result{}, false
 		case <-ctx.Done():
 			return forwarding.Result{}, false
 		case inProgress := <-d.progress:
-			if !inProgress {
+			inquired = false
+			switch untilOverdue := time.Until(d.sentAt.Add(d.times.Overdue)); {
+			case untilOverdue > 0:
+				// An answer that is not in progress any more is on its way.
+				next.Reset(untilOverdue)
+			case inProgress:
+				next.Reset(d.times.Overdue)
+			default:
 				return forwarding.Result{}, false
 			}
-			inquired = false
-			next.Reset(d.times.Overdue)
 		case <-next.C:
 			if inquired {
 				d.searcher.Dispatcher.AvoidDaemon(d.to)
--- a/internal/query/scatter/route.go
+++ b/internal/query/scatter/route.go
@@ -141,7 +141,7 @@
 
 // runBeside gathers the answer while another daemon may still answer, and returns the answer that comes first.
 func (c *routeCall) runBeside(ctx context.Context, other *delegation) RouteAnswer {
-	defer other.end(false)
+	defer other.cancel()
 	c.startAttempts(ctx)
 	otherFailed := false
 	for {
@@ -152,7 +152,7 @@
 				return a
 			}
 			// The other daemon may have succeeded where this one had no budget for its attempts, which all count as extra ones.
-			if r, ok := other.awaitResult(ctx, nil); ok {
+			if r, ok := other.awaitResult(ctx, other.times.Overdue); ok {
 				return other.answerOr(&r, a)
 			}
 			return a
