Forget expired retry hints where a Topology is applied, not where servers are removed

removeServers forgot the retry hints of servers removed earlier besides removing others; ApplyTopology does it now. The stand-in store of the simulation wakes its calls in one place.

--- a/internal/command/follow/memorystore_test.go
+++ b/internal/command/follow/memorystore_test.go
@@ -180,6 +180,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.fault = f
+	c.wakeCalls()
+}
+
+// wakeCalls makes waiting calls look at the fault and their connection again. The caller holds mu.
+func (c *storeClient) wakeCalls() {
 	close(c.faultChanged)
 	c.faultChanged = make(chan struct{})
 }
@@ -196,8 +201,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.silent = true
-	close(c.faultChanged)
-	c.faultChanged = make(chan struct{})
+	c.wakeCalls()
 }
 
 // Reconnect implements registry.Reader.
--- a/internal/command/report/topology.go
+++ b/internal/command/report/topology.go
@@ -31,6 +31,7 @@
 // them survives a configuration change. Services that the Topology shares with the previous one are skipped, so that the cost
 // is proportional to the changed services. It must not be called concurrently.
 func (r *Recorder) ApplyTopology(t *model.Topology, now time.Time) {
+	maps.DeleteFunc(r.removed, func(_ model.ServerName, s removedServer) bool { return !now.Before(s.restUntil) })
 	previous := r.applied
 	next := r.describe(t)
 	joined := joinTime(r.Servers.Len() == 0, now)
@@ -78,7 +79,6 @@
 // removeServers removes the records of servers of changed services that are not in present. A server may have moved to
 // another service, which then changed too.
 func (r *Recorder) removeServers(previous, next *appliedTopology, present map[model.ServerName]bool, now time.Time) {
-	maps.DeleteFunc(r.removed, func(_ model.ServerName, s removedServer) bool { return !now.Before(s.restUntil) })
 	if previous.topology == nil {
 		return
 	}
