--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -20,7 +20,7 @@
 	// Probe marks an attempt at an ejected server. There is at most one in flight per server.
 	Probe bool
 	// Gather requests that a daemon in the server's zone send the attempt and merge the replies to the query. It is used for
-	// messages that are sent to many shards.
+	// messages that are sent to many shards, and for servers that accept fewer connections than there may be daemons.
 	Gather bool
 	// MergeWait is how long that daemon may hold the reply back to merge it with others.
 	MergeWait time.Duration
