Do not send what waited in a paused daemon with all of its time

Cause: a batch states how much time its queries have left, and the receiver counts that from when it reads the batch. A daemon that was frozen for 4.6 s read one that had waited for 3.7 s, and sent its 87 sub-requests through daemons that had not been frozen.

Change: a daemon notices by missing ticks that it was paused, and subtracts the pause from what it reads within 0.3 s after it. What has no time left is returned as unsent.

Result: the spec of dispatch failed before.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -7,6 +7,7 @@
 
 	"oleandersill.example/oleandersill/internal/backend"
 	"oleandersill.example/oleandersill/internal/decision/ownership"
+	"oleandersill.example/oleandersill/internal/decision/pause"
 	"oleandersill.example/oleandersill/internal/decision/zonehealth"
 	"oleandersill.example/oleandersill/internal/forwarding"
 	"oleandersill.example/oleandersill/internal/model"
@@ -51,6 +52,7 @@
 	self     model.Member
 	owners   *tables.Owners
 	forwards *tables.Forwards
+	pauses   *tables.Pauses
 	draining func() bool
 	senders  *pool.Pool
 
@@ -76,13 +78,22 @@
 	f := &Forwarding{
 		d: d, sender: cfg.Sender, self: cfg.Self, owners: cfg.Owners,
 		forwards: tables.NewForwards(), draining: cfg.Draining, delegated: tables.NewReadyAttempts(),
+		pauses: tables.NewPauses(time.Now()),
 	}
+	f.tick()
 	f.senders = pool.Start(maxSenders, f.nextBatch)
 	f.gatherWorkers = startWorkers(f.delegated, delegatedWorkers)
 	d.forwarding = f
 	return f
 }
 
+// tick records that the process runs, now and every pause.TickInterval.
+func (f *Forwarding) tick() {
+	now := time.Now()
+	f.pauses.Tick(now)
+	f.d.Timer.Schedule(now.Add(pause.TickInterval), f.tick)
+}
+
 // forwardingTarget returns the daemon to which an attempt is forwarded, or false if this daemon sends it itself.
 func (d *Dispatcher) forwardingTarget(q *QueryAttempt, plan *gatherPlan) (model.Member, bool) {
 	f := d.forwarding
@@ -270,6 +281,12 @@
 		f.refuse(from, query, backend.StatusDeadlinePassed)
 		return true
 	}
+	// The time that is left was stated when the batch was sent, which may have been before a pause of this process.
+	query.Left -= f.pauses.Held(now)
+	if query.Left <= 0 {
+		f.refuse(from, query, unsentStatus)
+		return true
+	}
 	if query.Gather != nil {
 		return f.gatherFor(from, query, now)
 	}
--- a/internal/tables/doc.go
+++ b/internal/tables/doc.go
@@ -24,6 +24,7 @@
 //	OrderAnswerLag      AnswerLag      delay between a due answer and its write
 //	OrderRollouts       Rollouts       services whose index version is changing
 //	OrderZones          Zones          reachability of availability zones
+//	OrderPauses         Pauses         the last pause of this process
 //	OrderTimer          (pool.Timer)   the shared deadline heap
 //
 // The orders of all product tables are declared here; those of the stand-ins, all of them higher, are in package standin.
--- a/internal/tables/order.go
+++ b/internal/tables/order.go
@@ -23,5 +23,6 @@
 	OrderAnswerLag
 	OrderRollouts
 	OrderZones
+	OrderPauses
 	OrderTimer
 )
