--- a/internal/decision/directory/directory.go
+++ b/internal/decision/directory/directory.go
@@ -19,9 +19,13 @@
 	restoreGrace = 2300 * time.Millisecond
 )
 
-// Revision is a revision of the store; a higher one is newer.
+// Revision is a revision of the store; a higher one is newer if both are of the same era.
 type Revision uint64
 
+// Era numbers the incarnations of the store. It rises when the store is restored from an older copy, after which revisions are
+// given out again. It is 0 if the store states none.
+type Era uint64
+
 // Directory holds the known entries and which servers to use. Create it with New. It is not safe for concurrent use.
 type Directory struct {
 	// drainPeriod is how long a server still serves requests after it announced that it leaves or its entry was removed.
--- a/internal/decision/gossip/source.go
+++ b/internal/decision/gossip/source.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"oleandersill.example/oleandersill/internal/boottime"
 	"oleandersill.example/oleandersill/internal/decision/directory"
 	"oleandersill.example/oleandersill/internal/model"
 )
@@ -28,7 +29,10 @@
 
 // Position is the point up to which a daemon has followed the store.
 type Position struct {
+	Era      directory.Era
 	Revision directory.Revision
+	// VerifiedAt is a time at which the store's content was certainly not older than Revision; zero if it is not known or not needed.
+	VerifiedAt boottime.Time
 	// ConfirmedAt is the latest time at which the store is known to have been at Revision.
 	ConfirmedAt time.Time
 	// Leaving is how many of another daemon's leaving marks the daemon has received; 0 for its own position.
--- a/internal/forwarding/messages.go
+++ b/internal/forwarding/messages.go
@@ -38,6 +38,8 @@
 	// Charge is the share of the receiver's own budget for extra attempts that this attempt may use; 0 if the sender has charged
 	// its own budget.
 	Charge float64
+	// Workspace is the workspace of the request; empty if the request needs no key.
+	Workspace model.WorkspaceName
 	// Gather, if set, asks the receiver to gather the answer to the request's message from the shards of an index. Server is
 	// then not set.
 	Gather *Gather
--- a/internal/model/member.go
+++ b/internal/model/member.go
@@ -13,8 +13,16 @@
 	Capacity float64
 	// Heartbeat increases by 1 each second while the incarnation runs.
 	Heartbeat uint64
+	// Protocol states which messages the daemon understands; 0 for daemons of versions that do not state it.
+	Protocol Protocol
 }
 
+// Protocol is a version of the messages between daemons.
+type Protocol uint8
+
+// ProtocolWorkspaces is the first version that knows workspaces, home regions, evacuations and store eras.
+const ProtocolWorkspaces Protocol = 1
+
 // NewerThan reports whether m is more recent information about its instance than other.
 func (m Member) NewerThan(other Member) bool {
 	if m.Incarnation != other.Incarnation {
--- a/internal/model/route.go
+++ b/internal/model/route.go
@@ -34,6 +34,11 @@
 	Parts []WeightedService
 	// Index is nil unless the route is a fan-out route, which merges the replies of many services.
 	Index *FanOut
+	// Public means that requests need no key.
+	Public bool
+	// Regions are the home regions: those in which requests may be served. It is nil or not empty, since messages between daemons
+	// do not tell the two apart.
+	Regions Regions
 }
 
 // WeightedService is a service that gets a part of a route's requests, in proportion to its weight.
@@ -58,6 +63,9 @@
 	HealthPath string
 	// MaxConnections is the number of connections that one of its servers accepts from all daemons together.
 	MaxConnections int
+	// ColdRate is the number of requests per second that one of its servers tolerates while it is cold, from all daemons
+	// together; 0 means no limit.
+	ColdRate float64
 }
 
 // CallerLimits bounds the size of requests, the time to send a header and the idle time of a connection.
@@ -74,12 +82,17 @@
 	Routes   []Route
 	Services []BackendService
 	Limits   CallerLimits
+	// Workspaces are the organisations whose callers have keys.
+	Workspaces []Workspace
+	// KeysRequired means that requests need a key, unless their route is public. It may be set without any valid workspace.
+	KeysRequired bool
 
+	workspaces workspaceIndex
 	// routesByHost holds the routes of each host, longest prefix first. Host names are in lower case.
 	routesByHost map[string][]*Route
 }
 
-// NewRouting returns a version of the routing configuration with its routes indexed by host.
+// NewRouting returns a version of the routing configuration without workspaces, with its routes indexed by host.
 func NewRouting(version RoutingVersion, routes []Route, services []BackendService, limits CallerLimits) *Routing {
 	r := &Routing{
 		Version: version, Routes: routes, Services: services, Limits: limits, routesByHost: map[string][]*Route{},
@@ -94,6 +107,14 @@
 	return r
 }
 
+// WithWorkspaces returns a copy of r with the given workspaces, in which requests need keys.
+func (r *Routing) WithWorkspaces(workspaces []Workspace) *Routing {
+	withKeys := *r
+	withKeys.Workspaces, withKeys.KeysRequired = workspaces, true
+	withKeys.workspaces = newWorkspaceIndex(workspaces)
+	return &withKeys
+}
+
 // Match returns the route of a request, or nil if there is none. host must not include a port.
 func (r *Routing) Match(host, path string) *Route {
 	for _, route := range r.routesByHost[strings.ToLower(host)] {
--- a/internal/peer/registry.go
+++ b/internal/peer/registry.go
@@ -17,12 +17,17 @@
 // later revision than the requester, has had the same one confirmed more recently, has marked
 // further servers as leaving, or has lost contact with the store, and after Wait at the latest.
 type RegistryRequest struct {
-	// After is the requester's revision; 0 requests all entries.
+	// Era and After are the requester's era and revision of the store; an After of 0 requests all entries.
+	Era   directory.Era
 	After directory.Revision
 	// Age is the time since the store was last known to the requester to be at After. It is relative because daemons have no
 	// common clock.
 	Age  time.Duration
 	Wait time.Duration
+	// NeedsVerification means that the requester needs to know how old its data can be at most, and VerifiedAge is what it knows; 0
+	// if it knows nothing. The peer then also answers as soon as it has a later verification.
+	NeedsVerification bool
+	VerifiedAge       time.Duration
 	// Leaving lists the servers that the requester marked as leaving since its last request to the peer; at most
 	// registry.MaxLeaving.
 	Leaving []model.LeavingServer
@@ -34,6 +39,7 @@
 
 // RegistryReply is what a peer has received from the store.
 type RegistryReply struct {
+	Era      directory.Era
 	Revision directory.Revision
 	// Complete means that the reply lists all entries.
 	Complete bool
@@ -42,14 +48,23 @@
 	Routes   []model.Route
 	Services []model.BackendService
 	Limits   model.CallerLimits
-	Servers  []registry.ServerEntry
-	Members  []registry.MemberEntry
+	// Workspaces are valid if KeysRequired is set.
+	Workspaces   []model.Workspace
+	KeysRequired bool
+	Servers      []registry.ServerEntry
+	Members      []registry.MemberEntry
+	Evacuations  []registry.Evacuation
 	// Leaving lists the servers that the peer marked as leaving after the request's LeavingAfter, at most registry.MaxLeaving,
 	// and LeavingUpTo is the sequence number up to which the list is complete.
 	Leaving     []model.LeavingServer
 	LeavingUpTo directory.LeavingSequence
 	// Age is the time since the store was last known to the peer to be at Revision.
 	Age time.Duration
+	// Verified means that VerifiedAge is set: the time, when the reply was sent, since the store's content was certainly not older
+	// than the reply. Held is how long the peer held the request, so that the requester knows the earliest time of the reply.
+	Verified    bool
+	VerifiedAge time.Duration
+	Held        time.Duration
 	// Restored means that the store has answered the peer again after an outage. SinceRestored is how long ago that was.
 	Restored      bool
 	SinceRestored time.Duration
@@ -76,11 +91,12 @@
 // NewRegistryReply returns the reply for an update, with ages relative to now.
 func NewRegistryReply(u *registry.PeerUpdate, now time.Time) RegistryReply {
 	r := RegistryReply{
-		Revision: u.Revision, Complete: u.Complete, Servers: u.Servers, Members: u.Members,
+		Era: u.Era, Revision: u.Revision, Complete: u.Complete, Servers: u.Servers, Members: u.Members, Evacuations: u.Evacuations,
 		Leaving: u.Leaving, LeavingUpTo: u.LeavingUpTo, Age: now.Sub(u.ConfirmedAt), Lost: u.StoreUnreachable,
 	}
 	if u.Routing != nil {
 		r.Version, r.Routes, r.Services, r.Limits = u.Routing.Version, u.Routing.Routes, u.Routing.Services, u.Routing.Limits
+		r.Workspaces, r.KeysRequired = u.Routing.Workspaces, u.Routing.KeysRequired
 	}
 	if !u.StoreRestoredAt.IsZero() {
 		r.Restored, r.SinceRestored = true, now.Sub(u.StoreRestoredAt)
@@ -91,7 +107,9 @@
 // PeerUpdate returns the update in the reply, with its times computed from the ages and now.
 func (r *RegistryReply) PeerUpdate(now time.Time) registry.PeerUpdate {
 	u := registry.PeerUpdate{
-		Update:           registry.Update{Revision: r.Revision, Complete: r.Complete, Servers: r.Servers, Members: r.Members},
+		Update: registry.Update{
+			Era: r.Era, Revision: r.Revision, Complete: r.Complete, Servers: r.Servers, Members: r.Members, Evacuations: r.Evacuations,
+		},
 		Leaving:          r.Leaving,
 		LeavingUpTo:      r.LeavingUpTo,
 		ConfirmedAt:      now.Add(-r.Age),
@@ -99,6 +117,9 @@
 	}
 	if r.Version != 0 {
 		u.Routing = model.NewRouting(r.Version, r.Routes, r.Services, r.Limits)
+		if r.KeysRequired {
+			u.Routing = u.Routing.WithWorkspaces(r.Workspaces)
+		}
 	}
 	if r.Restored {
 		u.StoreRestoredAt = now.Add(-r.SinceRestored)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"oleandersill.example/oleandersill/internal/boottime"
 	"oleandersill.example/oleandersill/internal/decision/directory"
 	"oleandersill.example/oleandersill/internal/model"
 )
@@ -25,14 +26,19 @@
 
 // Update is the result of a read or a watch.
 type Update struct {
-	// Revision is the store's revision, after which the next watch continues.
+	// Era is the store's era, and Revision its revision, after which the next watch continues.
+	Era      directory.Era
 	Revision directory.Revision
+	// VerifiedAt is a time at which the store's content was certainly not older than the update; zero if it is not known.
+	VerifiedAt boottime.Time
 	// Complete means that the update lists all entries, so that an entry that it does not list no longer exists.
 	Complete bool
 	// Routing is nil if the update contains no readable version of the routing configuration.
 	Routing *model.Routing
 	Servers []ServerEntry
 	Members []MemberEntry
+	// Evacuations are changes of evacuated zones. A complete update lists all of them.
+	Evacuations []Evacuation
 	// Problems lists the entries that cannot be read.
 	Problems []Problem
 }
@@ -85,6 +91,12 @@
 	Member model.Member
 }
 
+// Evacuation states whether the operator wants no requests sent to the servers of a zone.
+type Evacuation struct {
+	Zone   model.AvailabilityZone
+	Active bool
+}
+
 // Problem describes an entry that cannot be read.
 type Problem struct {
 	Key    string
