--- a/internal/command/follow/follower.go
+++ b/internal/command/follow/follower.go
@@ -97,7 +97,7 @@
 	c := f.deps.Registry.Apply(u, readAt, time.Now())
 	log := f.deps.Log.With().Str("source", source).Uint64("store_revision", uint64(u.Revision)).Logger()
 	for _, p := range u.Problems {
-		log.Warn().Str("key", p.Key).Str("reason", p.Reason).Msg("entry_unreadable")
+		logProblem(&log, p)
 	}
 	if c.Routing != nil {
 		log.Info().Uint64("version", uint64(c.Routing.Version)).Int("routes", len(c.Routing.Routes)).Msg("routing_taken")
@@ -123,6 +123,15 @@
 	return false
 }
 
+func logProblem(log *zerolog.Logger, p registry.Problem) {
+	event := log.Warn().Str("key", p.Key).Str("reason", p.Reason)
+	if p.Place == "" {
+		event.Msg("entry_unreadable")
+		return
+	}
+	event.Str("place", p.Place).Msg("entry_partly_ignored")
+}
+
 func logServer(log *zerolog.Logger, e *registry.ServerEntry) {
 	event := log.Info().Str("server", string(e.Name)).Uint64("entry_revision", uint64(e.Revision))
 	switch e.State {
--- a/internal/command/follow/peers.go
+++ b/internal/command/follow/peers.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"oleandersill.example/oleandersill/internal/decision/gossip"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/registry"
@@ -32,6 +34,9 @@
 	if ctx.Err() != nil {
 		return
 	}
+	if err == nil && !f.suitable(&update) {
+		err = errOlderProtocol
+	}
 	if err != nil {
 		f.excludeSource(r, source, gossip.SourceUnresponsive, err)
 		return
@@ -45,6 +50,13 @@
 	r.failedSources = 0
 }
 
+// errOlderProtocol means that a daemon supports a lower protocol version than this one.
+var errOlderProtocol = errors.New("follow: the daemon supports a lower protocol version")
+
+// suitable reports whether the sender of an update supports the protocol version of this daemon. Updates of others lack what their
+// version does not know.
+func (f *Follower) suitable(u *registry.PeerUpdate) bool { return u.Protocol >= f.deps.Self.Protocol }
+
 // maxFailedSources is how many sources in a row are tried before the store is read. Usually the next one has read the store
 // by then, and the store is spared the calls of a whole zone.
 const maxFailedSources = 3
@@ -88,6 +100,9 @@
 	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	update, err := f.deps.Peers.Registry(callCtx, address, at, leaving, 0)
+	if err == nil && !f.suitable(&update) {
+		err = errOlderProtocol
+	}
 	if err != nil {
 		f.deps.Log.Info().Err(err).Str("peer", address).Msg("peer_not_asked")
 		return
@@ -100,11 +115,12 @@
 	r.synced = r.synced || update.Complete
 }
 
-// peerAddresses returns the addresses of the other known daemons, or of the seeds if there are none.
+// peerAddresses returns the addresses of the other known daemons that support the protocol version of this one, or of the seeds if
+// there are none.
 func (f *Follower) peerAddresses() []string {
 	var out []string
 	for _, m := range f.deps.Registry.Members() {
-		if m.Address != "" && m.Instance != f.deps.Self.Instance {
+		if m.Address != "" && m.Instance != f.deps.Self.Instance && m.Protocol >= f.deps.Self.Protocol {
 			out = append(out, m.Address)
 		}
 	}
--- a/internal/command/follow/topology.go
+++ b/internal/command/follow/topology.go
@@ -45,7 +45,11 @@
 		f.deps.DaemonsChanged(b.members, f.isAnnounced(b.members))
 		f.deps.Log.Info().Int("daemons", b.daemonCount()).Msg("daemons_changed")
 	}
-	t := b.build(&v, f.deps.Config.Current())
+	current := f.deps.Config.Current()
+	if current == nil || current.Routing.Version != v.Routing.Version {
+		f.logUnknownRegions(v.Routing)
+	}
+	t := b.build(&v, current)
 	f.deps.ApplyTopology(t, now)
 	f.deps.Config.Install(t)
 	f.deps.Log.Info().Uint64("version", uint64(v.Routing.Version)).Uint64("revision", uint64(t.Revision)).
--- a/internal/decision/gossip/source.go
+++ b/internal/decision/gossip/source.go
@@ -51,7 +51,8 @@
 // SourceSelector selects the daemon from which self gets changes of the platform's store. The fleet's highest-ranked
 // daemon by rendezvous hash reads the store, the highest-ranked daemon of each zone follows that daemon, and all others
 // follow the highest-ranked daemon of their zone. A daemon only follows higher-ranked ones, so there are no cycles even if
-// the daemons' views of the fleet differ. A SourceSelector is not safe for concurrent use.
+// the daemons' views of the fleet differ. Daemons that support a lower protocol version than self do not take part, since their
+// updates lack what self needs. A SourceSelector is not safe for concurrent use.
 type SourceSelector struct {
 	self model.Member
 	// excludedUntil is when a daemon that failed as a source may be followed again.
@@ -82,7 +83,7 @@
 	}
 	zoneHighest, fleetHighest := s.self, s.self
 	for _, m := range members {
-		if m.Address == "" || m.Instance == s.self.Instance {
+		if !s.suitable(&m) {
 			continue
 		}
 		if m.Zone == s.self.Zone && !s.excluded(m.Instance, now) && ranksHigher(m, zoneHighest) {
@@ -104,13 +105,18 @@
 // Leads reports whether self is the highest-ranked daemon of its zone, which the others of the zone follow.
 func (s *SourceSelector) Leads(members []model.Member) bool {
 	for _, m := range members {
-		if m.Address != "" && m.Instance != s.self.Instance && m.Zone == s.self.Zone && ranksHigher(m, s.self) {
+		if s.suitable(&m) && m.Zone == s.self.Zone && ranksHigher(m, s.self) {
 			return false
 		}
 	}
 	return true
 }
 
+// suitable reports whether a member is another daemon that self can follow.
+func (s *SourceSelector) suitable(m *model.Member) bool {
+	return m.Address != "" && m.Instance != s.self.Instance && m.Protocol >= s.self.Protocol
+}
+
 func (s *SourceSelector) excluded(instance model.InstanceID, now time.Time) bool {
 	return now.Before(s.excludedUntil[instance])
 }
--- a/internal/decision/gossip/source_test.go
+++ b/internal/decision/gossip/source_test.go
@@ -94,6 +94,16 @@
 		Expect(ok).To(BeFalse())
 	})
 
+	It("never selects a daemon that supports a lower protocol version", func() {
+		// Guards against a daemon that gets a configuration without workspaces from an earlier version.
+		fleet := fleetOf(8, 2)
+		for _, self := range fleet {
+			self.Protocol = model.ProtocolWorkspaces
+			_, ok := gossip.NewSourceSelector(self).Pick(fleet, sourceStart)
+			Expect(ok).To(BeFalse())
+		}
+	})
+
 	It("never creates a cycle of daemons that follow each other, whatever each knows of the fleet", func() {
 		// Guards against daemons that pass stale data to each other while none of them reads the store.
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
--- a/internal/model/route.go
+++ b/internal/model/route.go
@@ -82,7 +82,7 @@
 	Routes   []Route
 	Services []BackendService
 	Limits   CallerLimits
-	// Workspaces are the organisations whose callers have keys.
+	// Workspaces are the organizations whose callers have keys.
 	Workspaces []Workspace
 	// KeysRequired means that requests need a key, unless their route is public. It may be set without any valid workspace.
 	KeysRequired bool
--- a/internal/model/topology.go
+++ b/internal/model/topology.go
@@ -15,6 +15,7 @@
 	Routing *Routing
 
 	services    map[ServiceName]*Service
+	regions     map[AvailabilityZone]Region
 	serverCount int
 	callers     map[CallerName]Rank
 	ranks       [RankCount]RankPolicy
@@ -78,6 +79,7 @@
 	for _, z := range inv.Zones {
 		regions[z.Name] = z.Region
 	}
+	t.regions = regions
 	if base != nil && !slices.Equal(base.Inventory.Zones, inv.Zones) {
 		// Every Server holds the region of its zone, so no service can be reused if the zones differ.
 		base = nil
@@ -148,6 +150,9 @@
 // Service returns the named service, or nil if there is none.
 func (t *Topology) Service(name ServiceName) *Service { return t.services[name] }
 
+// Region returns the region of a zone, or "" if the inventory does not define the zone.
+func (t *Topology) Region(zone AvailabilityZone) Region { return t.regions[zone] }
+
 // ServerCount returns the number of servers of all services.
 func (t *Topology) ServerCount() int { return t.serverCount }
 
--- a/internal/model/workspace.go
+++ b/internal/model/workspace.go
@@ -13,8 +13,10 @@
 
 // Digest returns the digest of a key.
 func Digest(key string) KeyDigest {
-	sum := sha256.Sum256([]byte(key))
-	return KeyDigest(sum[:16])
+	// With the buffer on the stack, a key of usual length is digested without an allocation.
+	var buffer [64]byte
+	sum := sha256.Sum256(append(buffer[:0], key...))
+	return KeyDigest(sum[:len(KeyDigest{})])
 }
 
 // Quota limits the requests of a workspace over the whole fleet. A rate of 0 means no limit.
@@ -31,15 +33,21 @@
 // Regions is a set of regions. A nil set contains all regions, an empty one that is not nil contains none.
 type Regions []Region
 
-// Contains reports whether the region is in the set.
-func (rs Regions) Contains(r Region) bool { return rs == nil || slices.Contains(rs, r) }
+// Contains reports whether the region is in the set. The empty region, which stands for that of a zone that is not defined, is only
+// in the set of all regions.
+func (rs Regions) Contains(r Region) bool { return rs == nil || (r != "" && slices.Contains(rs, r)) }
 
-// Intersect returns the regions that are in both sets.
+// within reports whether all regions of rs are in other. Neither set is nil.
+func (rs Regions) within(other Regions) bool {
+	return !slices.ContainsFunc(rs, func(r Region) bool { return !slices.Contains(other, r) })
+}
+
+// Intersect returns the regions that are in both sets. The result may share memory with one of them.
 func (rs Regions) Intersect(other Regions) Regions {
 	switch {
-	case rs == nil:
+	case rs == nil || (other != nil && other.within(rs)):
 		return other
-	case other == nil:
+	case other == nil || rs.within(other):
 		return rs
 	}
 	both := Regions{}
@@ -51,7 +59,7 @@
 	return both
 }
 
-// Workspace is an organisation whose callers share keys, a quota and home regions.
+// Workspace is an organization whose callers share keys, a quota and home regions.
 type Workspace struct {
 	Name WorkspaceName
 	// Keys are the digests of the keys that are valid.
@@ -68,7 +76,7 @@
 type RequestPolicy struct {
 	// Workspace is empty if the request needs no key.
 	Workspace WorkspaceName
-	// Key is the digest of the request's key. It is known only to the daemon that received the request.
+	// Key is the digest of the request's key. It is zero in all daemons but the one that received the request.
 	Key  KeyDigest
 	Rank Rank
 	// Regions are the regions in which the request may be served.
@@ -108,6 +116,20 @@
 // Workspace returns the named workspace, or nil if there is none.
 func (r *Routing) Workspace(name WorkspaceName) *Workspace { return r.workspaces.byName[name] }
 
+// Permits reports whether a request that was accepted with the policy, possibly under an earlier version, may be sent under this one:
+// its key still belongs to its workspace. Where the key is not known, the workspace must exist and have a key.
+func (r *Routing) Permits(p *RequestPolicy) bool {
+	switch {
+	case p.Workspace == "":
+		return true
+	case p.Key == KeyDigest{}:
+		w := r.Workspace(p.Workspace)
+		return w != nil && len(w.Keys) > 0
+	}
+	w := r.Authenticate(p.Key)
+	return w != nil && w.Name == p.Workspace
+}
+
 // Policy returns the policy of a request of the route. workspace is nil if the request needs no key.
 func (r *Routing) Policy(route *Route, workspace *Workspace) RequestPolicy {
 	p := RequestPolicy{Rank: route.Rank, Regions: route.Regions}
--- a/internal/peer/registry.go
+++ b/internal/peer/registry.go
@@ -70,6 +70,8 @@
 	SinceRestored time.Duration
 	// Lost means that the store does not answer the peer.
 	Lost bool
+	// Protocol is the protocol version that the peer supports.
+	Protocol model.Protocol
 }
 
 // Registry asks the peer for what it has after the position at, and tells it the servers that this daemon marked as leaving.
@@ -114,6 +116,7 @@
 		LeavingUpTo:      r.LeavingUpTo,
 		ConfirmedAt:      now.Add(-r.Age),
 		StoreUnreachable: r.Lost,
+		Protocol:         r.Protocol,
 	}
 	if r.Version != 0 {
 		u.Routing = model.NewRouting(r.Version, r.Routes, r.Services, r.Limits)
--- a/internal/query/queryrpc/registry.go
+++ b/internal/query/queryrpc/registry.go
@@ -17,6 +17,7 @@
 	ForwardService
 	registry *tables.Registry
 	observer LeavingObserver
+	protocol model.Protocol
 }
 
 // LeavingObserver is notified of the leaving servers that peers report in their queries.
@@ -24,9 +25,9 @@
 	ObserveLeaving([]model.LeavingServer)
 }
 
-// NewRegistryService returns a service that replies with the content of r.
-func NewRegistryService(r *tables.Registry, o LeavingObserver) *RegistryService {
-	return &RegistryService{registry: r, observer: o}
+// NewRegistryService returns a service that replies with the content of r. protocol is the version that this daemon supports.
+func NewRegistryService(r *tables.Registry, o LeavingObserver, protocol model.Protocol) *RegistryService {
+	return &RegistryService{registry: r, observer: o, protocol: protocol}
 }
 
 // maxRegistryWait bounds how long a call waits, since its caller may have disconnected.
@@ -42,5 +43,6 @@
 	s.observer.ObserveLeaving(req.Leaving)
 	update := s.registry.AwaitUpdate(context.Background(), caller, min(req.Wait, maxRegistryWait))
 	*reply = peer.NewRegistryReply(&update, time.Now())
+	reply.Protocol = s.protocol
 	return nil
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -39,7 +39,7 @@
 	Members []MemberEntry
 	// Evacuations are changes of evacuated zones. A complete update lists all of them.
 	Evacuations []Evacuation
-	// Problems lists the entries that cannot be read.
+	// Problems lists the entries, and parts of entries, that cannot be read.
 	Problems []Problem
 }
 
@@ -56,6 +56,8 @@
 	StoreRestoredAt time.Time
 	// StoreUnreachable means that the store does not answer the sender.
 	StoreUnreachable bool
+	// Protocol is the protocol version that the sender supports.
+	Protocol model.Protocol
 }
 
 // MaxLeaving is the maximum number of leaving servers in a message between daemons.
@@ -97,9 +99,11 @@
 	Active bool
 }
 
-// Problem describes an entry that cannot be read.
+// Problem describes an entry, or a part of one, that cannot be read.
 type Problem struct {
-	Key    string
+	Key string
+	// Place is the position of the part in the entry. It is empty if the whole entry cannot be read.
+	Place  string
 	Reason string
 }
 
--- a/internal/tables/registryupdates.go
+++ b/internal/tables/registryupdates.go
@@ -6,6 +6,7 @@
 
 	"oleandersill.example/oleandersill/internal/decision/directory"
 	"oleandersill.example/oleandersill/internal/decision/gossip"
+	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/registry"
 )
 
@@ -32,7 +33,9 @@
 	case u.Complete:
 		l.base, l.updates = max(before, u.Revision), nil
 	case u.Routing != nil || len(u.Servers)+len(u.Members) > 0:
-		l.updates = append(l.updates, *u)
+		kept := *u
+		kept.Routing = l.takeNewestRouting(u.Routing)
+		l.updates = append(l.updates, kept)
 	}
 	if len(l.updates) > maxLoggedUpdates {
 		l.base = l.updates[0].Revision
@@ -40,6 +43,22 @@
 	}
 }
 
+// takeNewestRouting returns the newest of an added routing configuration, which may be nil, and those of the kept updates. It removes
+// the others: a daemon that lacks them lacks the newest one too, and a version with many workspaces takes several megabytes.
+func (l *updateLog) takeNewestRouting(added *model.Routing) *model.Routing {
+	if added == nil {
+		return nil
+	}
+	newest := added
+	for i := range l.updates {
+		if r := l.updates[i].Routing; r != nil && r.Version > newest.Version {
+			newest = r
+		}
+		l.updates[i].Routing = nil
+	}
+	return newest
+}
+
 // since returns the combined updates after a revision, or false if they are not all kept.
 func (l *updateLog) since(after directory.Revision) (registry.Update, bool) {
 	var out registry.Update
