--- a/internal/command/relay/relay.go
+++ b/internal/command/relay/relay.go
@@ -16,9 +16,11 @@
 type Request struct {
 	Route    *model.Route
 	Topology *model.Topology
-	Shard    *model.Shard
-	Message  *backend.Message
-	Arrived  time.Time
+	// Policy is the policy of the request under the Topology's routing configuration.
+	Policy  model.RequestPolicy
+	Shard   *model.Shard
+	Message *backend.Message
+	Arrived time.Time
 	// Deadline is the time until which the caller waits.
 	Deadline time.Time
 }
@@ -33,6 +35,8 @@
 	ReasonDeadline Reason = "deadline"
 	ReasonBudget   Reason = "budget"
 	ReasonDraining Reason = "draining"
+	// ReasonRevoked means that the request's key was removed after the request had arrived.
+	ReasonRevoked Reason = "key_revoked"
 )
 
 // Result is the outcome of a request.
@@ -61,7 +65,7 @@
 	exec := execution{relay: r, req: &req}
 	result := exec.send(ctx)
 	if result.Outcome == model.OutcomeNotRun {
-		result.Pushback, _ = r.Dispatcher.PushbackUntil([]*model.Shard{req.Shard}, 1, time.Now())
+		result.Pushback, _ = r.Dispatcher.PushbackUntil([]*model.Shard{req.Shard}, req.Policy.Regions, 1, time.Now())
 	}
 	r.Log.Info().Str("id", req.Message.ID).Str("route", string(req.Route.Name)).
 		Uint64("version", uint64(req.Topology.Routing.Version)).Uint64("topology", uint64(req.Topology.Revision)).
@@ -91,6 +95,9 @@
 		if d.Draining() {
 			return Result{Outcome: model.OutcomeNotRun, Reason: ReasonDraining}
 		}
+		if !d.Permits(&e.req.Policy) {
+			return Result{Outcome: model.OutcomeNotRun, Reason: ReasonRevoked}
+		}
 		if reachedServer && !d.ServiceBudgets.Spend(service, 1, time.Now()) {
 			return Result{Outcome: model.OutcomeNotRun, Reason: ReasonBudget}
 		}
@@ -116,7 +123,8 @@
 func (e *execution) attempt(ctx context.Context, service model.ServiceName) (end dispatch.ExecuteOutcome, found bool) {
 	d := e.relay.Dispatcher
 	now := time.Now()
-	criteria := dispatch.SelectionCriteria{Shard: e.req.Shard, Rank: e.req.Route.Rank, Tried: e.tried}
+	policy := &e.req.Policy
+	criteria := dispatch.SelectionCriteria{Shard: e.req.Shard, Rank: policy.Rank, Regions: policy.Regions, Tried: e.tried}
 	candidates, records := d.Candidates(nil, nil, criteria, now)
 	i, ok := d.Choose(candidates, d.Rand())
 	if !ok {
@@ -131,7 +139,8 @@
 	}
 	end = d.Execute(ctx, &dispatch.ExecuteAttempt{
 		Server: records[i],
-		Rank:   e.req.Route.Rank,
+		Rank:   policy.Rank,
+		Policy: policy,
 		Probe:  candidates[i].Probe,
 		Request: backend.ExecuteRequest{
 			ID: backend.AttemptID{
--- a/internal/decision/ownership/owner_test.go
+++ b/internal/decision/ownership/owner_test.go
@@ -169,3 +169,21 @@
 		Entry("among members of another version, which state none", zone[0], members(3)),
 	)
 })
+
+var _ = DescribeTable("members that may receive a request",
+	// Guards against a request that is handed to a daemon outside its home regions, or to one that ignores its workspace.
+	func(p *model.RequestPolicy, want ...model.InstanceID) {
+		zone := []model.Member{{Instance: "old"}, {Instance: "new", Protocol: model.ProtocolWorkspaces}}
+		var got []model.InstanceID
+		for _, m := range ownership.RequirementsOf(p).Eligible(zone, "r1") {
+			got = append(got, m.Instance)
+		}
+		Expect(slices.Equal(got, want)).To(BeTrue(), "%v", got)
+	},
+	Entry("without a route", nil, model.InstanceID("old"), model.InstanceID("new")),
+	Entry("that needs no key", &model.RequestPolicy{}, model.InstanceID("old"), model.InstanceID("new")),
+	Entry("of a workspace", &model.RequestPolicy{Workspace: "a"}, model.InstanceID("new")),
+	Entry("at home", &model.RequestPolicy{Regions: model.Regions{"r2", "r1"}}, model.InstanceID("new")),
+	Entry("with other home regions", &model.RequestPolicy{Regions: model.Regions{"r2"}}),
+	Entry("without any home region", &model.RequestPolicy{Workspace: "a", Regions: model.Regions{}}),
+)
--- a/internal/dispatch/delegate.go
+++ b/internal/dispatch/delegate.go
@@ -36,12 +36,13 @@
 
 // Delegate returns the daemon that is to gather the answer to a request in place of this one, or false if this daemon gathers
 // it itself.
-func (d *Dispatcher) Delegate(request model.RequestID) (model.Member, bool) {
+func (d *Dispatcher) Delegate(request model.RequestID, policy *model.RequestPolicy) (model.Member, bool) {
 	f := d.forwarding
 	if f == nil {
 		return model.Member{}, false
 	}
-	return ownership.Delegate(string(request), &f.self, f.owners.View().Preferred[d.cfg.Zone])
+	preferred := d.eligible(f.owners.View().Preferred[d.cfg.Zone], d.cfg.Zone, policy)
+	return ownership.Delegate(string(request), &f.self, preferred)
 }
 
 // StartDelegation sends a query with a Gather part to another daemon. onResult is called once with the result, unless
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -161,16 +162,18 @@
 type SelectionCriteria struct {
 	Shard *model.Shard
 	Rank  model.Rank
+	// Regions are the regions in which the request may be served; nil means all.
+	Regions model.Regions
 	// Tried lists the servers that must not be selected again.
 	Tried []model.ServerName
 }
 
-// Candidates fills cs with the replicas of a shard and records with their server records, in the same order. Replicas
-// that must not be selected are marked as not usable. Both slices are reused.
+// Candidates fills cs with the replicas of a shard and records with their server records, in the same order. Replicas outside of
+// the criteria's regions are left out, and others that must not be selected are marked as not usable. Both slices are reused.
 func (d *Dispatcher) Candidates(cs []routing.Candidate, records []*tables.Server, criteria SelectionCriteria, now time.Time) (
 	[]routing.Candidate, []*tables.Server,
 ) {
-	records = d.Servers.AppendShard(records[:0], criteria.Shard)
+	records = d.serversAtHome(records, criteria.Shard, criteria.Regions)
 	cs = cs[:0]
 	for _, r := range records {
 		var c routing.Candidate
@@ -186,6 +189,15 @@
 	return cs, records
 }
 
+// serversAtHome fills records with the server records of a shard in the given regions.
+func (d *Dispatcher) serversAtHome(records []*tables.Server, shard *model.Shard, regions model.Regions) []*tables.Server {
+	records = d.Servers.AppendShard(records[:0], shard)
+	if regions == nil {
+		return records
+	}
+	return slices.DeleteFunc(records, func(s *tables.Server) bool { return !regions.Contains(s.Spec().Region) })
+}
+
 func (d *Dispatcher) release(s *tables.Server) {
 	for _, a := range s.Release(time.Now()) {
 		d.ready.Push(a)
--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -23,6 +23,8 @@
 	Server  *tables.Server
 	Rank    model.Rank
 	Request backend.ExecuteRequest
+	// Policy is the policy of the request; nil for a request without a route.
+	Policy *model.RequestPolicy
 	// Probe marks an attempt at an ejected server. The server must answer a health request first, because a non-idempotent
 	// request whose reply is lost cannot be retried.
 	Probe bool
@@ -118,7 +120,7 @@
 // endIfRefused ends the attempt if it must not be sent, and reports whether it did.
 func (a *ExecuteAttempt) endIfRefused(now time.Time) (ended bool) {
 	refusal, refused := refusalOf(a.Server, now)
-	if !refused && !a.d.Draining() {
+	if !refused && !a.d.Draining() && a.d.permitsAt(a.Policy, a.Server) {
 		return false
 	}
 	a.endUnsent(backend.ExecuteResult{Status: unsentStatus, RetryAfter: refusal.RetryAfter})
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -106,25 +106,30 @@
 		return plan.nextGatherer(q)
 	}
 	owner, ok := q.Server.Owner(f.owners.View())
-	return owner, ok && owner.Instance != f.self.Instance
+	ok = ok && owner.Instance != f.self.Instance && ownership.RequirementsOf(q.Policy).Admit(&owner, d.regionOf(owner.Zone))
+	return owner, ok
 }
 
 // outgoing marks an attempt as forwarded and returns the message for the daemon that is to send it.
 func (f *Forwarding) outgoing(q *QueryAttempt, target model.Member) tables.OutboundQuery {
 	q.forwarded = true
 	q.Server.AddForwarded(1)
-	return tables.OutboundQuery{
-		Query: forwarding.Query{
-			Server:  q.Server.Name(),
-			Rank:    q.Rank,
-			Request: q.Request,
-			Left:    q.Request.Deadline.Sub(q.Started),
+	query := forwarding.Query{
+		Server:  q.Server.Name(),
+		Rank:    q.Rank,
+		Request: q.Request,
+		Left:    q.Request.Deadline.Sub(q.Started),
 
-			BounceAfter: q.BounceAfter,
-			MergeWait:   q.MergeWait,
-			TrimTo:      q.TrimTo,
-			Charge:      q.Charge,
-		},
+		BounceAfter: q.BounceAfter,
+		MergeWait:   q.MergeWait,
+		TrimTo:      q.TrimTo,
+		Charge:      q.Charge,
+	}
+	if q.Policy != nil {
+		query.Workspace = q.Policy.Workspace
+	}
+	return tables.OutboundQuery{
+		Query:   query,
 		Pending: tables.Pending{Peer: target, OnResult: func(r forwarding.Result) { f.finish(q, r) }},
 	}
 }
@@ -296,6 +301,11 @@
 		f.refuse(from, query, unsentStatus)
 		return true
 	}
+	policy := inboundPolicy(query)
+	if !f.d.Permits(policy) {
+		f.refuse(from, query, unsentStatus)
+		return true
+	}
 	if query.Charge > 0 && !f.d.spendExtra(query.Request.Service, query.Charge, now) {
 		f.refuse(from, query, backend.StatusOverBudget)
 		return true
@@ -303,7 +313,10 @@
 	request := query.Request
 	request.Deadline = now.Add(query.Left)
 	ctx, cancelContext := context.WithDeadline(context.Background(), request.Deadline.Add(forwardGrace))
-	q := &QueryAttempt{Server: s, Rank: query.Rank, Request: request, BounceAfter: query.BounceAfter, MergeWait: query.MergeWait, TrimTo: query.TrimTo}
+	q := &QueryAttempt{
+		Server: s, Rank: query.Rank, Request: request, Policy: policy,
+		BounceAfter: query.BounceAfter, MergeWait: query.MergeWait, TrimTo: query.TrimTo,
+	}
 	q.Done = func(q *QueryAttempt, r backend.QueryResult) {
 		cancelContext()
 		f.returnResult(from, q, r)
@@ -323,36 +336,11 @@
 	return true
 }
 
-// spendExtra charges an extra attempt to this daemon's budget of the service. A daemon without routes has no such budgets.
-func (d *Dispatcher) spendExtra(service model.ServiceName, fraction float64, now time.Time) bool {
-	return d.ServiceBudgets != nil && d.ServiceBudgets.Spend(service, fraction, now)
-}
-
 // refuse returns the status of a sub-request that this daemon did not send to its server.
 func (f *Forwarding) refuse(to model.Member, query *forwarding.Query, status backend.Status) {
 	f.forwards.QueueResult(to, forwarding.Result{ID: query.Request.ID, Result: backend.QueryResult{Status: status}}, false)
 }
 
-// DaemonToCharge returns another daemon whose budget may be charged for a query's extra attempts in a zone: a daemon in that
-// zone or, if there is none, in this daemon's zone. It returns false if there is neither. All attempts of a query in a zone
-// use the same daemon, so that they share a batch.
-func (d *Dispatcher) DaemonToCharge(zone model.AvailabilityZone, query model.RequestID) (model.Member, bool) {
-	f := d.forwarding
-	if f == nil {
-		return model.Member{}, false
-	}
-	view := f.owners.View()
-	for _, z := range []model.AvailabilityZone{zone, d.cfg.Zone} {
-		members := view.Zones[z]
-		for _, i := range ownership.HighestRanked(string(query), members, 2) {
-			if members[i].Instance != f.self.Instance {
-				return members[i], true
-			}
-		}
-	}
-	return model.Member{}, false
-}
-
 // returnResult returns the result of an attempt to the daemon that forwarded it. Only successful replies are held back to be
 // batched: after any other result the requesting daemon may have to send the sub-request to another server.
 func (f *Forwarding) returnResult(to model.Member, q *QueryAttempt, r backend.QueryResult) {
--- a/internal/dispatch/gathering.go
+++ b/internal/dispatch/gathering.go
@@ -34,10 +34,11 @@
 	}
 	shards := map[model.AvailabilityZone]int{}
 	key := ""
+	var policy *model.RequestPolicy
 	for _, q := range qs {
 		if q.Gather {
 			shards[q.Server.Spec().Zone]++
-			key = string(q.Request.ID.Request)
+			key, policy = string(q.Request.ID.Request), q.Policy
 		}
 	}
 	if len(shards) == 0 {
@@ -49,7 +50,7 @@
 		if zone == d.cfg.Zone && n <= maxLocalShards {
 			continue
 		}
-		members := view.Preferred[zone]
+		members := d.eligible(view.Preferred[zone], zone, policy)
 		z := &zonePlan{}
 		for _, i := range ownership.HighestRanked(key, members, (n+shardsPerGatherer-1)/shardsPerGatherer) {
 			z.gatherers = append(z.gatherers, members[i])
--- a/internal/dispatch/pushback.go
+++ b/internal/dispatch/pushback.go
@@ -9,12 +9,14 @@
 )
 
 // PushbackUntil returns how long it takes until required of the shards take requests, if they do not now because servers asked
-// for no requests. It returns false if enough shards take requests, or if more than the servers that push back are missing.
-func (d *Dispatcher) PushbackUntil(shards []*model.Shard, required int, now time.Time) (time.Duration, bool) {
+// for no requests. Only servers in the given regions count. It returns false if enough shards take requests, or if more than the servers that push back are missing.
+func (d *Dispatcher) PushbackUntil(
+	shards []*model.Shard, regions model.Regions, required int, now time.Time,
+) (time.Duration, bool) {
 	var rests []time.Duration
 	available := 0
 	for _, sh := range shards {
-		rest, usable := d.shardPushback(sh, now)
+		rest, usable := d.shardPushback(sh, regions, now)
 		switch {
 		case usable:
 			available++
@@ -27,8 +29,8 @@
 
 // shardPushback reports whether a server of the shard takes requests. If none does, rest is the time until the first of those
 // that asked for no requests takes some again, or 0 if there is none.
-func (d *Dispatcher) shardPushback(sh *model.Shard, now time.Time) (rest time.Duration, usable bool) {
-	for _, r := range d.Servers.AppendShard(nil, sh) {
+func (d *Dispatcher) shardPushback(sh *model.Shard, regions model.Regions, now time.Time) (rest time.Duration, usable bool) {
+	for _, r := range d.serversAtHome(nil, sh, regions) {
 		var c routing.Candidate
 		r.FillCandidate(&c, now)
 		if c.Usable {
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -17,6 +17,8 @@
 	Server  *tables.Server
 	Rank    model.Rank
 	Request backend.QueryRequest
+	// Policy is the policy of the request that the attempt belongs to; nil for a request without a route.
+	Policy *model.RequestPolicy
 	// Probe marks an attempt at an ejected server. There is at most one in flight per server.
 	Probe bool
 	// Gather requests that a daemon in the server's zone send the attempt and merge the replies to the query. It is used for
@@ -69,6 +71,10 @@
 			continue
 		}
 		q.prepare(ctx, d, now)
+		if !d.permitsAt(q.Policy, q.Server) {
+			d.rejectLater(&q.attempt)
+			continue
+		}
 		out = append(out, d.forwarding.outgoing(q, target))
 	}
 	if len(out) > 0 {
@@ -149,13 +155,17 @@
 
 // run is called by a worker after capacity at the server was acquired. An attempt that was queued when the server started
 // to leave or to push back is not sent: it could reach the server as late as the attempt's deadline, long after the server
-// asked for no further requests.
+// asked for no further requests. Nor is one that the configuration no longer permits.
 func (q *QueryAttempt) run() {
 	begin := time.Now()
 	if refusal, refused := refusalOf(q.Server, begin); refused {
 		q.endUnsent(refusal)
 		return
 	}
+	if !q.d.permitsAt(q.Policy, q.Server) {
+		q.endUnsent(backend.QueryResult{Status: unsentStatus})
+		return
+	}
 	if !q.beginInZone() {
 		q.endUnsent(backend.QueryResult{Status: backend.StatusZoneUnreachable})
 		return
--- a/internal/dispatch/queueing.go
+++ b/internal/dispatch/queueing.go
@@ -38,11 +38,15 @@
 	}
 	// The attempt is queued before the check: what rejects the waiting attempts either finds this one or is seen here.
 	if (d.Draining() || !a.Server.Sendable()) && a.Server.RemoveWaiting(a) {
-		// The caller of submit may hold a lock that the end of the attempt needs.
-		d.ready.Push(&tables.Attempt{Server: a.Server, Rank: a.Rank, Run: a.Reject})
+		d.rejectLater(a)
 	}
 }
 
+// rejectLater has a worker reject an attempt that acquired no capacity. The caller may hold a lock that the end of the attempt needs.
+func (d *Dispatcher) rejectLater(a *tables.Attempt) {
+	d.ready.Push(&tables.Attempt{Server: a.Server, Rank: a.Rank, Run: a.Reject})
+}
+
 // unsentStatus is the status of attempts that this daemon did not send. It costs no server anything, so the request may be sent to
 // another one without a charge to a budget.
 const unsentStatus = backend.StatusBusy
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -27,8 +27,10 @@
 	searcher *Searcher
 	id       model.RequestID
 	req      Request
-	rng      *rand.Rand
-	variant  variant
+	// policy is nil for a query of the search API.
+	policy  *model.RequestPolicy
+	rng     *rand.Rand
+	variant variant
 
 	mu             lockorder.Mutex
 	ctx            context.Context //nolint:containedctx // the lifetime of the attempts that the call starts
@@ -111,6 +113,9 @@
 			c.prepareOnBestReplica(i, charge, now)
 		}
 	}
+	if !c.variant.mayStart() {
+		c.dropPrepared()
+	}
 	c.startPrepared(now)
 	timer := c.searcher.Dispatcher.Timer
 	c.deadlineTimer = timer.Schedule(c.req.Deadline.Add(-answerMargin), c.end)
@@ -145,13 +150,21 @@
 
 // loadCandidates sets c.candidates and c.records to the replicas of a shard.
 func (c *call) loadCandidates(sh *shardState, now time.Time) {
-	criteria := dispatch.SelectionCriteria{Shard: sh.shard, Rank: c.req.Rank, Tried: sh.tried}
+	criteria := dispatch.SelectionCriteria{Shard: sh.shard, Rank: c.req.Rank, Regions: c.regions(), Tried: sh.tried}
 	c.candidates, c.records = c.searcher.Dispatcher.Candidates(c.candidates, c.records, criteria, now)
 	if c.restrict {
 		routing.Restrict(c.candidates, string(c.id), c.variant.maxAttempts())
 	}
 }
 
+// regions returns the regions in which the request may be served; nil means all.
+func (c *call) regions() model.Regions {
+	if c.policy == nil {
+		return nil
+	}
+	return c.policy.Regions
+}
+
 func anyUsable(cs []routing.Candidate) bool {
 	return slices.ContainsFunc(cs, func(c routing.Candidate) bool { return c.Usable })
 }
@@ -171,6 +184,7 @@
 	q := &dispatch.QueryAttempt{
 		Server:    server,
 		Rank:      c.req.Rank,
+		Policy:    c.policy,
 		Probe:     probe,
 		Gather:    charge.local && c.variant.sendsRemotely(server) && (sh.attempts == 1 || inOtherZone(sh.pending, server)),
 		MergeWait: c.variant.mergeWait(),
@@ -212,7 +226,7 @@
 	if charge.local {
 		return model.Member{}, true
 	}
-	return c.searcher.Dispatcher.DaemonToCharge(server.Spec().Zone, c.id)
+	return c.searcher.Dispatcher.DaemonToCharge(server.Spec().Zone, c.id, c.policy)
 }
 
 // inOtherZone reports whether there are pending attempts and none of them is in the server's zone. The daemons in that zone,
@@ -239,6 +253,22 @@
 	c.prepared = c.prepared[:0]
 }
 
+// dropPrepared withdraws the prepared attempts.
+func (c *call) dropPrepared() {
+	for _, q := range c.prepared {
+		if q.Probe {
+			q.Server.EndProbe()
+		}
+		c.possiblyRun--
+	}
+	for i := range c.shards {
+		sh := &c.shards[i]
+		sh.pending = slices.DeleteFunc(sh.pending, func(q *dispatch.QueryAttempt) bool { return slices.Contains(c.prepared, q) })
+	}
+	clear(c.prepared)
+	c.prepared = c.prepared[:0]
+}
+
 // onAttemptEnd handles the result of one attempt.
 func (c *call) onAttemptEnd(i int, q *dispatch.QueryAttempt, r backend.QueryResult) {
 	now := time.Now()
@@ -292,7 +322,7 @@
 
 func (c *call) mayResend(i int) bool {
 	sh := &c.shards[i]
-	if len(sh.pending) > 0 || sh.hasReply(sh.wantVersion) {
+	if len(sh.pending) > 0 || sh.hasReply(sh.wantVersion) || !c.searcher.Dispatcher.Permits(c.policy) {
 		return false
 	}
 	return sh.attempts < c.variant.maxAttempts()
--- a/internal/query/scatter/delegate.go
+++ b/internal/query/scatter/delegate.go
@@ -33,8 +33,8 @@
 	if req.Route.Index == nil || req.delegated {
 		return nil
 	}
-	to, ok := s.Dispatcher.Delegate(model.RequestID(req.Message.ID))
-	if !ok {
+	to, ok := s.Dispatcher.Delegate(model.RequestID(req.Message.ID), &req.Policy)
+	if !ok || !s.Dispatcher.Permits(&req.Policy) {
 		return nil
 	}
 	now := time.Now()
@@ -46,7 +46,7 @@
 	}
 	d.times = gather.TimeDelegation(d.due.Sub(now))
 	query := forwarding.Query{
-		Rank: req.Route.Rank, Left: req.Deadline.Sub(now),
+		Rank: req.Policy.Rank, Left: req.Deadline.Sub(now), Workspace: req.Policy.Workspace,
 		Request: backend.QueryRequest{ID: d.id, Message: req.Message, Deadline: req.Deadline},
 		Gather: &forwarding.Gather{
 			Route: req.Route.Name, Version: req.Topology.Routing.Version, Due: d.due, DueLeft: d.due.Sub(now),
@@ -58,7 +58,7 @@
 
 // inquire asks the other daemon whether it still works on the answer, and passes the response to progress.
 func (d *delegation) inquire() {
-	d.searcher.Dispatcher.InquireDelegation(d.to, d.req.Route.Rank, d.id, func(inProgress bool) {
+	d.searcher.Dispatcher.InquireDelegation(d.to, d.req.Policy.Rank, d.id, func(inProgress bool) {
 		select {
 		case d.progress <- inProgress:
 		default:
@@ -166,8 +166,12 @@
 		return forwarding.Result{Result: backend.QueryResult{Status: backend.StatusBusy}}
 	}
 	route := &t.Routing.Routes[i]
+	policy, ok := policyFor(t.Routing, route, q.Workspace)
+	if !ok {
+		return forwarding.Result{Result: backend.QueryResult{Status: backend.StatusBusy}}
+	}
 	a := s.ServeRoute(ctx, RouteRequest{
-		Route: route, Topology: t, Shards: s.Dispatcher.RouteShards(t, route), Message: q.Request.Message,
+		Route: route, Topology: t, Policy: policy, Shards: s.Dispatcher.RouteShards(t, route), Message: q.Request.Message,
 		Arrived: arrived, Deadline: q.Request.Deadline, delegated: true, due: arrived.Add(min(q.Gather.DueLeft, q.Left)),
 	})
 	r := forwarding.Result{Gathered: &forwarding.Gathered{
@@ -180,6 +184,22 @@
 	return r
 }
 
+// policyFor returns the policy of a request that another daemon received for the workspace; "" means that it needs no key. It
+// returns false if the configuration does not allow such a request.
+func policyFor(r *model.Routing, route *model.Route, name model.WorkspaceName) (model.RequestPolicy, bool) {
+	if r.RequiresKey(route) != (name != "") {
+		return model.RequestPolicy{}, false
+	}
+	if name == "" {
+		return r.Policy(route, nil), true
+	}
+	workspace := r.Workspace(name)
+	if workspace == nil {
+		return model.RequestPolicy{}, false
+	}
+	return r.Policy(route, workspace), true
+}
+
 // mergeAnswer merges the replies of an answer into one.
 func mergeAnswer(a *RouteAnswer, results int) *backend.MessageReply {
 	merged := &backend.MessageReply{StatusCode: http.StatusOK}
--- a/internal/query/scatter/delegate_test.go
+++ b/internal/query/scatter/delegate_test.go
@@ -132,6 +132,19 @@
 		Expect(strong.attempts()).To(BeNumerically(">=", 4))
 	}))
 
+	It("is not gathered for a workspace that the strong one does not know", suite.Bubbled(func() {
+		// Guards against a daemon that serves requests for others although all keys of their workspace were removed.
+		_, strong := newZonePair(nil, nil)
+		strong.topology.Routing = strong.topology.Routing.WithWorkspaces([]model.Workspace{{Name: "a"}})
+		for _, name := range []model.WorkspaceName{"", "a", "b"} {
+			q := gatherQuery()
+			q.Workspace = name
+			r := strong.searcher.GatherFor(context.Background(), q, time.Now())
+			Expect(r.Result.Status == backend.StatusBusy || r.Gathered.Outcome == model.OutcomeNotRun).To(BeTrue())
+		}
+		Expect(strong.attempts()).To(BeZero())
+	}))
+
 	It("is not handed on by the strong one", suite.Bubbled(func() {
 		// Guards against daemons that hand a request to each other.
 		_, strong := newZonePair(nil, nil)
--- a/internal/query/scatter/hedge.go
+++ b/internal/query/scatter/hedge.go
@@ -59,7 +59,7 @@
 	sh := &c.shards[i]
 	c.loadCandidates(sh, now)
 	target := idleCandidate(c.candidates, c.records)
-	if target == nil {
+	if target == nil || !c.searcher.Dispatcher.Permits(c.policy) {
 		return
 	}
 	charge := c.variant.spendHedge(sh, now)
--- a/internal/query/scatter/querycall.go
+++ b/internal/query/scatter/querycall.go
@@ -64,6 +64,8 @@
 
 func (c *queryCall) onRetried() {}
 
+func (c *queryCall) mayStart() bool { return true }
+
 func (c *queryCall) onStarted() {}
 
 func (c *queryCall) onResult(i int, q *dispatch.QueryAttempt, r backend.QueryResult, now time.Time) {
--- a/internal/query/scatter/route.go
+++ b/internal/query/scatter/route.go
@@ -17,6 +17,8 @@
 type RouteRequest struct {
 	Route    *model.Route
 	Topology *model.Topology
+	// Policy is the policy of the request under the Topology's routing configuration.
+	Policy model.RequestPolicy
 	// Shards are the shards that the answer is gathered from.
 	Shards  []*model.Shard
 	Message *backend.Message
@@ -122,7 +124,7 @@
 	writeLag := s.Dispatcher.AnswerLag.Bound()
 	c := &routeCall{
 		call: newCall(s, model.RequestID(req.Message.ID), Request{
-			Rank: req.Route.Rank, Topology: req.Topology, Deadline: req.Deadline,
+			Rank: req.Policy.Rank, Topology: req.Topology, Deadline: req.Deadline,
 		}, req.Shards),
 		route: req.Route, message: req.Message, arrived: req.Arrived,
 		due: gather.Due(req.Arrived, req.Route.Target, req.CallerPath, writeLag), writeLag: writeLag,
@@ -133,6 +135,7 @@
 	if req.extra {
 		c.due = gather.ExtendDue(c.due, c.due.Sub(req.Arrived), time.Now())
 	}
+	c.policy = &req.Policy
 	c.extra = req.extra
 	c.restrict = req.extra || req.delegated
 	c.variant = c
@@ -173,6 +176,18 @@
 	return len(a.Replies) > 0 && (a.Outcome == model.OutcomeComplete || a.Outcome == model.OutcomePartial)
 }
 
+// mayStart reports whether the configuration still permits the request and, if the request has home regions, whether there are
+// attempts for enough shards. Without the latter, no attempt could lead to an answer.
+func (c *routeCall) mayStart() bool {
+	if !c.searcher.Dispatcher.Permits(c.policy) {
+		return false
+	}
+	if c.policy.Regions == nil || c.extra {
+		return true
+	}
+	return c.gatherState().Open >= gather.RequiredShards(len(c.shards), c.minCoverage())
+}
+
 // onStarted schedules an evaluation for when the answer is due.
 func (c *routeCall) onStarted() {
 	if c.due.Before(c.req.Deadline) {
@@ -328,7 +343,7 @@
 		a.Outcome = model.OutcomePartial
 	case covered == 0 && c.possiblyRun == 0 && !c.extra:
 		a.Outcome = model.OutcomeNotRun
-		a.Pushback, _ = c.searcher.Dispatcher.PushbackUntil(c.shardList(), gather.RequiredShards(len(c.shards), c.minCoverage()), time.Now())
+		a.Pushback, _ = c.searcher.Dispatcher.PushbackUntil(c.shardList(), c.regions(), gather.RequiredShards(len(c.shards), c.minCoverage()), time.Now())
 	default:
 		a.Outcome = model.OutcomeFailed
 		a.Failure = c.failure
--- a/internal/query/scatter/variant.go
+++ b/internal/query/scatter/variant.go
@@ -38,6 +38,8 @@
 	// maxRecords returns the number of records of a reply to a message that can be part of the answer; 0 means that replies stay
 	// unchanged.
 	maxRecords() int
+	// mayStart reports whether the prepared first attempts are to be sent. If not, the call ends without any.
+	mayStart() bool
 	// onStarted is called once the first attempts have started.
 	onStarted()
 	// onResult handles the result of one attempt.
