Do not pass on a relayed reply whose status is not a final one

Cause: replies from servers with a status outside 200 to 599 were no replies, but those that another daemon relayed were not checked. With a status below 100 net/http panics when the reply is written; the caller's connection is closed.

--- a/internal/backend/message.go
+++ b/internal/backend/message.go
@@ -33,6 +33,13 @@
 	Shards []model.ShardName
 }
 
+// maxStatusCode is the highest status code of HTTP.
+const maxStatusCode = 599
+
+// IsFinalStatus reports whether code is the status of a final HTTP response. Any other status, such as 0 or 101, is no answer
+// to a message, and net/http cannot write all of them.
+func IsFinalStatus(code int) bool { return code >= http.StatusOK && code <= maxStatusCode }
+
 // Successful reports whether the reply has a 2xx status and at least one signature.
 func (r *MessageReply) Successful() bool {
 	return r != nil && r.StatusCode >= 200 && r.StatusCode < 300 && len(r.Signatures) > 0
--- a/internal/forwarding/compact_test.go
+++ b/internal/forwarding/compact_test.go
@@ -135,3 +135,17 @@
 		Expect(b.Results[1].Merged).To(BeFalse())
 	})
 })
+
+var _ = DescribeTable("a relayed reply whose status is not a final one is lost",
+	// Guards against a status that another daemon passes on and that cannot be written to the caller: net/http panics below 100.
+	func(status backend.Status, code int) {
+		r := forwarding.Result{Result: backend.QueryResult{
+			Status: status, Reply: backend.QueryReply{Message: &backend.MessageReply{StatusCode: code}},
+		}}
+		r.Normalize(true)
+		Expect(r.Result.Status.String()).To(Equal(backend.StatusLost.String()))
+		Expect(r.Result.Reply.Message).To(BeNil())
+	},
+	Entry("zero", backend.StatusOK, 0), Entry("negative", backend.StatusOK, -1), Entry("below the range", backend.StatusOK, 99),
+	Entry("informational", backend.StatusOK, 101), Entry("above the range", backend.StatusOK, 600), Entry("a failure", backend.StatusFailed, 0),
+)
--- a/internal/forwarding/messages.go
+++ b/internal/forwarding/messages.go
@@ -103,9 +103,12 @@
 }
 
 // Normalize replaces what this daemon cannot interpret: a status that it does not know becomes backend.StatusLost, which states
-// nothing, and so does a success without a reply to the message.
+// nothing, and so does a success without a reply to the message, or a reply that cannot be passed on to a caller.
 func (r *Result) Normalize(isMessage bool) {
-	if !r.Result.Status.Known() || (isMessage && r.Result.Status == backend.StatusOK && r.Result.Reply.Message == nil) {
+	reply := r.Result.Reply.Message
+	missing := isMessage && r.Result.Status == backend.StatusOK && reply == nil
+	invalid := reply != nil && !backend.IsFinalStatus(reply.StatusCode)
+	if !r.Result.Status.Known() || missing || invalid {
 		r.Result = backend.QueryResult{Status: backend.StatusLost}
 	}
 }
