--- a/internal/command/follow/announce.go
+++ b/internal/command/follow/announce.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"oleandersill.example/oleandersill/internal/pool"
+	"oleandersill.example/oleandersill/internal/decision/directory"
 	"oleandersill.example/oleandersill/internal/registry"
 )
 
@@ -22,21 +22,32 @@
 	withdrawTimeout = 300 * time.Millisecond
 )
 
-// runAnnouncements creates and renews the daemon's own entry in the store until ctx ends, and then removes it.
+// ownEntry is the state of the daemon's own entry in the store.
+type ownEntry struct {
+	// announced means that the entry was written under a lease that has not ended as far as is known. era is the era in which that
+	// lease was granted.
+	announced bool
+	era       directory.Era
+}
+
+// runAnnouncements creates and renews the daemon's own entry in the store until ctx ends, and then removes it. After the store was
+// restored it creates the entry again, and uses the earlier lease no more.
 func (f *Follower) runAnnouncements(ctx context.Context) {
-	announced := false
+	var own ownEntry
 	for ctx.Err() == nil {
+		known := f.era()
+		own.announced = own.announced && own.era >= known
 		wait := renewInterval
-		if err := f.announceOnce(ctx, announced); err != nil {
-			announced = announced && !errors.Is(err, registry.ErrLeaseEnded)
+		if err := f.announceOnce(ctx, &own); err != nil {
 			wait = announceRetryInterval
-			f.deps.Log.Warn().Err(err).Bool("announced", announced).Msg("own_entry_not_renewed")
-		} else {
-			announced = true
+			if errors.Is(err, registry.ErrStoreRestored) {
+				wait = randomAnnounceDelay()
+			}
+			f.deps.Log.Warn().Err(err).Bool("announced", own.announced).Msg("own_entry_not_renewed")
 		}
-		pool.Sleep(ctx, wait)
+		f.pauseAnnouncements(ctx, wait, max(known, own.era))
 	}
-	if !announced {
+	if !own.announced || own.era < f.era() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), withdrawTimeout)
@@ -46,11 +57,22 @@
 	}
 }
 
-func (f *Follower) announceOnce(ctx context.Context, announced bool) error {
+// announceOnce renews the lease of the daemon's own entry, or writes the entry under a new one.
+func (f *Follower) announceOnce(ctx context.Context, own *ownEntry) error {
 	ctx, cancel := context.WithTimeout(ctx, f.deps.Freshness.StoreReplyTimeout())
 	defer cancel()
-	if announced {
-		return f.deps.Announcer.Renew(ctx)
+	if own.announced {
+		err := f.deps.Announcer.Renew(ctx)
+		own.announced = !errors.Is(err, registry.ErrLeaseEnded) && !errors.Is(err, registry.ErrStoreRestored)
+		return err
+	}
+	era, err := f.deps.Announcer.Announce(ctx, f.deps.Self, entryTTL)
+	if err != nil {
+		return err
+	}
+	if era < f.era() {
+		return registry.ErrEarlierEra
 	}
-	return f.deps.Announcer.Announce(ctx, f.deps.Self, entryTTL)
+	own.announced, own.era = true, era
+	return nil
 }
--- a/internal/command/follow/checks_test.go
+++ b/internal/command/follow/checks_test.go
@@ -27,6 +27,7 @@
 			sim.violation = fmt.Sprintf("d%d went back from version %d to %d", d.index, d.lastVersion, t.Routing.Version)
 		}
 		d.lastVersion = t.Routing.Version
+		sim.checkSequences(d)
 		if d.boundsApply(now) {
 			sim.checkVersion(d, now)
 			sim.checkServers(d, t, now)
--- a/internal/command/follow/follower.go
+++ b/internal/command/follow/follower.go
@@ -65,10 +65,14 @@
 	wg   sync.WaitGroup
 	// changed signals runInstalls that the table may have changed; it holds at most one signal.
 	changed chan struct{}
+	// eraChanged signals runAnnouncements that the store's era may have risen; it holds at most one signal.
+	eraChanged chan struct{}
 }
 
 // New returns a Follower that reads nothing before Start.
-func New(deps Deps) *Follower { return &Follower{deps: deps, changed: make(chan struct{}, 1)} }
+func New(deps Deps) *Follower {
+	return &Follower{deps: deps, changed: make(chan struct{}, 1), eraChanged: make(chan struct{}, 1)}
+}
 
 // Start starts the goroutines of the Follower.
 func (f *Follower) Start() {
@@ -96,6 +100,9 @@
 func (f *Follower) applyUpdate(u *registry.Update, source string, readAt time.Time) bool {
 	c := f.deps.Registry.Apply(u, readAt, time.Now())
 	log := f.deps.Log.With().Str("source", source).Uint64("store_revision", uint64(u.Revision)).Logger()
+	if c.RestoredAfter != nil {
+		logRestored(&log, u, c.RestoredAfter)
+	}
 	for _, p := range u.Problems {
 		log.Warn().Str("key", p.Key).Str("reason", p.Reason).Msg("entry_unreadable")
 	}
@@ -109,7 +116,10 @@
 		logServer(&log, &c.Servers[i])
 	}
 	if c.AffectsTopology() || u.Complete || hasRemovedServer(u) {
-		f.signalChange()
+		signal(f.changed)
+	}
+	if u.Complete {
+		signal(f.eraChanged)
 	}
 	return c.AffectsTopology()
 }
@@ -136,9 +146,10 @@
 	}
 }
 
-func (f *Follower) signalChange() {
+// signal sends a signal on a channel that holds at most one.
+func signal(c chan<- struct{}) {
 	select {
-	case f.changed <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
--- a/internal/command/follow/memorystore_test.go
+++ b/internal/command/follow/memorystore_test.go
@@ -34,6 +34,7 @@
 // change is one change of a key, in the order of revisions. Exactly one of the fields after revision is set.
 type change struct {
 	revision directory.Revision
+	at       time.Time
 	routing  *model.Routing
 	server   *registry.ServerEntry
 	member   *registry.MemberEntry
@@ -41,9 +42,12 @@
 
 // memoryStore is a platform's store in memory. It is safe for concurrent use.
 type memoryStore struct {
-	mu        sync.Mutex
-	revision  directory.Revision
-	history   []change
+	mu       sync.Mutex
+	era      directory.Era
+	revision directory.Revision
+	history  []change
+	// journal holds all changes since the start, also those that history no longer has.
+	journal   []change
 	compacted directory.Revision
 	routing   *model.Routing
 	servers   map[model.ServerName]registry.ServerEntry
@@ -66,11 +70,12 @@
 // record appends a change under a new revision and wakes watches. The caller holds mu.
 func (s *memoryStore) record(c change) {
 	s.revision++
-	c.revision = s.revision
+	c.revision, c.at = s.revision, time.Now()
 	if c.server != nil {
 		c.server.Revision = s.revision
 	}
 	s.history = append(s.history, c)
+	s.journal = append(s.journal, c)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -85,7 +90,7 @@
 func (s *memoryStore) register(r model.Registration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := registry.ServerEntry{Name: r.Name, Registration: r}
+	e := registry.ServerEntry{Name: r.Name, Registration: r, Sequence: sequenceOf(&r)}
 	s.record(change{server: &e})
 	s.servers[r.Name] = e
 }
@@ -128,7 +133,7 @@
 func (s *memoryStore) snapshot() registry.Update {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	u := registry.Update{Revision: s.revision, Complete: true, Routing: s.routing}
+	u := registry.Update{Era: s.era, Revision: s.revision, Complete: true, Routing: s.routing}
 	for _, e := range s.servers {
 		u.Servers = append(u.Servers, e)
 	}
@@ -139,16 +144,16 @@
 }
 
 // changesAfter returns the changes after a revision and a channel that is closed with the next one.
-func (s *memoryStore) changesAfter(after directory.Revision) (registry.Update, <-chan struct{}, error) {
+func (s *memoryStore) changesAfter(after directory.Point) (registry.Update, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.compacted {
+	if after.Era != s.era || after.Revision < s.compacted || after.Revision > s.revision {
 		return registry.Update{}, nil, registry.ErrHistoryLost
 	}
-	u := registry.Update{Revision: s.revision}
+	u := registry.Update{Era: s.era, Revision: s.revision}
 	for _, c := range s.history {
 		switch {
-		case c.revision <= after:
+		case c.revision <= after.Revision:
 		case c.routing != nil:
 			u.Routing = c.routing
 		case c.server != nil:
@@ -170,6 +175,32 @@
 	// faultChanged is closed when the fault changes or the open connections fall silent.
 	faultChanged chan struct{}
 	self         model.InstanceID
+	// leaseEra is the era in which the entry of self was announced.
+	leaseEra directory.Era
+	// calls lists the calls for the daemon's entry, which are refused while refusesWrites is set.
+	calls         []entryCall
+	refusesWrites bool
+}
+
+// entryCall is a call for a daemon's entry.
+type entryCall string
+
+const (
+	callAnnounce entryCall = "announce"
+	callRenew    entryCall = "renew"
+	callWithdraw entryCall = "withdraw"
+)
+
+// beginCall records a call for the daemon's entry and applies the current fault.
+func (c *storeClient) beginCall(ctx context.Context, call entryCall) error {
+	c.mu.Lock()
+	c.calls = append(c.calls, call)
+	refused := c.refusesWrites
+	c.mu.Unlock()
+	if refused {
+		return errRefused
+	}
+	return c.applyFault(ctx)
 }
 
 func newStoreClient(s *memoryStore) *storeClient {
@@ -250,7 +281,7 @@
 	return c.store.snapshot(), nil
 }
 
-func (c *storeClient) Watch(ctx context.Context, after directory.Revision, wait time.Duration) (registry.Update, error) {
+func (c *storeClient) Watch(ctx context.Context, after directory.Point, wait time.Duration) (registry.Update, error) {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
@@ -258,7 +289,7 @@
 			return registry.Update{}, err
 		}
 		u, changed, err := c.store.changesAfter(after)
-		if err != nil || u.Revision > after {
+		if err != nil || u.Revision > after.Revision {
 			return u, err
 		}
 		_, faultChanged := c.currentFault()
@@ -273,24 +304,27 @@
 	}
 }
 
-func (c *storeClient) Announce(ctx context.Context, self model.Member, ttl time.Duration) error {
-	if err := c.applyFault(ctx); err != nil {
-		return err
+func (c *storeClient) Announce(ctx context.Context, self model.Member, ttl time.Duration) (directory.Era, error) {
+	if err := c.beginCall(ctx, callAnnounce); err != nil {
+		return 0, err
 	}
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
-	c.self = self.Instance
+	c.self, c.leaseEra = self.Instance, c.store.era
 	c.store.members[self.Instance] = lease{member: self, expires: time.Now().Add(ttl)}
 	c.store.record(change{member: &registry.MemberEntry{Instance: self.Instance, Member: self}})
-	return nil
+	return c.leaseEra, nil
 }
 
 func (c *storeClient) Renew(ctx context.Context) error {
-	if err := c.applyFault(ctx); err != nil {
+	if err := c.beginCall(ctx, callRenew); err != nil {
 		return err
 	}
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
+	if c.leaseEra != c.store.era {
+		return registry.ErrStoreRestored
+	}
 	entry, ok := c.store.members[c.self]
 	if !ok {
 		return registry.ErrLeaseEnded
@@ -301,11 +335,14 @@
 }
 
 func (c *storeClient) Withdraw(ctx context.Context) error {
-	if err := c.applyFault(ctx); err != nil {
+	if err := c.beginCall(ctx, callWithdraw); err != nil {
 		return err
 	}
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
+	if c.leaseEra != c.store.era {
+		return registry.ErrStoreRestored
+	}
 	c.store.removeMember(c.self)
 	return nil
 }
--- a/internal/command/follow/peers.go
+++ b/internal/command/follow/peers.go
@@ -38,7 +38,7 @@
 	}
 	r.leaving.sent, r.leaving.received = sent, update.LeavingUpTo
 	f.applyPeerUpdate(&update)
-	if update.StoreUnreachable || fresh.Old(time.Since(update.ConfirmedAt)) {
+	if update.Era < at.Era || update.StoreUnreachable || fresh.Old(time.Since(update.ConfirmedAt)) {
 		f.excludeSource(r, source, gossip.SourceStale, nil)
 		return
 	}
@@ -62,12 +62,17 @@
 		Dur("heard_ago", now.Sub(at.ConfirmedAt)).Uint64("revision", uint64(at.Revision)).Msg("store_source_rested")
 }
 
+// applyPeerUpdate applies what another daemon has received. Of a daemon that does not know the store's present era yet, only the
+// leaving servers are of use.
 func (f *Follower) applyPeerUpdate(u *registry.PeerUpdate) {
+	f.ObserveLeaving(u.Leaving)
+	if u.Era < f.deps.Registry.Position().Era {
+		return
+	}
 	if !u.StoreRestoredAt.IsZero() {
 		f.deps.Registry.SetStoreRestored(u.StoreRestoredAt)
 	}
 	f.deps.Config.RecordStoreContact(u.ConfirmedAt)
-	f.ObserveLeaving(u.Leaving)
 	f.applyUpdate(&u.Update, sourcePeer, u.ConfirmedAt)
 }
 
@@ -93,7 +98,7 @@
 		return
 	}
 	f.ObserveLeaving(update.Leaving)
-	if update.Revision <= at.Revision || (update.Routing == nil && update.Complete) {
+	if !at.Point().Before(update.Point()) || (update.Routing == nil && update.Complete) {
 		return
 	}
 	f.applyPeerUpdate(&update)
--- a/internal/command/follow/read.go
+++ b/internal/command/follow/read.go
@@ -17,6 +17,8 @@
 type readState struct {
 	// synced is set after a complete read, from whose revision a watch can continue.
 	synced bool
+	// rereading is set from the loss of the history until a watch succeeds.
+	rereading bool
 	// readStoreNext makes the next call go to the store, since the followed daemon failed or the data is too old.
 	readStoreNext bool
 	// source is the daemon that is followed; empty if the store is read.
@@ -69,6 +71,7 @@
 	now := time.Now()
 	f.handleStoreSuccess(r, now)
 	changed := f.applyUpdate(&u, sourceStore, now)
+	r.rereading = r.rereading && u.Complete
 	r.synced = true
 	if changed {
 		pool.Sleep(ctx, f.deps.Freshness.ChangePause(daemons, r.readStoreNext))
@@ -82,7 +85,7 @@
 	if !r.synced {
 		ctx, cancel := context.WithTimeout(ctx, f.deps.Freshness.StoreReplyTimeout())
 		defer cancel()
-		return f.deps.Reader.Load(ctx)
+		return f.load(ctx)
 	}
 	fresh, age := f.deps.Freshness, time.Since(f.deps.Registry.Position().ConfirmedAt)
 	if !r.lostSince.IsZero() {
@@ -110,7 +113,7 @@
 func (f *Follower) watch(ctx context.Context, wait, replyTimeout time.Duration) (registry.Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+replyTimeout)
 	defer cancel()
-	return f.deps.Reader.Watch(ctx, f.deps.Registry.Position().Revision, wait)
+	return f.deps.Reader.Watch(ctx, f.deps.Registry.Position().Point(), wait)
 }
 
 // handleStoreError handles a failed call to the store. If the store no longer has the changes after the known revision, the
@@ -118,7 +121,11 @@
 func (f *Follower) handleStoreError(ctx context.Context, r *readState, err error) {
 	if errors.Is(err, registry.ErrHistoryLost) {
 		f.deps.Log.Warn().Uint64("revision", uint64(f.deps.Registry.Position().Revision)).Msg("store_history_lost")
-		r.synced = false
+		if r.rereading {
+			// The complete read did not help, so the next one must not follow without a pause.
+			pool.Sleep(ctx, maxBackoff)
+		}
+		r.synced, r.rereading = false, true
 		return
 	}
 	if r.lostSince.IsZero() {
--- a/internal/command/follow/simulation_test.go
+++ b/internal/command/follow/simulation_test.go
@@ -59,6 +59,7 @@
 	stepKill
 	stepStop
 	stepCompact
+	stepRestore
 	stepKinds
 )
 
@@ -80,6 +81,13 @@
 	// restarts holds the times at which each daemon was restarted.
 	restarts  map[int][]time.Time
 	violation string
+	// repeats holds the writes that a restore lost and that are still to be repeated.
+	repeats []repeat
+	// routing is the configuration of version, and entries what each server wrote last, or nil if its entry was removed.
+	routing *model.Routing
+	entries map[model.ServerName]*model.Registration
+	// sequence counts the entries that servers wrote.
+	sequence model.EntrySequence
 }
 
 // daemon is the control state of a daemon from its start to its end.
@@ -101,6 +109,8 @@
 	// lastDisturbed is when the daemon was started, its access to the store last changed, or the store was last compacted.
 	lastDisturbed time.Time
 	lastVersion   model.RoutingVersion
+	// sequences holds the sequence of each server's entry that was seen last.
+	sequences map[model.ServerName]model.EntrySequence
 }
 
 func member(index int) model.Member {
@@ -208,19 +218,47 @@
 func (sim *simulation) configure() {
 	sim.version += 2
 	services := []model.BackendService{{Name: service, HealthPath: "/", MaxConnections: 26}}
-	sim.store.configure(model.NewRouting(sim.version, nil, services, model.CallerLimits{}))
-	sim.writtenAt[sim.version] = time.Now()
+	sim.routing = model.NewRouting(sim.version, nil, services, model.CallerLimits{})
+	sim.writeRouting()
+}
+
+func (sim *simulation) writeRouting() {
+	sim.store.configure(sim.routing)
+	if _, ok := sim.writtenAt[sim.version]; !ok {
+		sim.writtenAt[sim.version] = time.Now()
+	}
 }
 
 func (sim *simulation) register(name model.ServerName, leaving bool) {
-	sim.store.register(model.Registration{Name: name, Service: service, Address: "a:1", Zone: "z0", Slots: 2, Leaving: leaving})
-	if leaving {
-		sim.leftAt[name] = time.Now()
-		delete(sim.joinedAt, name)
-		return
+	sim.sequence++
+	sim.entries[name] = &model.Registration{
+		Name: name, Service: service, Address: "a:1", Zone: "z0", Slots: 2, Leaving: leaving, WarmUp: time.Duration(sim.sequence),
 	}
-	sim.joinedAt[name] = time.Now()
+	delete(sim.joinedAt, name)
 	delete(sim.leftAt, name)
+	sim.writeServer(name)
+}
+
+func (sim *simulation) remove(name model.ServerName) {
+	sim.entries[name] = nil
+	delete(sim.joinedAt, name)
+	sim.writeServer(name)
+}
+
+// writeServer writes or removes a server's entry. The time limits count from the first time.
+func (sim *simulation) writeServer(name model.ServerName) {
+	entry, since := sim.entries[name], sim.leftAt
+	if entry == nil {
+		sim.store.remove(name)
+	} else {
+		sim.store.register(*entry)
+		if !entry.Leaving {
+			since = sim.joinedAt
+		}
+	}
+	if _, ok := since[name]; !ok {
+		since[name] = time.Now()
+	}
 }
 
 func (sim *simulation) perform(s step) {
@@ -234,11 +272,7 @@
 	case stepDrain:
 		sim.register(name, true)
 	case stepRemove:
-		sim.store.remove(name)
-		if _, ok := sim.leftAt[name]; !ok {
-			sim.leftAt[name] = time.Now()
-		}
-		delete(sim.joinedAt, name)
+		sim.remove(name)
 	case stepFault:
 		d.disturb(storeFault(1 + s.target%3))
 	case stepFaultAll:
@@ -271,6 +305,8 @@
 		for _, d := range sim.daemons {
 			d.lastDisturbed = time.Now()
 		}
+	case stepRestore:
+		sim.restore(time.Duration(s.target)*time.Second/2, s.target%2 == 0)
 	}
 }
 
@@ -279,24 +315,31 @@
 	d.lastDisturbed = time.Now()
 }
 
-// run performs the steps on a new fleet and returns a violation of a limit, or "" if there was none.
-func run(steps []step, daemonCount int, bounds platformBounds) string {
+// newSimulation starts a fleet with a configuration and a server.
+func newSimulation(daemonCount int, bounds platformBounds) *simulation {
 	sim := &simulation{
 		bounds: bounds,
 		store:  newMemoryStore(), daemons: make([]*daemon, daemonCount), writtenAt: map[model.RoutingVersion]time.Time{},
 		leftAt: map[model.ServerName]time.Time{}, joinedAt: map[model.ServerName]time.Time{},
-		restarts: map[int][]time.Time{},
+		restarts: map[int][]time.Time{}, entries: map[model.ServerName]*model.Registration{},
 	}
 	sim.configure()
 	sim.register("i0", false)
 	for i := range daemonCount {
 		sim.start(i)
 	}
+	return sim
+}
+
+// run performs the steps on a new fleet and returns a violation of a limit, or "" if there was none.
+func run(steps []step, daemonCount int, bounds platformBounds) string {
+	sim := newSimulation(daemonCount, bounds)
 	for _, s := range append(steps, step{kind: stepHeal, pause: 2 * bounds.settled}) {
 		sim.perform(s)
 		for end := time.Now().Add(s.pause); time.Now().Before(end) && sim.violation == ""; {
 			time.Sleep(checkInterval)
 			sim.store.expire(time.Now())
+			sim.repeatLost(time.Now())
 			sim.check(time.Now())
 		}
 		synctest.Wait()
--- a/internal/decision/directory/directory.go
+++ b/internal/decision/directory/directory.go
@@ -15,17 +15,11 @@
 	// maxRemovalGrace bounds the same time counted from the last time that the entry was known to be in the store, also as a
 	// fraction of the drain period.
 	maxRemovalGrace = 0.86
-	// restoreGrace is how long after the end of a store outage servers have time to write again the entries that expired in it.
-	restoreGrace = 2300 * time.Millisecond
+	// RestoreGrace is how long after the end of a store outage, or after the first read of a restored store, servers and daemons have
+	// time to write again what expired or was lost.
+	RestoreGrace = 2300 * time.Millisecond
 )
 
-// Revision is a revision of the store; a higher one is newer if both are of the same era.
-type Revision uint64
-
-// Era numbers the incarnations of the store. It rises when the store is restored from an older copy, after which revisions are
-// given out again. It is 0 if the store states none.
-type Era uint64
-
 // Directory holds the known entries and which servers to use. Create it with New. It is not safe for concurrent use.
 type Directory struct {
 	// drainPeriod is how long a server still serves requests after it announced that it leaves or its entry was removed.
@@ -36,45 +30,45 @@
 	// leaving holds the servers that stated in a reply that they leave, and leavingSequence numbers the marks.
 	leaving         map[model.ServerName]leavingMark
 	leavingSequence LeavingSequence
-	// dropped holds the lately dropped servers that had stated when they started, with the time of the first Expire after the drop,
-	// or the zero time before it.
-	dropped map[model.ServerName]time.Time
+	// dropped holds the lately dropped servers.
+	dropped map[model.ServerName]droppedRun
 }
 
 type entry struct {
 	registration model.Registration
+	sequence     model.EntrySequence
 	revision     Revision
 	// useUntil is zero while the entry is in the store. After that it is when the server is no longer used.
 	useUntil time.Time
+	// missing means that useUntil was set because the entry was missing after the store was restored.
+	missing bool
+	// heldUntil, unless it is zero, is when the server is used again although it had left: the restored store has its entry.
+	heldUntil time.Time
 }
 
 // New returns an empty directory of servers that still serve requests for drainPeriod after they announced that they leave.
 func New(drainPeriod time.Duration) *Directory {
 	return &Directory{
 		drainPeriod: drainPeriod, entries: map[model.ServerName]*entry{}, leaving: map[model.ServerName]leavingMark{},
-		dropped: map[model.ServerName]time.Time{},
+		dropped: map[model.ServerName]droppedRun{},
 	}
 }
 
 // Put records an entry and reports whether the server is new or its registration changed, or whether it was dropped. An entry that
 // is not newer than the known one is ignored. One that does not say when the server started, although the server did before, is
 // not the server's own, and names no server to use.
-func (d *Directory) Put(r model.Registration, revision Revision) bool {
+func (d *Directory) Put(read Entry) bool {
+	r := read.Registration
 	e := d.entries[r.Name]
-	if e != nil && (revision < e.revision || (revision == e.revision && e.useUntil.IsZero())) {
+	if e != nil && (read.Revision < e.revision || (read.Revision == e.revision && e.useUntil.IsZero())) {
 		return false
 	}
 	if r.Started == 0 && d.statedStart(r.Name) {
 		return d.DropServer(r.Name)
 	}
 	delete(d.dropped, r.Name)
-	if e == nil {
-		d.entries[r.Name] = &entry{registration: r, revision: revision}
-		d.clearMarkOfOtherRun(&r)
-		return true
-	}
-	changed := e.registration != r
-	e.registration, e.revision, e.useUntil = r, revision, time.Time{}
+	changed := e == nil || e.registration != r || !e.heldUntil.IsZero()
+	d.entries[r.Name] = &entry{registration: r, sequence: read.Sequence, revision: read.Revision}
 	d.clearMarkOfOtherRun(&r)
 	return changed
 }
@@ -96,7 +90,7 @@
 	if e == nil || !e.useUntil.IsZero() {
 		return false
 	}
-	if e.registration.Leaving || d.markedLeaving(&e.registration) {
+	if !e.heldUntil.IsZero() || e.registration.Leaving || d.markedLeaving(&e.registration) {
 		d.drop(name)
 		return true
 	}
@@ -104,7 +98,7 @@
 	if latest := lastSeen.Add(d.drainFraction(maxRemovalGrace)); latest.Before(e.useUntil) {
 		e.useUntil = latest
 	}
-	if afterOutage := d.storeRestored.Add(restoreGrace); afterOutage.After(e.useUntil) {
+	if afterOutage := d.restoreEnd(); afterOutage.After(e.useUntil) {
 		e.useUntil = afterOutage
 	}
 	return false
@@ -133,7 +127,7 @@
 	return out
 }
 
-// Expire drops the servers whose grace period has ended and returns their names.
+// Expire drops the servers whose grace period has ended and returns their names. Servers that are held until now are used again.
 func (d *Directory) Expire(now time.Time) []model.ServerName {
 	d.expireMarks(now)
 	d.expireDropped(now)
@@ -143,16 +137,21 @@
 			d.drop(name)
 			dropped = append(dropped, name)
 		}
+		if !now.Before(e.heldUntil) {
+			e.heldUntil = time.Time{}
+		}
 	}
 	return dropped
 }
 
-// NextExpiry returns when the next grace period ends, or the zero time if there is none.
+// NextExpiry returns when Expire next has an effect on the servers to use, or the zero time.
 func (d *Directory) NextExpiry() time.Time {
 	var next time.Time
 	for _, e := range d.entries {
-		if !e.useUntil.IsZero() && (next.IsZero() || e.useUntil.Before(next)) {
-			next = e.useUntil
+		for _, at := range [...]time.Time{e.useUntil, e.heldUntil} {
+			if !at.IsZero() && (next.IsZero() || at.Before(next)) {
+				next = at
+			}
 		}
 	}
 	return next
@@ -161,6 +160,7 @@
 // Entry is a server's entry in the store.
 type Entry struct {
 	Registration model.Registration
+	Sequence     model.EntrySequence
 	Revision     Revision
 }
 
@@ -169,17 +169,20 @@
 	var out []Entry
 	for _, e := range d.entries {
 		if e.useUntil.IsZero() {
-			out = append(out, Entry{Registration: e.registration, Revision: e.revision})
+			out = append(out, Entry{Registration: e.registration, Sequence: e.sequence, Revision: e.revision})
 		}
 	}
 	return out
 }
 
-// Servers returns the servers to use, sorted by name. It includes those in a grace period. A server with a leaving mark is
-// leaving, even if its entry does not say so.
+// Servers returns the servers to use, sorted by name. It includes those in a grace period, and not those that are held. A server
+// with a leaving mark is leaving, even if its entry does not say so.
 func (d *Directory) Servers() []model.Registration {
 	out := make([]model.Registration, 0, len(d.entries))
 	for _, e := range d.entries {
+		if !e.heldUntil.IsZero() {
+			continue
+		}
 		r := e.registration
 		r.Leaving = r.Leaving || d.markedLeaving(&r)
 		out = append(out, r)
--- a/internal/decision/directory/directory_test.go
+++ b/internal/decision/directory/directory_test.go
@@ -29,6 +29,10 @@
 	return model.Registration{Name: model.ServerName(name), Service: "s", Address: "a", Slots: 1, Leaving: leaving}
 }
 
+func put(d *directory.Directory, r model.Registration, revision directory.Revision) bool {
+	return d.Put(directory.Entry{Registration: r, Revision: revision})
+}
+
 func names(d *directory.Directory) []string {
 	var out []string
 	for _, r := range d.Servers() {
@@ -41,7 +45,7 @@
 	It("uses a server for a while after its entry was removed unannounced, but not for the whole drain period", func() {
 		// Guards against dropping a running server because its entry expired, and against using a server that has stopped.
 		d := directory.New(drainPeriod)
-		d.Put(server("a", false), 1)
+		put(d, server("a", false), 1)
 		Expect(d.RemoveEntry("a", start, start)).To(BeFalse())
 		d.Expire(start.Add(time.Second))
 		Expect(names(d)).To(ConsistOf("a"))
@@ -52,7 +56,7 @@
 	It("uses a server at most for the drain period after its entry was last seen, even if the removal is reported late", func() {
 		// Guards against adding the delay of a daemon that gets store changes from other daemons to the grace period.
 		d := directory.New(drainPeriod)
-		d.Put(server("a", false), 1)
+		put(d, server("a", false), 1)
 		Expect(d.RemoveEntry("a", start, start.Add(2*time.Second))).To(BeFalse())
 		Expect(d.Expire(start.Add(drainPeriod - 300*time.Millisecond))).To(ConsistOf(model.ServerName("a")))
 	})
@@ -63,16 +67,16 @@
 			d := directory.New(drainPeriod)
 			stated := server("a", false)
 			stated.Started = 1
-			d.Put(stated, 1)
+			put(d, stated, 1)
 			d.MarkLeaving(model.LeavingServer{Server: "a", Started: 1}, start)
 			leave(d)
-			d.Put(server("a", false), 5)
+			put(d, server("a", false), 5)
 			Expect(names(d)).To(BeEmpty())
-			d.Put(stated, 6)
+			put(d, stated, 6)
 			Expect(d.Servers()[0].Leaving).To(BeTrue())
 			other := stated
 			other.Started = 2
-			d.Put(other, 7)
+			put(d, other, 7)
 			Expect(d.Servers()[0].Leaving).To(BeFalse())
 		},
 		Entry("while its own entry is there", func(*directory.Directory) {}),
@@ -89,18 +93,18 @@
 		d := directory.New(drainPeriod)
 		stated := server("a", false)
 		stated.Started = 1
-		d.Put(stated, 1)
+		put(d, stated, 1)
 		d.DropServer("a")
 		d.Expire(start)
 		d.Expire(start.Add(time.Hour))
-		d.Put(server("a", false), 5)
+		put(d, server("a", false), 5)
 		Expect(names(d)).To(ConsistOf("a"))
 	})
 
 	It("immediately drops a server that announced that it leaves", func() {
 		// Guards against requests to a server that has shut down as announced.
 		d := directory.New(drainPeriod)
-		d.Put(server("a", true), 1)
+		put(d, server("a", true), 1)
 		Expect(d.RemoveEntry("a", start, start)).To(BeTrue())
 		Expect(names(d)).To(BeEmpty())
 	})
@@ -108,14 +112,14 @@
 	It("keeps servers whose entries expired in a store outage until they had time to write them again", func() {
 		// Guards against a daemon without any servers right after a store outage.
 		d := directory.New(drainPeriod)
-		d.Put(server("a", false), 1)
-		d.Put(server("b", false), 2)
+		put(d, server("a", false), 1)
+		put(d, server("b", false), 2)
 		d.StoreRestored(start)
 		d.RemoveEntry("a", start, start)
 		d.RemoveEntry("b", start, start)
 		d.Expire(start.Add(restoreTime))
 		Expect(names(d)).To(ConsistOf("a", "b"))
-		d.Put(server("a", false), 9)
+		put(d, server("a", false), 9)
 		d.Expire(start.Add(drainPeriod))
 		Expect(names(d)).To(ConsistOf("a"))
 	})
@@ -123,8 +127,8 @@
 	It("ignores an entry that is older than the known one", func() {
 		// Guards against a stale read that puts a leaving server back in service.
 		d := directory.New(drainPeriod)
-		d.Put(server("a", true), 5)
-		Expect(d.Put(server("a", false), 4)).To(BeFalse())
+		put(d, server("a", true), 5)
+		Expect(put(d, server("a", false), 4)).To(BeFalse())
 		Expect(d.Servers()[0].Leaving).To(BeTrue())
 	})
 
@@ -133,19 +137,19 @@
 		d := directory.New(drainPeriod)
 		first := server("a", false)
 		first.Started = 1
-		d.Put(first, 1)
+		put(d, first, 1)
 		Expect(d.MarkLeaving(model.LeavingServer{Server: "a", Started: 1}, start)).To(BeTrue())
 		Expect(d.MarkLeaving(model.LeavingServer{Server: "a", Started: 1}, start)).To(BeFalse())
 		Expect(d.Servers()[0].Leaving).To(BeTrue())
-		d.Put(first, 2)
+		put(d, first, 2)
 		Expect(d.Servers()[0].Leaving).To(BeTrue())
 		Expect(d.RemoveEntry("a", start, start)).To(BeTrue())
 		d.Expire(start.Add(time.Minute))
-		d.Put(first, 3)
+		put(d, first, 3)
 		Expect(d.Servers()[0].Leaving).To(BeTrue())
 		second := first
 		second.Started = 2
-		d.Put(second, 4)
+		put(d, second, 4)
 		Expect(d.Servers()[0].Leaving).To(BeFalse())
 		Expect(d.MarkLeaving(model.LeavingServer{Server: "a", Started: 1}, start)).To(BeFalse())
 		Expect(d.Servers()[0].Leaving).To(BeFalse())
@@ -182,7 +186,7 @@
 	It("drops a server whose key no longer holds a valid entry", func() {
 		// Guards against using the last valid entry after it was overwritten.
 		d := directory.New(drainPeriod)
-		d.Put(server("a", false), 1)
+		put(d, server("a", false), 1)
 		Expect(d.DropServer("a")).To(BeTrue())
 		Expect(d.DropServer("a")).To(BeFalse())
 	})
@@ -202,7 +206,7 @@
 				revision++
 				switch rapid.IntRange(0, 3).Draw(t, "event") {
 				case 0, 1:
-					d.Put(server(name, rapid.Bool().Draw(t, "leaving")), revision)
+					put(d, server(name, rapid.Bool().Draw(t, "leaving")), revision)
 					present[name] = true
 					delete(removed, name)
 				case 2:
--- a/internal/decision/gossip/source.go
+++ b/internal/decision/gossip/source.go
@@ -39,13 +39,21 @@
 	Leaving directory.LeavingSequence
 }
 
+// Point returns the point in the store's history that the daemon has reached.
+func (p Position) Point() directory.Point {
+	return directory.Point{Era: p.Era, Revision: p.Revision}
+}
+
 // minFresher is the difference in age up to which fresher data does not justify a message.
 const minFresher = 50 * time.Millisecond
 
-// AheadOf reports whether p has a higher revision than other, or is fresher by more than minFresher, so that a daemon at
-// other benefits from the store's data of a daemon at p.
+// AheadOf reports whether p has a higher era or revision than other, or is fresher by more than minFresher, so that a daemon at
+// other benefits from the store's data of a daemon at p. A position of an earlier era is never ahead.
 func (p Position) AheadOf(other Position) bool {
-	return p.Revision > other.Revision || p.ConfirmedAt.Sub(other.ConfirmedAt) > minFresher
+	if p.Era < other.Era {
+		return false
+	}
+	return other.Point().Before(p.Point()) || p.ConfirmedAt.Sub(other.ConfirmedAt) > minFresher
 }
 
 // SourceSelector selects the daemon from which self gets changes of the platform's store. The fleet's highest-ranked
--- a/internal/decision/gossip/source_test.go
+++ b/internal/decision/gossip/source_test.go
@@ -37,6 +37,20 @@
 	}
 }
 
+var _ = Describe("Position", func() {
+	DescribeTable("is ahead by its era, then by its revision, then by its age",
+		func(p, other gossip.Position, want bool) {
+			// Guards against a daemon that takes the higher revision of the era before for newer content.
+			Expect(p.AheadOf(other)).To(Equal(want))
+		},
+		Entry("a later era, a lower revision", gossip.Position{Era: 2, Revision: 4}, gossip.Position{Era: 1, Revision: 9}, true),
+		Entry("an earlier era, a higher revision", gossip.Position{Era: 1, Revision: 9}, gossip.Position{Era: 2, Revision: 4}, false),
+		Entry("an earlier era, confirmed later", gossip.Position{Era: 1, ConfirmedAt: sourceStart}, gossip.Position{Era: 2}, false),
+		Entry("the same era, a higher revision", gossip.Position{Era: 2, Revision: 9}, gossip.Position{Era: 2, Revision: 4}, true),
+		Entry("the same point, confirmed later", gossip.Position{Era: 2, ConfirmedAt: sourceStart}, gossip.Position{Era: 2}, true),
+	)
+})
+
 var _ = Describe("SourceSelector", func() {
 	It("lets one daemon of a fleet read the store, with all others at most two hops away", func() {
 		// Guards against a number of calls to the store that grows with the fleet.
--- a/internal/model/registration.go
+++ b/internal/model/registration.go
@@ -18,6 +18,10 @@
 	Started int64
 }
 
+// EntrySequence counts the entries that one run of a server has written. It is no part of the Registration, since it changes when the
+// server writes the same entry again.
+type EntrySequence int64
+
 // LeavingServer identifies one run of a backend server that stated in a reply that it is leaving.
 type LeavingServer struct {
 	Server ServerName
--- a/internal/peer/registry.go
+++ b/internal/peer/registry.go
@@ -20,6 +20,9 @@
 	// Era and After are the requester's era and revision of the store; an After of 0 requests all entries.
 	Era   directory.Era
 	After directory.Revision
+	// KnowsEras means that Era is set. Requesters of earlier versions compare revisions only, so that the peer takes them to be of its
+	// own era.
+	KnowsEras bool
 	// Age is the time since the store was last known to the requester to be at After. It is relative because daemons have no
 	// common clock.
 	Age  time.Duration
@@ -79,7 +82,7 @@
 ) (registry.PeerUpdate, error) {
 	var r RegistryReply
 	req := RegistryRequest{
-		After: at.Revision, Age: time.Since(at.ConfirmedAt), Wait: wait, Leaving: leaving, LeavingAfter: at.Leaving,
+		Era: at.Era, KnowsEras: true, After: at.Revision, Age: time.Since(at.ConfirmedAt), Wait: wait, Leaving: leaving, LeavingAfter: at.Leaving,
 		ExchangesLeaving: true,
 	}
 	if err := c.callWithWait(ctx, wait, address, MethodRegistry, req, &r); err != nil {
--- a/internal/query/queryrpc/registry.go
+++ b/internal/query/queryrpc/registry.go
@@ -35,7 +35,10 @@
 // Registry replies with what this daemon has received from the store and the caller lacks. It waits until there is something
 // new for the caller or the store is lost, but no longer than the request's Wait and maxRegistryWait.
 func (s *RegistryService) Registry(req peer.RegistryRequest, reply *peer.RegistryReply) error {
-	caller := gossip.Position{Revision: req.After, ConfirmedAt: time.Now().Add(-req.Age), Leaving: req.LeavingAfter}
+	caller := gossip.Position{Era: req.Era, Revision: req.After, ConfirmedAt: time.Now().Add(-req.Age), Leaving: req.LeavingAfter}
+	if !req.KnowsEras {
+		caller.Era = s.registry.Position().Era
+	}
 	if !req.ExchangesLeaving {
 		caller.Leaving = math.MaxUint64
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -16,12 +16,19 @@
 // Errors of Reader and Announcer, to be tested with errors.Is. Every other error means that the store was not reached or did
 // not answer.
 var (
-	// ErrHistoryLost means that the store no longer holds the changes since the given revision.
+	// ErrHistoryLost means that the store no longer holds the changes since the given point, or was restored since.
 	ErrHistoryLost = errors.New("registry: history lost")
 	// ErrRefused means that the store answered that it did not execute the request.
 	ErrRefused = errors.New("registry: refused by the store")
 	// ErrLeaseEnded means that the lease of the daemon's own entry has ended.
 	ErrLeaseEnded = errors.New("registry: lease ended")
+	// ErrStoreRestored means that the store was restored since the lease of the daemon's own entry was granted. The lease must not be
+	// used any more, since its number may have been granted again.
+	ErrStoreRestored = errors.New("registry: store restored")
+	// ErrEarlierEra means that an answer is of an earlier era of the store than is known, so that it counts as none.
+	ErrEarlierEra = errors.New("registry: answer of an earlier era")
+	// ErrEraChanged means that the store was restored repeatedly while it was read.
+	ErrEraChanged = errors.New("registry: store restored while it was read")
 )
 
 // Update is the result of a read or a watch.
@@ -43,6 +50,11 @@
 	Problems []Problem
 }
 
+// Point returns the point in the store's history that the update leads to.
+func (u *Update) Point() directory.Point {
+	return directory.Point{Era: u.Era, Revision: u.Revision}
+}
+
 // PeerUpdate is an update from the store that a daemon, the sender, passes on to a daemon that follows it.
 type PeerUpdate struct {
 	Update
@@ -79,8 +91,9 @@
 	Name     model.ServerName
 	State    EntryState
 	Revision directory.Revision
-	// Registration is set for EntryPresent only.
+	// Registration and Sequence are set for EntryPresent only.
 	Registration model.Registration
+	Sequence     model.EntrySequence
 }
 
 // MemberEntry is a change of a daemon's entry.
@@ -107,18 +120,21 @@
 type Reader interface {
 	// Load reads all entries.
 	Load(ctx context.Context) (Update, error)
-	// Watch returns the changes after a revision as soon as there are any, or an update without changes when wait has passed.
-	Watch(ctx context.Context, after directory.Revision, wait time.Duration) (Update, error)
+	// Watch returns the changes after a point as soon as there are any, or an update without changes when wait has passed. It returns
+	// ErrHistoryLost if the store is of a later era, and ErrEarlierEra if the answer is of an earlier one.
+	Watch(ctx context.Context, after directory.Point, wait time.Duration) (Update, error)
 	// Reconnect makes later calls use new connections, because messages on the kept ones may be lost without an error.
 	Reconnect()
 }
 
 // Announcer maintains the daemon's own entry in the store.
 type Announcer interface {
-	// Announce writes the daemon's entry under a new lease.
-	Announce(ctx context.Context, self model.Member, ttl time.Duration) error
-	// Renew extends the lease, or returns ErrLeaseEnded.
+	// Announce writes the daemon's entry under a new lease, and returns the era in which the lease was granted. It returns
+	// ErrStoreRestored if the store was restored meanwhile.
+	Announce(ctx context.Context, self model.Member, ttl time.Duration) (directory.Era, error)
+	// Renew extends the lease. It returns ErrLeaseEnded, ErrStoreRestored, or ErrEarlierEra if the answer is of an era before that of
+	// the lease.
 	Renew(ctx context.Context) error
-	// Withdraw ends the lease and thereby removes the entry.
+	// Withdraw ends the lease and thereby removes the entry. It must not be called once the store is known to be restored since.
 	Withdraw(ctx context.Context) error
 }
--- a/internal/tables/registry.go
+++ b/internal/tables/registry.go
@@ -14,13 +14,19 @@
 // daemons. The version of the routing configuration never decreases. Owner: command/follow.
 type Registry struct {
 	mu       lockorder.Mutex
+	era      directory.Era
 	revision directory.Revision
 	// confirmedAt is when the store was last known to be at revision.
 	confirmedAt time.Time
 	routing     *model.Routing
 	servers     *directory.Directory
 	members     map[model.InstanceID]model.Member
-	log         updateLog
+	// missing holds the members whose entries the store lost when it was restored, with the time until which they may be written
+	// again.
+	missing map[model.InstanceID]time.Time
+	// restoreEnd is when the time to write lost entries again ends or ended.
+	restoreEnd time.Time
+	log        updateLog
 }
 
 // NewRegistry returns an empty table. drainPeriod is how long a server still serves requests after it announced that it
@@ -28,7 +34,8 @@
 func NewRegistry(drainPeriod time.Duration) *Registry {
 	return &Registry{
 		mu: lockorder.New(OrderRegistry), servers: directory.New(drainPeriod), members: map[model.InstanceID]model.Member{},
-		log: updateLog{changed: make(chan struct{})},
+		missing: map[model.InstanceID]time.Time{},
+		log:     updateLog{changed: make(chan struct{})},
 	}
 }
 
@@ -42,6 +49,8 @@
 	Servers []registry.ServerEntry
 	// MembersChanged means that a daemon was added, changed or removed.
 	MembersChanged bool
+	// RestoredAfter is the point that the table had reached when the update began a new era, or nil.
+	RestoredAfter *directory.Point
 }
 
 // AffectsTopology reports whether the Topology must be rebuilt.
@@ -49,16 +58,25 @@
 	return c.Routing != nil || len(c.Servers) > 0 || c.MembersChanged
 }
 
-// Apply applies an update at now. confirmedAt is when the store was known to be at the update's revision.
+// Apply applies an update at now. confirmedAt is when the store was known to be at the update's revision. An update of an earlier era
+// changes nothing. One of a later era must be complete; it is merged with what is known.
 func (t *Registry) Apply(u *registry.Update, confirmedAt, now time.Time) RegistryChange {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var c RegistryChange
+	if !t.accepts(u) {
+		return c
+	}
+	restored := t.enterEra(u, &c)
 	t.log.add(u, t.revision)
 	t.revision = max(t.revision, u.Revision)
 	t.applyRouting(u.Routing, &c)
-	t.applyServers(u, &c, now)
-	c.MembersChanged = t.applyMembers(u)
+	if restored {
+		t.mergeRestored(u, &c, confirmedAt)
+	} else {
+		t.applyServers(u, &c, now)
+		c.MembersChanged = t.applyMembers(u, now)
+	}
 	if confirmedAt.After(t.confirmedAt) {
 		t.confirmedAt = confirmedAt
 	}
@@ -66,11 +84,11 @@
 	return c
 }
 
-// Position returns the store revision that the table has reached, and when the store was known to be at it.
+// Position returns the point in the store's history that the table has reached, and when the store was known to be at it.
 func (t *Registry) Position() gossip.Position {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return gossip.Position{Revision: t.revision, ConfirmedAt: t.confirmedAt}
+	return gossip.Position{Era: t.era, Revision: t.revision, ConfirmedAt: t.confirmedAt}
 }
 
 func (t *Registry) applyRouting(r *model.Routing, c *RegistryChange) {
@@ -109,7 +127,7 @@
 func (t *Registry) applyServer(e registry.ServerEntry, now time.Time) bool {
 	switch e.State {
 	case registry.EntryPresent:
-		return t.servers.Put(e.Registration, e.Revision)
+		return t.servers.Put(directory.Entry{Registration: e.Registration, Sequence: e.Sequence, Revision: e.Revision})
 	case registry.EntryRemoved:
 		return t.servers.RemoveEntry(e.Name, t.confirmedAt, now)
 	case registry.EntryUnreadable:
@@ -118,18 +136,18 @@
 	return false
 }
 
-func (t *Registry) applyMembers(u *registry.Update) (changed bool) {
+func (t *Registry) applyMembers(u *registry.Update, now time.Time) (changed bool) {
 	present := make(map[model.InstanceID]bool, len(u.Members))
 	for _, e := range u.Members {
 		present[e.Instance] = true
 		old, known := t.members[e.Instance]
 		switch {
 		case e.Gone && known:
-			delete(t.members, e.Instance)
-			changed = true
-		case !e.Gone && (!known || old != e.Member):
+			changed = t.removeMember(e.Instance, now) || changed
+		case !e.Gone:
+			delete(t.missing, e.Instance)
 			t.members[e.Instance] = e.Member
-			changed = true
+			changed = changed || !known || old != e.Member
 		}
 	}
 	if !u.Complete {
@@ -137,8 +155,7 @@
 	}
 	for instance := range t.members {
 		if !present[instance] {
-			delete(t.members, instance)
-			changed = true
+			changed = t.removeMember(instance, now) || changed
 		}
 	}
 	return changed
@@ -172,27 +189,33 @@
 func (t *Registry) SetStoreRestored(at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.setStoreRestored(at)
+}
+
+func (t *Registry) setStoreRestored(at time.Time) {
 	t.servers.StoreRestored(at)
 	if at.After(t.log.storeRestored) {
 		t.log.storeRestored = at
 	}
 }
 
-// Expire removes the servers whose entries were removed and whose grace period has ended, and returns their names.
+// Expire removes the servers and members whose entries are not in the store and whose grace period has ended, and returns the names
+// of the servers.
 func (t *Registry) Expire(now time.Time) []model.ServerName {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expireMembers(now)
 	return t.servers.Expire(now)
 }
 
-// NextExpiry returns when Expire will next have a server to remove, or the zero time.
+// NextExpiry returns when Expire next has an effect, or the zero time.
 func (t *Registry) NextExpiry() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.servers.NextExpiry()
+	return t.nextMemberExpiry(t.servers.NextExpiry())
 }
 
-// Members returns the daemons that have an entry.
+// Members returns the daemons that have an entry, and those that may still write again one that the store lost.
 func (t *Registry) Members() []model.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/tables/registryupdates.go
+++ b/internal/tables/registryupdates.go
@@ -71,15 +71,15 @@
 }
 
 // AwaitUpdate returns what a daemon that follows this one lacks. It blocks until this table is ahead of the follower's
-// position, more servers are marked as leaving, or the store is unreachable from this daemon. After wait, or when ctx ends, it
-// returns what there is.
+// position, more servers are marked as leaving, or the store is unreachable from this daemon. It does not wait if this table is of an
+// earlier era than the follower's. After wait, or when ctx ends, it returns what there is.
 func (t *Registry) AwaitUpdate(ctx context.Context, follower gossip.Position, wait time.Duration) registry.PeerUpdate {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
 		u, changed := t.updatesAfter(follower)
-		local := gossip.Position{Revision: u.Revision, ConfirmedAt: u.ConfirmedAt}
-		if u.StoreUnreachable || local.AheadOf(follower) || len(u.Leaving) > 0 || ctx.Err() != nil {
+		local := gossip.Position{Era: u.Era, Revision: u.Revision, ConfirmedAt: u.ConfirmedAt}
+		if u.StoreUnreachable || u.Era < follower.Era || local.AheadOf(follower) || len(u.Leaving) > 0 || ctx.Err() != nil {
 			return u
 		}
 		select {
@@ -93,11 +93,8 @@
 func (t *Registry) updatesAfter(at gossip.Position) (registry.PeerUpdate, <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	u, kept := t.log.since(at.Revision)
-	if !kept {
-		u = t.fullUpdate()
-	}
-	u.Revision = t.revision
+	u := t.updateAfter(at.Point())
+	u.Era, u.Revision = t.era, t.revision
 	leaving, upTo := t.servers.LeavingAfter(at.Leaving, registry.MaxLeaving)
 	return registry.PeerUpdate{
 		Update: u, Leaving: leaving, LeavingUpTo: upTo,
@@ -105,15 +102,32 @@
 	}, t.log.changed
 }
 
-// fullUpdate returns the complete table as an update. Servers whose entries were removed are left out.
+// updateAfter returns the update from a point to the table's state: the kept updates, or the complete content if they do not begin
+// at or before that point. A daemon of a later era needs nothing.
+func (t *Registry) updateAfter(at directory.Point) registry.Update {
+	if at.Era > t.era {
+		return registry.Update{}
+	}
+	if at.Era == t.era {
+		if u, kept := t.log.since(at.Revision); kept {
+			return u
+		}
+	}
+	return t.fullUpdate()
+}
+
+// fullUpdate returns the complete table as an update. Servers and daemons whose entries are not in the store are left out.
 func (t *Registry) fullUpdate() registry.Update {
 	u := registry.Update{Complete: true, Routing: t.routing}
 	for _, e := range t.servers.Entries() {
 		u.Servers = append(u.Servers, registry.ServerEntry{
-			Name: e.Registration.Name, Revision: e.Revision, Registration: e.Registration,
+			Name: e.Registration.Name, Revision: e.Revision, Registration: e.Registration, Sequence: e.Sequence,
 		})
 	}
 	for _, m := range t.members {
+		if _, missing := t.missing[m.Instance]; missing {
+			continue
+		}
 		u.Members = append(u.Members, registry.MemberEntry{Instance: m.Instance, Member: m})
 	}
 	return u
--- a/internal/testing/contract/registry.go
+++ b/internal/testing/contract/registry.go
@@ -7,6 +7,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"oleandersill.example/oleandersill/internal/decision/directory"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/registry"
 )
@@ -22,6 +23,9 @@
 	Register, Corrupt, Remove func(model.ServerName)
 	// Compact drops the store's history.
 	Compact func()
+	// Restore returns the store to the state that it had at the given time before now, and raises its era. The writes of Configure,
+	// Register and Remove that are lost are repeated within 2 s.
+	Restore func(age time.Duration)
 	// StallConnections ends replies on all open connections, without closing them. New connections work.
 	StallConnections func()
 	// Faults maps names to functions that inject a fault under which every call fails. ClearFaults removes the fault.
@@ -50,6 +54,7 @@
 	registryReads(&h)
 	registryEntries(&h)
 	registryFaults(&h)
+	registryRestores(&h)
 }
 
 // load returns the complete registry.
@@ -64,13 +69,21 @@
 // nextUpdate watches for changes after an update. It checks that the result holds changes only, not the complete registry.
 func (h *RegistryHarness) nextUpdate(after registry.Update, wait time.Duration) registry.Update {
 	ginkgo.GinkgoHelper()
-	u, err := h.Reader.Watch(context.Background(), after.Revision, wait)
+	u, err := h.Reader.Watch(context.Background(), after.Point(), wait)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	gomega.Expect(u.Complete).To(gomega.BeFalse())
 	gomega.Expect(u.Revision).To(gomega.BeNumerically(">=", after.Revision))
 	return u
 }
 
+// announce writes the daemon's entry.
+func announce(a registry.Announcer) directory.Era {
+	ginkgo.GinkgoHelper()
+	era, err := a.Announce(context.Background(), daemonEntry, entryTTL)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return era
+}
+
 // registryReads checks the reads of the configuration and the servers. It guards against changes that a watch misses, or reports
 // only at the end of its wait.
 func registryReads(h **RegistryHarness) {
@@ -113,7 +126,7 @@
 		(*h).Reader.Reconnect()
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
-		next, err := (*h).Reader.Watch(ctx, u.Revision, longWait)
+		next, err := (*h).Reader.Watch(ctx, u.Point(), longWait)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		gomega.Expect(next.Servers).To(gomega.HaveLen(1))
 	})
@@ -122,7 +135,7 @@
 		(*h).Register("a")
 		(*h).Register("b")
 		(*h).Compact()
-		_, err := (*h).Reader.Watch(context.Background(), u.Revision, longWait)
+		_, err := (*h).Reader.Watch(context.Background(), u.Point(), longWait)
 		gomega.Expect(err).To(matchSentinel(registry.ErrHistoryLost))
 		gomega.Expect((*h).load().Servers).To(gomega.HaveLen(2))
 	})
@@ -145,7 +158,7 @@
 	})
 	ginkgo.It("keeps a daemon's entry while it is renewed, until it is withdrawn", func() {
 		a := (*h).Announcer()
-		gomega.Expect(a.Announce(context.Background(), daemonEntry, entryTTL)).To(gomega.Succeed())
+		announce(a)
 		// Renewals come often, so that a late one on a busy machine does not let the entry expire.
 		for range 9 {
 			time.Sleep(entryTTL / 6)
@@ -159,11 +172,11 @@
 	})
 	ginkgo.It("removes a daemon's entry that is not renewed, and fails a late renewal with ErrLeaseEnded", func() {
 		a := (*h).Announcer()
-		gomega.Expect(a.Announce(context.Background(), daemonEntry, entryTTL)).To(gomega.Succeed())
+		announce(a)
 		time.Sleep(2 * entryTTL)
 		gomega.Expect((*h).load().Members).To(gomega.BeEmpty())
 		gomega.Expect(a.Renew(context.Background())).To(matchSentinel(registry.ErrLeaseEnded))
-		gomega.Expect(a.Announce(context.Background(), daemonEntry, entryTTL)).To(gomega.Succeed())
+		announce(a)
 		gomega.Expect((*h).load().Members).To(gomega.HaveLen(1))
 	})
 }
@@ -179,8 +192,8 @@
 			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 			start := time.Now()
 			_, errLoad := (*h).Reader.Load(ctx)
-			_, errWatch := (*h).Reader.Watch(ctx, u.Revision, shortWait)
-			errAnnounce := (*h).Announcer().Announce(ctx, daemonEntry, entryTTL)
+			_, errWatch := (*h).Reader.Watch(ctx, u.Point(), shortWait)
+			_, errAnnounce := (*h).Announcer().Announce(ctx, daemonEntry, entryTTL)
 			cancel()
 			gomega.Expect(time.Since(start)).To(gomega.BeNumerically("<", 4*callTimeout), name)
 			gomega.Expect([]error{errLoad, errWatch, errAnnounce}).NotTo(gomega.ContainElement(gomega.BeNil()), name)
