--- a/internal/query/queryrpc/registry_test.go
+++ b/internal/query/queryrpc/registry_test.go
@@ -21,7 +21,7 @@
 func TestRequesterWithoutEras(t *testing.T) {
 	table := tables.NewRegistry(time.Second)
 	table.Apply(&registry.Update{Era: 5, Revision: 40, Complete: true}, time.Now(), time.Now())
-	service := queryrpc.NewRegistryService(table, observer{})
+	service := queryrpc.NewRegistryService(table, observer{}, 0)
 	for _, knowsEras := range []bool{false, true} {
 		var reply peer.RegistryReply
 		begin := time.Now()
