Track how old the routing configuration in force can be, and keep evacuated zones in the registry

The confirmed age of the store's data counts from the arrival of replies in monotonic time. A daemon that was paused or suspended takes a reply that it held for fresh, so the age cannot bound the use of removed keys. Evacuations of zones were defined as types only.

Registry keeps a verified time in boot time, for its content and for the routing configuration in force. Reads and watches count from their begin; replies of other daemons state the age and how long the request was held. With a revocation period, a daemon reads the store before its verified age gets too high, and asks other daemons during that call. Registry also keeps the evacuated zones and passes them on; the Topology leaves out their servers.

--- a/internal/command/follow/checks_test.go
+++ b/internal/command/follow/checks_test.go
@@ -16,6 +16,10 @@
 
 func (sim *simulation) check(now time.Time) {
 	for _, d := range sim.daemons {
+		if d.paused.active() {
+			continue
+		}
+		sim.checkRevocation(d, now)
 		t := d.config.Current()
 		if t == nil {
 			if d.boundsApply(now) {
--- a/internal/command/follow/follower.go
+++ b/internal/command/follow/follower.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"oleandersill.example/oleandersill/internal/boottime"
 	"oleandersill.example/oleandersill/internal/decision/gossip"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/registry"
@@ -49,6 +50,8 @@
 	Servers *tables.Servers
 	// Freshness limits the age of the data from the store.
 	Freshness gossip.Freshness
+	// BootTime is the clock of verified ages; nil means boottime.Now.
+	BootTime func() boottime.Time
 	// ApplyTopology is called with every Topology before it is installed.
 	ApplyTopology func(*model.Topology, time.Time)
 	// DaemonsChanged is called with the running daemons, sorted by instance, when they changed. announced reports whether this
@@ -68,7 +71,12 @@
 }
 
 // New returns a Follower that reads nothing before Start.
-func New(deps Deps) *Follower { return &Follower{deps: deps, changed: make(chan struct{}, 1)} }
+func New(deps Deps) *Follower {
+	if deps.BootTime == nil {
+		deps.BootTime = boottime.Now
+	}
+	return &Follower{deps: deps, changed: make(chan struct{}, 1)}
+}
 
 // Start starts the goroutines of the Follower.
 func (f *Follower) Start() {
@@ -108,6 +116,7 @@
 	for i := range c.Servers {
 		logServer(&log, &c.Servers[i])
 	}
+	f.logEvacuations(&log, c.Evacuations)
 	if c.AffectsTopology() || u.Complete || hasRemovedServer(u) {
 		f.signalChange()
 	}
--- a/internal/command/follow/peers.go
+++ b/internal/command/follow/peers.go
@@ -15,9 +15,8 @@
 // followPeer long-polls a daemon for changes of the store until this daemon's own data reaches its maximum age, and applies
 // them. If the data is too old already, the store is read next.
 func (f *Follower) followPeer(ctx context.Context, r *readState, source model.Member) {
-	at := f.deps.Registry.Position()
+	at, age := f.position()
 	fresh := f.deps.Freshness
-	age := time.Since(at.ConfirmedAt)
 	if fresh.Old(age) {
 		r.readStoreNext = true
 		return
@@ -38,7 +37,7 @@
 	}
 	r.leaving.sent, r.leaving.received = sent, update.LeavingUpTo
 	f.applyPeerUpdate(&update)
-	if update.StoreUnreachable || fresh.Old(time.Since(update.ConfirmedAt)) {
+	if update.StoreUnreachable || fresh.Old(f.updateAge(&update)) {
 		f.excludeSource(r, source, gossip.SourceStale, nil)
 		return
 	}
@@ -83,7 +82,7 @@
 	}
 	address := addresses[r.peersAsked%len(addresses)]
 	r.peersAsked++
-	at := f.deps.Registry.Position()
+	at, _ := f.position()
 	leaving, _ := f.deps.Registry.LeavingAfter(0)
 	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -93,11 +92,14 @@
 		return
 	}
 	f.ObserveLeaving(update.Leaving)
-	if update.Revision <= at.Revision || (update.Routing == nil && update.Complete) {
+	verifies := at.NeedsVerification && update.VerifiedAt > at.VerifiedAt && !update.Complete
+	if (update.Revision <= at.Revision && !verifies) || (update.Routing == nil && update.Complete) {
 		return
 	}
 	f.applyPeerUpdate(&update)
-	r.synced = r.synced || update.Complete
+	if !r.synced {
+		r.synced = update.Complete
+	}
 }
 
 // peerAddresses returns the addresses of the other known daemons, or of the seeds if there are none.
--- a/internal/command/follow/read.go
+++ b/internal/command/follow/read.go
@@ -58,7 +58,9 @@
 }
 
 func (f *Follower) readStore(ctx context.Context, r *readState, daemons int) {
+	endQueries := f.startPeerQueries(ctx, r)
 	u, err := f.readOnce(ctx, r, daemons)
+	endQueries()
 	if ctx.Err() != nil {
 		return
 	}
@@ -68,6 +70,7 @@
 	}
 	now := time.Now()
 	f.handleStoreSuccess(r, now)
+	f.dropOutdated(&u)
 	changed := f.applyUpdate(&u, sourceStore, now)
 	r.synced = true
 	if changed {
@@ -80,11 +83,10 @@
 // so the call is repeated on a new one before the store counts as lost.
 func (f *Follower) readOnce(ctx context.Context, r *readState, daemons int) (registry.Update, error) {
 	if !r.synced {
-		ctx, cancel := context.WithTimeout(ctx, f.deps.Freshness.StoreReplyTimeout())
-		defer cancel()
-		return f.deps.Reader.Load(ctx)
+		return f.load(ctx)
 	}
-	fresh, age := f.deps.Freshness, time.Since(f.deps.Registry.Position().ConfirmedAt)
+	fresh := f.deps.Freshness
+	at, age := f.position()
 	if !r.lostSince.IsZero() {
 		return f.watch(ctx, gossip.MinWatchWait, fresh.StoreReplyTimeout())
 	}
@@ -94,6 +96,7 @@
 		return f.watch(ctx, gossip.MinWatchWait, fresh.StoreReplyTimeout())
 	}
 	wait := fresh.WatchWait(f.deps.Peers != nil && daemons > 1, age)
+	wait = fresh.VerifyingWait(wait, at.VerifiedAge(f.deps.BootTime()))
 	if r.readStoreNext {
 		wait = gossip.MinWatchWait
 	}
@@ -106,13 +109,6 @@
 	return f.watch(ctx, gossip.MinWatchWait, fresh.StoreReplyTimeout())
 }
 
-// watch waits for changes after the known revision. replyTimeout bounds the call in addition to wait.
-func (f *Follower) watch(ctx context.Context, wait, replyTimeout time.Duration) (registry.Update, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+replyTimeout)
-	defer cancel()
-	return f.deps.Reader.Watch(ctx, f.deps.Registry.Position().Revision, wait)
-}
-
 // handleStoreError handles a failed call to the store. If the store no longer has the changes after the known revision, the
 // next call reads everything at once; otherwise it queries a peer and waits before the next call.
 func (f *Follower) handleStoreError(ctx context.Context, r *readState, err error) {
@@ -130,8 +126,9 @@
 	r.backoff = min(2*r.backoff, f.maxStoreBackoff(r))
 	for pause > 0 && ctx.Err() == nil {
 		f.queryPeer(ctx, r)
-		pool.Sleep(ctx, min(pause, maxBackoff))
-		pause -= maxBackoff
+		step := f.peerQueryInterval()
+		pool.Sleep(ctx, min(pause, step))
+		pause -= step
 	}
 }
 
--- a/internal/command/follow/simulation_test.go
+++ b/internal/command/follow/simulation_test.go
@@ -14,6 +14,7 @@
 	"oleandersill.example/oleandersill/internal/decision/budget"
 	"oleandersill.example/oleandersill/internal/decision/gossip"
 	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/peer"
 	"oleandersill.example/oleandersill/internal/registry"
 	"oleandersill.example/oleandersill/internal/tables"
 )
@@ -25,6 +26,8 @@
 	configApply, drain time.Duration
 	// settled is how long a daemon must have been without a disturbance before the limits apply to it.
 	settled time.Duration
+	// revocation is the time after which a removed key must not be accepted; 0 means that there is no such bound.
+	revocation time.Duration
 }
 
 // maxRestarts limits the restarts of a daemon in a budget window, since a restart resets the daemon's record
@@ -60,6 +63,13 @@
 	stepStop
 	stepCompact
 	stepKinds
+	// The kinds from here on occur in tests of revocation only.
+	stepRemoveKey = iota - 1
+	stepRestoreKey
+	stepPause
+	stepResume
+	stepSlowStore
+	revocationStepKinds
 )
 
 // simulation is a fleet of daemons on a virtual clock.
@@ -78,8 +88,12 @@
 	// extraAttempts and requests hold the times of extra attempts and of requests of the whole fleet.
 	extraAttempts, requests []time.Time
 	// restarts holds the times at which each daemon was restarted.
-	restarts  map[int][]time.Time
-	violation string
+	restarts map[int][]time.Time
+	keys     keyState
+	// storeDelay is added to each reply of the store, in nanoseconds, and storeCalls counts the reads.
+	storeDelay atomic.Int64
+	storeCalls atomic.Int64
+	violation  string
 }
 
 // daemon is the control state of a daemon from its start to its end.
@@ -101,6 +115,9 @@
 	// lastDisturbed is when the daemon was started, its access to the store last changed, or the store was last compacted.
 	lastDisturbed time.Time
 	lastVersion   model.RoutingVersion
+	paused        pauseState
+	// suspended is for how long the daemon's machine was suspended, in nanoseconds.
+	suspended atomic.Int64
 }
 
 func member(index int) model.Member {
@@ -118,10 +135,11 @@
 	}
 	d.alive.Store(true)
 	d.follower = follow.New(follow.Deps{
-		Reader: d.client, Announcer: d.client, Peers: d, Seeds: []string{"0", "1"}, Self: member(index),
+		Reader: reader{storeClient: d.client, d: d}, BootTime: d.bootTime, Announcer: d.client, Peers: d, Seeds: []string{"0", "1"}, Self: member(index),
 		Zones:    []model.ZoneSpec{{Name: "z0", Region: "r"}, {Name: "z1", Region: "r"}},
 		Registry: d.registry, Config: d.config, Servers: tables.NewServers(), Log: zerolog.Nop(),
-		Freshness:     gossip.NewFreshness(min(sim.bounds.configApply, sim.bounds.drain)),
+		Freshness: gossip.NewFreshness(min(sim.bounds.configApply, sim.bounds.drain)).
+			WithRevocation(sim.bounds.revocation),
 		ApplyTopology: func(*model.Topology, time.Time) {},
 		DaemonsChanged: func(ms []model.Member, announced bool) {
 			if announced {
@@ -155,11 +173,13 @@
 	if other == nil || !other.alive.Load() {
 		return registry.PeerUpdate{}, errRefused
 	}
-	var update registry.PeerUpdate
+	begin := d.bootTime()
+	req := peer.NewRegistryRequest(at, leaving, wait, time.Now(), begin)
+	d.paused.await(context.Background())
+	var reply peer.RegistryReply
 	conn := d.connectTo(other)
 	if d.delivers(other, conn) {
-		other.follower.ObserveLeaving(leaving)
-		update = other.registry.AwaitUpdate(ctx, at, wait)
+		reply = other.answer(ctx, &req)
 	}
 	// A partition or a silence that begins during the wait loses the reply too, and so does a daemon that ends meanwhile.
 	if !d.delivers(other, conn) {
@@ -170,7 +190,9 @@
 	if !other.alive.Load() {
 		return registry.PeerUpdate{}, errRefused
 	}
-	return update, ctx.Err()
+	err := ctx.Err()
+	d.paused.await(context.Background())
+	return reply.PeerUpdate(time.Now(), begin), err
 }
 
 // connection identifies a connection between two daemons by their silences when it was opened.
@@ -202,13 +224,14 @@
 		d.client.setFault(storeRefusing)
 	}
 	d.alive.Store(false)
+	d.paused.end()
 	d.follower.Close()
 }
 
 func (sim *simulation) configure() {
 	sim.version += 2
 	services := []model.BackendService{{Name: service, HealthPath: "/", MaxConnections: 26}}
-	sim.store.configure(model.NewRouting(sim.version, nil, services, model.CallerLimits{}))
+	sim.store.configure(sim.keys.addTo(model.NewRouting(sim.version, nil, services, model.CallerLimits{})))
 	sim.writtenAt[sim.version] = time.Now()
 }
 
@@ -246,7 +269,9 @@
 			d.disturb(storeFault(1 + s.target%3))
 		}
 	case stepHeal:
+		sim.storeDelay.Store(0)
 		for _, d := range sim.daemons {
+			sim.resume(d)
 			d.partitioned.Store(false)
 			if f, _ := d.client.currentFault(); f != storeHealthy {
 				d.disturb(storeHealthy)
@@ -271,6 +296,8 @@
 		for _, d := range sim.daemons {
 			d.lastDisturbed = time.Now()
 		}
+	default:
+		sim.performRevocation(s.kind, d)
 	}
 }
 
@@ -279,8 +306,8 @@
 	d.lastDisturbed = time.Now()
 }
 
-// run performs the steps on a new fleet and returns a violation of a limit, or "" if there was none.
-func run(steps []step, daemonCount int, bounds platformBounds) string {
+// newSimulation starts a fleet with a configuration and a server.
+func newSimulation(daemonCount int, bounds platformBounds) *simulation {
 	sim := &simulation{
 		bounds: bounds,
 		store:  newMemoryStore(), daemons: make([]*daemon, daemonCount), writtenAt: map[model.RoutingVersion]time.Time{},
@@ -292,18 +319,34 @@
 	for i := range daemonCount {
 		sim.start(i)
 	}
-	for _, s := range append(steps, step{kind: stepHeal, pause: 2 * bounds.settled}) {
-		sim.perform(s)
-		for end := time.Now().Add(s.pause); time.Now().Before(end) && sim.violation == ""; {
-			time.Sleep(checkInterval)
-			sim.store.expire(time.Now())
-			sim.check(time.Now())
-		}
-		synctest.Wait()
+	return sim
+}
+
+// advance lets the fleet run for a time and checks the limits.
+func (sim *simulation) advance(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end) && sim.violation == ""; {
+		time.Sleep(checkInterval)
+		sim.store.expire(time.Now())
+		sim.check(time.Now())
 	}
+	synctest.Wait()
+}
+
+// close stops all daemons.
+func (sim *simulation) close() {
 	for _, d := range sim.daemons {
 		d.shutDown(true)
 	}
+}
+
+// run performs the steps on a new fleet and returns a violation of a limit, or "" if there was none.
+func run(steps []step, daemonCount int, bounds platformBounds) string {
+	sim := newSimulation(daemonCount, bounds)
+	for _, s := range append(steps, step{kind: stepHeal, pause: 2 * bounds.settled}) {
+		sim.perform(s)
+		sim.advance(s.pause)
+	}
+	sim.close()
 	if sim.violation == "" {
 		sim.checkBudget()
 	}
--- a/internal/command/follow/topology.go
+++ b/internal/command/follow/topology.go
@@ -48,6 +48,7 @@
 	t := b.build(&v, f.deps.Config.Current())
 	f.deps.ApplyTopology(t, now)
 	f.deps.Config.Install(t)
+	f.deps.Registry.RoutingInstalled(v.Routing)
 	f.deps.Log.Info().Uint64("version", uint64(v.Routing.Version)).Uint64("revision", uint64(t.Revision)).
 		Int("servers", t.ServerCount()).Dur("heard_ago", now.Sub(v.ConfirmedAt)).Msg("topology_in_force")
 }
@@ -99,17 +100,19 @@
 	return t
 }
 
-// serviceSpecs returns a service with one shard for each service of the routing configuration.
+// serviceSpecs returns a service with one shard for each service of the routing configuration. The servers of evacuated zones are
+// left out, so that they get no requests, like servers that have left.
 func (b *topologyBuilder) serviceSpecs(v *tables.RegistryView) []model.ServiceSpec {
 	servers := map[model.ServiceName][]model.ServerSpec{}
 	maxConnections := make(map[model.ServiceName]int, len(v.Routing.Services))
 	for _, s := range v.Routing.Services {
 		maxConnections[s.Name] = s.MaxConnections
 	}
+	evacuated := evacuatedZones(b.zones, v.Evacuated)
 	for i := range v.Servers {
 		r := &v.Servers[i]
 		limit, ok := maxConnections[r.Service]
-		if !ok {
+		if !ok || evacuated[r.Zone] {
 			continue
 		}
 		servers[r.Service] = append(servers[r.Service], model.ServerSpec{
--- /dev/null
+++ b/internal/command/follow/verification.go
@@ -0,0 +1,107 @@
+package follow
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"oleandersill.example/oleandersill/internal/decision/gossip"
+	"oleandersill.example/oleandersill/internal/pool"
+	"oleandersill.example/oleandersill/internal/registry"
+)
+
+// agingQueryInterval is the pause between calls to other daemons while the verified age gets too high. If a single daemon
+// reads the store, each call that finds newer data doubles the number of daemons that have it, so that all have it in time.
+const agingQueryInterval = 20 * time.Millisecond
+
+// KeysVerified reports whether the routing configuration in force is new enough for requests with keys. The key must be looked up
+// afterwards, in the configuration then in force.
+func (f *Follower) KeysVerified() bool {
+	return f.deps.Freshness.KeysVerified(f.VerifiedAge())
+}
+
+// VerifiedAge returns how old the routing configuration in force can be at most, or gossip.UnknownAge. It grows during a pause of the
+// process or of the machine too.
+func (f *Follower) VerifiedAge() time.Duration {
+	// The position is read before the clock, so that a later verification cannot make the age negative.
+	at := f.deps.Registry.PositionInForce()
+	return at.VerifiedAge(f.deps.BootTime())
+}
+
+// position returns the daemon's position, and its age to compare with the limits of Freshness.
+func (f *Follower) position() (gossip.Position, time.Duration) {
+	at := f.deps.Registry.Position()
+	at.NeedsVerification = f.deps.Freshness.NeedsVerification()
+	return at, f.age(at.ConfirmedAt, at)
+}
+
+// age returns the greater of the time since confirmedAt and the verified age of at, as limited by Freshness.
+func (f *Follower) age(confirmedAt time.Time, at gossip.Position) time.Duration {
+	return f.deps.Freshness.Age(time.Since(confirmedAt), at.VerifiedAge(f.deps.BootTime()))
+}
+
+// updateAge returns the age of a peer's data.
+func (f *Follower) updateAge(u *registry.PeerUpdate) time.Duration {
+	return f.age(u.ConfirmedAt, gossip.Position{VerifiedAt: u.VerifiedAt})
+}
+
+// load reads all entries of the store.
+func (f *Follower) load(ctx context.Context) (registry.Update, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.deps.Freshness.StoreReplyTimeout())
+	defer cancel()
+	begin := f.deps.BootTime()
+	u, err := f.deps.Reader.Load(ctx)
+	u.VerifiedAt = begin
+	return u, err
+}
+
+// watch waits for changes after the known revision. replyTimeout bounds the call in addition to wait.
+func (f *Follower) watch(ctx context.Context, wait, replyTimeout time.Duration) (registry.Update, error) {
+	// The store counts whole milliseconds.
+	wait = wait.Truncate(time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, wait+replyTimeout)
+	defer cancel()
+	after := f.deps.Registry.Position().Revision
+	begin := f.deps.BootTime()
+	u, err := f.deps.Reader.Watch(ctx, after, wait)
+	u.VerifiedAt = gossip.VerifiedByWatch(begin, f.deps.BootTime(), wait, u.Unchanged(after))
+	return u, err
+}
+
+// peerQueryInterval is the pause between calls to other daemons while the store does not answer.
+func (f *Follower) peerQueryInterval() time.Duration {
+	if _, age := f.position(); f.deps.Freshness.NeedsVerification() && f.deps.Freshness.Aging(age) {
+		return agingQueryInterval
+	}
+	return maxBackoff
+}
+
+// startPeerQueries calls other daemons in turn during a call to the store that may fail, if the verified age must stay low: after the
+// call it could be too late. The function that it returns ends the calls. Until then only r.peersAsked changes. A call that has begun
+// is not cancelled, since the connections to other daemons would count as silent.
+func (f *Follower) startPeerQueries(ctx context.Context, r *readState) (end func()) {
+	_, age := f.position()
+	fresh := f.deps.Freshness
+	if !fresh.NeedsVerification() || !r.synced || (r.lostSince.IsZero() && !fresh.Old(age)) {
+		return func() {}
+	}
+	queries, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for queries.Err() == nil {
+			f.queryPeer(ctx, r)
+			pool.Sleep(queries, f.peerQueryInterval())
+		}
+	})
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+// dropOutdated removes the changes from a watch's update that another daemon has passed on meanwhile together with later ones.
+func (f *Follower) dropOutdated(u *registry.Update) {
+	if !u.Complete && u.Revision < f.deps.Registry.Position().Revision {
+		*u = registry.Update{Era: u.Era, Revision: u.Revision, VerifiedAt: u.VerifiedAt, Problems: u.Problems}
+	}
+}
--- a/internal/decision/gossip/freshness.go
+++ b/internal/decision/gossip/freshness.go
@@ -28,6 +28,8 @@
 // them are fractions of the time within which a change of the store has to be in force on every daemon.
 type Freshness struct {
 	propagationLimit time.Duration
+	// revocationPeriod is 0 if there is no bound on the use of removed keys.
+	revocationPeriod time.Duration
 }
 
 // NewFreshness returns the limits for changes that have to be in force within propagationLimit.
@@ -48,6 +50,9 @@
 // Old reports whether a follower's data of the given age has to be confirmed by the store, since a peer's reply would come too late.
 func (f Freshness) Old(age time.Duration) bool { return age >= f.MaxAge()-f.PeerReplyMargin() }
 
+// Aging reports whether data of the given age has passed the age that it reaches while one daemon reads the store without a failure.
+func (f Freshness) Aging(age time.Duration) bool { return age > f.fraction(watchFraction) }
+
 // WatchWait is how long a watch of the store waits for a change, if the daemon's data has the given age. The watch ends before the
 // data reaches its maximum age, so that a connection that is silent is noticed in time; data that is older than that is confirmed
 // soon. The wait is shorter in a daemon that others may follow than in one without peers.
--- a/internal/decision/gossip/source.go
+++ b/internal/decision/gossip/source.go
@@ -31,8 +31,10 @@
 type Position struct {
 	Era      directory.Era
 	Revision directory.Revision
-	// VerifiedAt is a time at which the store's content was certainly not older than Revision; zero if it is not known or not needed.
-	VerifiedAt boottime.Time
+	// VerifiedAt is a time at which the store's content was certainly not older than Revision; zero if it is not known.
+	// NeedsVerification means that the daemon benefits from a later one.
+	VerifiedAt        boottime.Time
+	NeedsVerification bool
 	// ConfirmedAt is the latest time at which the store is known to have been at Revision.
 	ConfirmedAt time.Time
 	// Leaving is how many of another daemon's leaving marks the daemon has received; 0 for its own position.
@@ -45,7 +47,12 @@
 // AheadOf reports whether p has a higher revision than other, or is fresher by more than minFresher, so that a daemon at
 // other benefits from the store's data of a daemon at p.
 func (p Position) AheadOf(other Position) bool {
-	return p.Revision > other.Revision || p.ConfirmedAt.Sub(other.ConfirmedAt) > minFresher
+	return p.Revision > other.Revision || p.ConfirmedAt.Sub(other.ConfirmedAt) > minFresher || p.verifiedAfter(other)
+}
+
+// verifiedAfter reports whether a daemon at other benefits from the later verification at p.
+func (p Position) verifiedAfter(other Position) bool {
+	return other.NeedsVerification && p.VerifiedAt.Sub(other.VerifiedAt) > minFresher
 }
 
 // SourceSelector selects the daemon from which self gets changes of the platform's store. The fleet's highest-ranked
--- a/internal/peer/registry.go
+++ b/internal/peer/registry.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
+	"oleandersill.example/oleandersill/internal/boottime"
 	"oleandersill.example/oleandersill/internal/decision/directory"
 	"oleandersill.example/oleandersill/internal/decision/gossip"
 	"oleandersill.example/oleandersill/internal/model"
@@ -24,8 +26,8 @@
 	// common clock.
 	Age  time.Duration
 	Wait time.Duration
-	// NeedsVerification means that the requester needs to know how old its data can be at most, and VerifiedAge is what it knows; 0
-	// if it knows nothing. The peer then also answers as soon as it has a later verification.
+	// NeedsVerification means that the requester needs to know how old its data can be at most, and VerifiedAge is what it knows;
+	// gossip.UnknownAge if it knows nothing. The peer then also answers as soon as it has a later verification.
 	NeedsVerification bool
 	VerifiedAge       time.Duration
 	// Leaving lists the servers that the requester marked as leaving since its last request to the peer; at most
@@ -60,8 +62,9 @@
 	LeavingUpTo directory.LeavingSequence
 	// Age is the time since the store was last known to the peer to be at Revision.
 	Age time.Duration
-	// Verified means that VerifiedAge is set: the time, when the reply was sent, since the store's content was certainly not older
-	// than the reply. Held is how long the peer held the request, so that the requester knows the earliest time of the reply.
+	// Verified means that VerifiedAge is set, which only a request that NeedsVerification gets: the time, when the reply was sent,
+	// since the store's content was certainly not older than the reply. Held is how long the peer held the request, so that the
+	// requester knows the earliest time of the reply.
 	Verified    bool
 	VerifiedAge time.Duration
 	Held        time.Duration
@@ -78,14 +81,48 @@
 	ctx context.Context, address string, at gossip.Position, leaving []model.LeavingServer, wait time.Duration,
 ) (registry.PeerUpdate, error) {
 	var r RegistryReply
-	req := RegistryRequest{
-		After: at.Revision, Age: time.Since(at.ConfirmedAt), Wait: wait, Leaving: leaving, LeavingAfter: at.Leaving,
-		ExchangesLeaving: true,
-	}
+	begin := boottime.Now()
+	req := NewRegistryRequest(at, leaving, wait, time.Now(), begin)
 	if err := c.callWithWait(ctx, wait, address, MethodRegistry, req, &r); err != nil {
 		return registry.PeerUpdate{}, err
 	}
-	return r.PeerUpdate(time.Now()), nil
+	return r.PeerUpdate(time.Now(), begin), nil
+}
+
+// NewRegistryRequest returns the request of a daemon at a position, with ages relative to now, which is begin in boot time.
+func NewRegistryRequest(
+	at gossip.Position, leaving []model.LeavingServer, wait time.Duration, now time.Time, begin boottime.Time,
+) RegistryRequest {
+	r := RegistryRequest{
+		After: at.Revision, Age: now.Sub(at.ConfirmedAt), Wait: wait, Leaving: leaving, LeavingAfter: at.Leaving,
+		ExchangesLeaving: true,
+	}
+	if at.NeedsVerification {
+		r.NeedsVerification, r.VerifiedAge = true, at.VerifiedAge(begin)
+	}
+	return r
+}
+
+// Position returns the requester's position, with times relative to now, which is received in boot time.
+func (r *RegistryRequest) Position(now time.Time, received boottime.Time) gossip.Position {
+	p := gossip.Position{
+		Revision: r.After, ConfirmedAt: now.Add(-r.Age), Leaving: r.LeavingAfter, NeedsVerification: r.NeedsVerification,
+	}
+	if !r.ExchangesLeaving {
+		p.Leaving = math.MaxUint64
+	}
+	if r.NeedsVerification && r.VerifiedAge < gossip.UnknownAge {
+		p.VerifiedAt = received.Add(-r.VerifiedAge)
+	}
+	return p
+}
+
+// SetVerification states how old the reply's data can be at most, for a request that was received and is answered at the given
+// times. verifiedAt is zero if that is not known.
+func (r *RegistryReply) SetVerification(verifiedAt, received, sent boottime.Time) {
+	if !verifiedAt.IsZero() {
+		r.Verified, r.VerifiedAge, r.Held = true, sent.Sub(verifiedAt), sent.Sub(received)
+	}
 }
 
 // NewRegistryReply returns the reply for an update, with ages relative to now.
@@ -104,8 +141,9 @@
 	return r
 }
 
-// PeerUpdate returns the update in the reply, with its times computed from the ages and now.
-func (r *RegistryReply) PeerUpdate(now time.Time) registry.PeerUpdate {
+// PeerUpdate returns the update in the reply, with its times computed from the ages and now. begin is the boot time at which the
+// call began.
+func (r *RegistryReply) PeerUpdate(now time.Time, begin boottime.Time) registry.PeerUpdate {
 	u := registry.PeerUpdate{
 		Update: registry.Update{
 			Era: r.Era, Revision: r.Revision, Complete: r.Complete, Servers: r.Servers, Members: r.Members, Evacuations: r.Evacuations,
@@ -121,6 +159,9 @@
 			u.Routing = u.Routing.WithWorkspaces(r.Workspaces)
 		}
 	}
+	if r.Verified {
+		u.VerifiedAt = gossip.VerifiedByReply(begin, r.Held, r.VerifiedAge)
+	}
 	if r.Restored {
 		u.StoreRestoredAt = now.Add(-r.SinceRestored)
 	}
--- a/internal/query/queryrpc/registry.go
+++ b/internal/query/queryrpc/registry.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
-	"oleandersill.example/oleandersill/internal/decision/gossip"
+	"oleandersill.example/oleandersill/internal/boottime"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/peer"
 	"oleandersill.example/oleandersill/internal/tables"
@@ -35,12 +34,12 @@
 // Registry replies with what this daemon has received from the store and the caller lacks. It waits until there is something
 // new for the caller or the store is lost, but no longer than the request's Wait and maxRegistryWait.
 func (s *RegistryService) Registry(req peer.RegistryRequest, reply *peer.RegistryReply) error {
-	caller := gossip.Position{Revision: req.After, ConfirmedAt: time.Now().Add(-req.Age), Leaving: req.LeavingAfter}
-	if !req.ExchangesLeaving {
-		caller.Leaving = math.MaxUint64
-	}
+	received := boottime.Now()
 	s.observer.ObserveLeaving(req.Leaving)
-	update := s.registry.AwaitUpdate(context.Background(), caller, min(req.Wait, maxRegistryWait))
+	update := s.registry.AwaitUpdate(context.Background(), req.Position(time.Now(), received), min(req.Wait, maxRegistryWait))
 	*reply = peer.NewRegistryReply(&update, time.Now())
+	if req.NeedsVerification {
+		reply.SetVerification(update.VerifiedAt, received, boottime.Now())
+	}
 	return nil
 }
--- a/internal/query/status/sample.go
+++ b/internal/query/status/sample.go
@@ -10,7 +10,7 @@
 
 // Sample returns the state of the tables for the metrics.
 func Sample(config *tables.Config, servers *tables.Servers, admissions *tables.Admissions) telemetry.Sample {
-	s := telemetry.Sample{Revision: config.Revision(), StoreContactAge: -time.Second}
+	s := telemetry.Sample{Revision: config.Revision(), StoreContactAge: -time.Second, VerifiedAge: -time.Second}
 	if at := config.StoreContact(); !at.IsZero() {
 		s.StoreContactAge = time.Since(at)
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -43,6 +43,12 @@
 	Problems []Problem
 }
 
+// Unchanged reports whether a watch after a revision returned nothing.
+func (u *Update) Unchanged(after directory.Revision) bool {
+	entries := len(u.Servers) + len(u.Members) + len(u.Evacuations) + len(u.Problems)
+	return u.Revision == after && u.Routing == nil && entries == 0
+}
+
 // PeerUpdate is an update from the store that a daemon, the sender, passes on to a daemon that follows it.
 type PeerUpdate struct {
 	Update
--- a/internal/tables/registry.go
+++ b/internal/tables/registry.go
@@ -1,8 +1,10 @@
 package tables
 
 import (
+	"maps"
 	"time"
 
+	"oleandersill.example/oleandersill/internal/boottime"
 	"oleandersill.example/oleandersill/internal/decision/directory"
 	"oleandersill.example/oleandersill/internal/decision/gossip"
 	"oleandersill.example/oleandersill/internal/lockorder"
@@ -15,12 +17,16 @@
 type Registry struct {
 	mu       lockorder.Mutex
 	revision directory.Revision
-	// confirmedAt is when the store was last known to be at revision.
-	confirmedAt time.Time
-	routing     *model.Routing
-	servers     *directory.Directory
-	members     map[model.InstanceID]model.Member
-	log         updateLog
+	// confirmedAt is when the store was last known to be at revision, according to the clock of the daemon that read it.
+	// verification is a bound on the age of the data that holds after a pause too.
+	confirmedAt  time.Time
+	verification gossip.Verification
+	routing      *model.Routing
+	servers      *directory.Directory
+	members      map[model.InstanceID]model.Member
+	// evacuated holds the evacuated zones, whether or not the settings define them.
+	evacuated map[model.AvailabilityZone]bool
+	log       updateLog
 }
 
 // NewRegistry returns an empty table. drainPeriod is how long a server still serves requests after it announced that it
@@ -28,7 +34,7 @@
 func NewRegistry(drainPeriod time.Duration) *Registry {
 	return &Registry{
 		mu: lockorder.New(OrderRegistry), servers: directory.New(drainPeriod), members: map[model.InstanceID]model.Member{},
-		log: updateLog{changed: make(chan struct{})},
+		evacuated: map[model.AvailabilityZone]bool{}, log: updateLog{changed: make(chan struct{})},
 	}
 }
 
@@ -42,11 +48,13 @@
 	Servers []registry.ServerEntry
 	// MembersChanged means that a daemon was added, changed or removed.
 	MembersChanged bool
+	// Evacuations are the zones whose evacuation began or ended.
+	Evacuations []registry.Evacuation
 }
 
 // AffectsTopology reports whether the Topology must be rebuilt.
 func (c *RegistryChange) AffectsTopology() bool {
-	return c.Routing != nil || len(c.Servers) > 0 || c.MembersChanged
+	return c.Routing != nil || len(c.Servers) > 0 || c.MembersChanged || len(c.Evacuations) > 0
 }
 
 // Apply applies an update at now. confirmedAt is when the store was known to be at the update's revision.
@@ -59,6 +67,8 @@
 	t.applyRouting(u.Routing, &c)
 	t.applyServers(u, &c, now)
 	c.MembersChanged = t.applyMembers(u)
+	c.Evacuations = t.applyEvacuations(u)
+	t.verification.Advance(u.VerifiedAt, c.Routing != nil)
 	if confirmedAt.After(t.confirmedAt) {
 		t.confirmedAt = confirmedAt
 	}
@@ -66,11 +76,28 @@
 	return c
 }
 
-// Position returns the store revision that the table has reached, and when the store was known to be at it.
+// Position returns the store revision that the table has reached, when the store was known to be at it, and when it was verified.
 func (t *Registry) Position() gossip.Position {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return gossip.Position{Revision: t.revision, ConfirmedAt: t.confirmedAt}
+	return gossip.Position{Revision: t.revision, ConfirmedAt: t.confirmedAt, VerifiedAt: t.verification.At()}
+}
+
+// PositionInForce is like Position, but its VerifiedAt holds for the routing configuration that was last installed.
+func (t *Registry) PositionInForce() gossip.Position {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return gossip.Position{Revision: t.revision, ConfirmedAt: t.confirmedAt, VerifiedAt: t.verification.InForce()}
+}
+
+// RoutingInstalled records that a routing configuration is in force. Until the latest one is, PositionInForce is not verified
+// any later than the one that it replaces.
+func (t *Registry) RoutingInstalled(r *model.Routing) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r == t.routing {
+		t.verification.Installed()
+	}
 }
 
 func (t *Registry) applyRouting(r *model.Routing, c *RegistryChange) {
@@ -211,13 +238,20 @@
 	Routing     *model.Routing
 	Servers     []model.Registration
 	Members     []model.Member
+	// VerifiedAt is a time at which the store's content was certainly not older than the view; zero if it is not known.
+	VerifiedAt boottime.Time
+	// Evacuated are the evacuated zones, whether or not the settings define them.
+	Evacuated map[model.AvailabilityZone]bool
 }
 
 // View returns a snapshot of the table. Nothing that it refers to is modified later.
 func (t *Registry) View() RegistryView {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	v := RegistryView{Revision: t.revision, ConfirmedAt: t.confirmedAt, Routing: t.routing, Servers: t.servers.Servers()}
+	v := RegistryView{
+		Revision: t.revision, ConfirmedAt: t.confirmedAt, Routing: t.routing, Servers: t.servers.Servers(),
+		VerifiedAt: t.verification.At(), Evacuated: maps.Clone(t.evacuated),
+	}
 	for _, m := range t.members {
 		v.Members = append(v.Members, m)
 	}
--- a/internal/tables/registryupdates.go
+++ b/internal/tables/registryupdates.go
@@ -31,7 +31,7 @@
 	switch {
 	case u.Complete:
 		l.base, l.updates = max(before, u.Revision), nil
-	case u.Routing != nil || len(u.Servers)+len(u.Members) > 0:
+	case u.Routing != nil || len(u.Servers)+len(u.Members)+len(u.Evacuations) > 0:
 		l.updates = append(l.updates, *u)
 	}
 	if len(l.updates) > maxLoggedUpdates {
@@ -60,6 +60,7 @@
 			}
 		}
 		out.Members = append(out.Members, u.Members...)
+		out.Evacuations = append(out.Evacuations, u.Evacuations...)
 	}
 	return out, true
 }
@@ -71,14 +72,15 @@
 }
 
 // AwaitUpdate returns what a daemon that follows this one lacks. It blocks until this table is ahead of the follower's
-// position, more servers are marked as leaving, or the store is unreachable from this daemon. After wait, or when ctx ends, it
+// position, which includes a later verification if the follower needs one, more servers are marked as leaving, or the store is
+// unreachable from this daemon. After wait, or when ctx ends, it
 // returns what there is.
 func (t *Registry) AwaitUpdate(ctx context.Context, follower gossip.Position, wait time.Duration) registry.PeerUpdate {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
 		u, changed := t.updatesAfter(follower)
-		local := gossip.Position{Revision: u.Revision, ConfirmedAt: u.ConfirmedAt}
+		local := gossip.Position{Revision: u.Revision, ConfirmedAt: u.ConfirmedAt, VerifiedAt: u.VerifiedAt}
 		if u.StoreUnreachable || local.AheadOf(follower) || len(u.Leaving) > 0 || ctx.Err() != nil {
 			return u
 		}
@@ -97,7 +99,7 @@
 	if !kept {
 		u = t.fullUpdate()
 	}
-	u.Revision = t.revision
+	u.Revision, u.VerifiedAt = t.revision, t.verification.At()
 	leaving, upTo := t.servers.LeavingAfter(at.Leaving, registry.MaxLeaving)
 	return registry.PeerUpdate{
 		Update: u, Leaving: leaving, LeavingUpTo: upTo,
@@ -116,6 +118,7 @@
 	for _, m := range t.members {
 		u.Members = append(u.Members, registry.MemberEntry{Instance: m.Instance, Member: m})
 	}
+	u.Evacuations = t.evacuationEntries()
 	return u
 }
 
--- a/internal/telemetry/collector.go
+++ b/internal/telemetry/collector.go
@@ -13,8 +13,10 @@
 	Revision model.Revision
 	// StoreContactAge is the time since the store's last reply; negative if there was none.
 	StoreContactAge time.Duration
-	Queues          []QueueSample
-	Services        []ServiceSample
+	// VerifiedAge is how old the routing configuration in force can be at most; negative if that is not known or not needed.
+	VerifiedAge time.Duration
+	Queues      []QueueSample
+	Services    []ServiceSample
 	// Servers lists only the servers whose state is not ordinary, so that the number of series stays small.
 	Servers []ServerSample
 }
@@ -76,6 +78,7 @@
 	s := c.sample()
 	gauge(nameRevision, float64(s.Revision))
 	gauge(nameStoreContact, s.StoreContactAge.Seconds())
+	gauge(nameVerifiedAge, s.VerifiedAge.Seconds())
 	for _, q := range s.Queues {
 		gauge(nameQueue, float64(q.Waiting), string(q.Service), q.Rank.String())
 	}
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -58,6 +58,7 @@
 	nameServerLimit     = "server_limit"
 	nameRevision        = "config_revision"
 	nameStoreContact    = "store_contact_age_seconds"
+	nameVerifiedAge     = "verified_age_seconds"
 )
 
 var serverLabels = []string{labelService, labelShard, labelServer, labelZone, labelState}
@@ -86,6 +87,7 @@
 		{nameServerLimit, Gauge, serverLabels},
 		{nameRevision, Gauge, nil},
 		{nameStoreContact, Gauge, nil},
+		{nameVerifiedAge, Gauge, nil},
 	}
 	for i := range ds {
 		ds[i].Name = prefix + "_" + ds[i].Name
