--- a/internal/archtest/platform_test.go
+++ b/internal/archtest/platform_test.go
@@ -18,7 +18,7 @@
 
 // platformNames matches names of the platform's wire protocol that only the adapter may use.
 var platformNames = regexp.MustCompile(`X-Request-Id|X-Time-Remaining|X-Response-Stamp|X-Expected-Instance|X-Instance-Id|` +
-	`X-Server-Load|X-Not-Executed|X-Part-Stamps|X-Missing-Parts|/kv-|op/config|fan_out_services|traffic_split|` +
+	`X-Server-Load|X-Not-Executed|X-Part-Stamps|X-Missing-Parts|/kv-|op/config|op/evacuate|fan_out_services|traffic_split|` +
 	`minimum_coverage|cold_remaining|OLEANDERSILL_CONFIG`)
 
 var _ = Describe("the platform adapter", func() {
