--- a/internal/command/follow/peers.go
+++ b/internal/command/follow/peers.go
@@ -17,9 +17,8 @@
 // followPeer long-polls a daemon for changes of the store until this daemon's own data reaches its maximum age, and applies
 // them. If the data is too old already, the store is read next.
 func (f *Follower) followPeer(ctx context.Context, r *readState, source model.Member) {
-	at := f.deps.Registry.Position()
+	at, age := f.position()
 	fresh := f.deps.Freshness
-	age := time.Since(at.ConfirmedAt)
 	if fresh.Old(age) {
 		r.readStoreNext = true
 		return
@@ -43,7 +42,7 @@
 	}
 	r.leaving.sent, r.leaving.received = sent, update.LeavingUpTo
 	f.applyPeerUpdate(&update)
-	if update.Era < at.Era || update.StoreUnreachable || fresh.Old(time.Since(update.ConfirmedAt)) {
+	if update.Era < at.Era || update.StoreUnreachable || fresh.Old(f.updateAge(&update)) {
 		f.excludeSource(r, source, gossip.SourceStale, nil)
 		return
 	}
@@ -100,7 +99,7 @@
 	}
 	address := addresses[r.peersAsked%len(addresses)]
 	r.peersAsked++
-	at := f.deps.Registry.Position()
+	at, _ := f.position()
 	leaving, _ := f.deps.Registry.LeavingAfter(0)
 	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -113,11 +112,14 @@
 		return
 	}
 	f.ObserveLeaving(update.Leaving)
-	if !at.Point().Before(update.Point()) || (update.Routing == nil && update.Complete) {
+	verifies := at.NeedsVerification && update.Era == at.Era && update.VerifiedAt > at.VerifiedAt && !update.Complete
+	if (!at.Point().Before(update.Point()) && !verifies) || (update.Routing == nil && update.Complete) {
 		return
 	}
 	f.applyPeerUpdate(&update)
-	r.synced = r.synced || update.Complete
+	if !r.synced {
+		r.synced = update.Complete
+	}
 }
 
 // peerAddresses returns the addresses of the other known daemons that support the protocol version of this one, or of the seeds if
--- a/internal/command/follow/restore.go
+++ b/internal/command/follow/restore.go
@@ -21,15 +21,6 @@
 		Uint64("revision", uint64(u.Revision)).Msg("store_restored")
 }
 
-// load reads everything. A list of an earlier era than the known one counts as no answer.
-func (f *Follower) load(ctx context.Context) (registry.Update, error) {
-	u, err := f.deps.Reader.Load(ctx)
-	if err == nil && u.Era < f.era() {
-		return registry.Update{}, registry.ErrEarlierEra
-	}
-	return u, err
-}
-
 // era returns the latest known era of the store.
 func (f *Follower) era() directory.Era { return f.deps.Registry.Position().Era }
 
--- a/internal/command/follow/simulation_test.go
+++ b/internal/command/follow/simulation_test.go
@@ -14,6 +14,7 @@
 	"oleandersill.example/oleandersill/internal/decision/budget"
 	"oleandersill.example/oleandersill/internal/decision/gossip"
 	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/peer"
 	"oleandersill.example/oleandersill/internal/registry"
 	"oleandersill.example/oleandersill/internal/tables"
 )
@@ -25,6 +26,8 @@
 	configApply, drain time.Duration
 	// settled is how long a daemon must have been without a disturbance before the limits apply to it.
 	settled time.Duration
+	// revocation is the time after which a removed key must not be accepted; 0 means that there is no such bound.
+	revocation time.Duration
 }
 
 // maxRestarts limits the restarts of a daemon in a budget window, since a restart resets the daemon's record
@@ -61,6 +64,13 @@
 	stepCompact
 	stepRestore
 	stepKinds
+	// The kinds from here on occur in tests of revocation only.
+	stepRemoveKey = iota - 1
+	stepRestoreKey
+	stepPause
+	stepResume
+	stepSlowStore
+	revocationStepKinds
 )
 
 // simulation is a fleet of daemons on a virtual clock.
@@ -79,8 +89,12 @@
 	// extraAttempts and requests hold the times of extra attempts and of requests of the whole fleet.
 	extraAttempts, requests []time.Time
 	// restarts holds the times at which each daemon was restarted.
-	restarts  map[int][]time.Time
-	violation string
+	restarts map[int][]time.Time
+	keys     keyState
+	// storeDelay is added to each reply of the store, in nanoseconds, and storeCalls counts the reads.
+	storeDelay atomic.Int64
+	storeCalls atomic.Int64
+	violation  string
 	// repeats holds the writes that a restore lost and that are still to be repeated.
 	repeats []repeat
 	// routing is the configuration of version, and entries what each server wrote last, or nil if its entry was removed.
@@ -111,6 +125,9 @@
 	lastVersion   model.RoutingVersion
 	// sequences holds the sequence of each server's entry that was seen last.
 	sequences map[model.ServerName]model.EntrySequence
+	paused    pauseState
+	// suspended is for how long the daemon's machine was suspended, in nanoseconds.
+	suspended atomic.Int64
 }
 
 func member(index int) model.Member {
@@ -128,10 +145,11 @@
 	}
 	d.alive.Store(true)
 	d.follower = follow.New(follow.Deps{
-		Reader: d.client, Announcer: d.client, Peers: d, Seeds: []string{"0", "1"}, Self: member(index),
+		Reader: reader{storeClient: d.client, d: d}, BootTime: d.bootTime, Announcer: d.client, Peers: d, Seeds: []string{"0", "1"}, Self: member(index),
 		Zones:    []model.ZoneSpec{{Name: "z0", Region: "r"}, {Name: "z1", Region: "r"}},
 		Registry: d.registry, Config: d.config, Servers: tables.NewServers(), Log: zerolog.Nop(),
-		Freshness:     gossip.NewFreshness(min(sim.bounds.configApply, sim.bounds.drain)),
+		Freshness: gossip.NewFreshness(min(sim.bounds.configApply, sim.bounds.drain)).
+			WithRevocation(sim.bounds.revocation),
 		ApplyTopology: func(*model.Topology, time.Time) {},
 		DaemonsChanged: func(ms []model.Member, announced bool) {
 			if announced {
@@ -165,11 +183,13 @@
 	if other == nil || !other.alive.Load() {
 		return registry.PeerUpdate{}, errRefused
 	}
-	var update registry.PeerUpdate
+	begin := d.bootTime()
+	req := peer.NewRegistryRequest(at, leaving, wait, time.Now(), begin)
+	d.paused.await(context.Background())
+	var reply peer.RegistryReply
 	conn := d.connectTo(other)
 	if d.delivers(other, conn) {
-		other.follower.ObserveLeaving(leaving)
-		update = other.registry.AwaitUpdate(ctx, at, wait)
+		reply = other.answer(ctx, &req)
 	}
 	// A partition or a silence that begins during the wait loses the reply too, and so does a daemon that ends meanwhile.
 	if !d.delivers(other, conn) {
@@ -180,7 +200,9 @@
 	if !other.alive.Load() {
 		return registry.PeerUpdate{}, errRefused
 	}
-	return update, ctx.Err()
+	err := ctx.Err()
+	d.paused.await(context.Background())
+	return reply.PeerUpdate(time.Now(), begin), err
 }
 
 // connection identifies a connection between two daemons by their silences when it was opened.
@@ -212,13 +234,14 @@
 		d.client.setFault(storeRefusing)
 	}
 	d.alive.Store(false)
+	d.paused.end()
 	d.follower.Close()
 }
 
 func (sim *simulation) configure() {
 	sim.version += 2
 	services := []model.BackendService{{Name: service, HealthPath: "/", MaxConnections: 26}}
-	sim.routing = model.NewRouting(sim.version, nil, services, model.CallerLimits{})
+	sim.routing = sim.keys.addTo(model.NewRouting(sim.version, nil, services, model.CallerLimits{}))
 	sim.writeRouting()
 }
 
@@ -280,7 +303,9 @@
 			d.disturb(storeFault(1 + s.target%3))
 		}
 	case stepHeal:
+		sim.storeDelay.Store(0)
 		for _, d := range sim.daemons {
+			sim.resume(d)
 			d.partitioned.Store(false)
 			if f, _ := d.client.currentFault(); f != storeHealthy {
 				d.disturb(storeHealthy)
@@ -307,6 +332,8 @@
 		}
 	case stepRestore:
 		sim.restore(time.Duration(s.target)*time.Second/2, s.target%2 == 0)
+	default:
+		sim.performRevocation(s.kind, d)
 	}
 }
 
@@ -331,22 +358,32 @@
 	return sim
 }
 
+// advance lets the fleet run for a time and checks the limits.
+func (sim *simulation) advance(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end) && sim.violation == ""; {
+		time.Sleep(checkInterval)
+		sim.store.expire(time.Now())
+		sim.repeatLost(time.Now())
+		sim.check(time.Now())
+	}
+	synctest.Wait()
+}
+
+// close stops all daemons.
+func (sim *simulation) close() {
+	for _, d := range sim.daemons {
+		d.shutDown(true)
+	}
+}
+
 // run performs the steps on a new fleet and returns a violation of a limit, or "" if there was none.
 func run(steps []step, daemonCount int, bounds platformBounds) string {
 	sim := newSimulation(daemonCount, bounds)
 	for _, s := range append(steps, step{kind: stepHeal, pause: 2 * bounds.settled}) {
 		sim.perform(s)
-		for end := time.Now().Add(s.pause); time.Now().Before(end) && sim.violation == ""; {
-			time.Sleep(checkInterval)
-			sim.store.expire(time.Now())
-			sim.repeatLost(time.Now())
-			sim.check(time.Now())
-		}
-		synctest.Wait()
-	}
-	for _, d := range sim.daemons {
-		d.shutDown(true)
+		sim.advance(s.pause)
 	}
+	sim.close()
 	if sim.violation == "" {
 		sim.checkBudget()
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -55,6 +55,12 @@
 	return directory.Point{Era: u.Era, Revision: u.Revision}
 }
 
+// Unchanged reports whether a watch after a point returned nothing.
+func (u *Update) Unchanged(after directory.Point) bool {
+	entries := len(u.Servers) + len(u.Members) + len(u.Evacuations) + len(u.Problems)
+	return u.Point() == after && u.Routing == nil && entries == 0
+}
+
 // PeerUpdate is an update from the store that a daemon, the sender, passes on to a daemon that follows it.
 type PeerUpdate struct {
 	Update
--- a/internal/tables/registry.go
+++ b/internal/tables/registry.go
@@ -1,8 +1,10 @@
 package tables
 
 import (
+	"maps"
 	"time"
 
+	"oleandersill.example/oleandersill/internal/boottime"
 	"oleandersill.example/oleandersill/internal/decision/directory"
 	"oleandersill.example/oleandersill/internal/decision/gossip"
 	"oleandersill.example/oleandersill/internal/lockorder"
@@ -16,17 +18,21 @@
 	mu       lockorder.Mutex
 	era      directory.Era
 	revision directory.Revision
-	// confirmedAt is when the store was last known to be at revision.
-	confirmedAt time.Time
-	routing     *model.Routing
-	servers     *directory.Directory
-	members     map[model.InstanceID]model.Member
+	// confirmedAt is when the store was last known to be at revision, according to the clock of the daemon that read it.
+	// verification is a bound on the age of the data that holds after a pause too.
+	confirmedAt  time.Time
+	verification gossip.Verification
+	routing      *model.Routing
+	servers      *directory.Directory
+	members      map[model.InstanceID]model.Member
 	// missing holds the members whose entries the store lost when it was restored, with the time until which they may be written
 	// again.
 	missing map[model.InstanceID]time.Time
 	// restoreEnd is when the time to write lost entries again ends or ended.
 	restoreEnd time.Time
-	log        updateLog
+	// evacuated holds the evacuated zones, whether or not the settings define them.
+	evacuated map[model.AvailabilityZone]bool
+	log       updateLog
 }
 
 // NewRegistry returns an empty table. drainPeriod is how long a server still serves requests after it announced that it
@@ -34,8 +40,8 @@
 func NewRegistry(drainPeriod time.Duration) *Registry {
 	return &Registry{
 		mu: lockorder.New(OrderRegistry), servers: directory.New(drainPeriod), members: map[model.InstanceID]model.Member{},
-		missing: map[model.InstanceID]time.Time{},
-		log:     updateLog{changed: make(chan struct{})},
+		missing:   map[model.InstanceID]time.Time{},
+		evacuated: map[model.AvailabilityZone]bool{}, log: updateLog{changed: make(chan struct{})},
 	}
 }
 
@@ -51,11 +57,13 @@
 	MembersChanged bool
 	// RestoredAfter is the point that the table had reached when the update began a new era, or nil.
 	RestoredAfter *directory.Point
+	// Evacuations are the zones whose evacuation began or ended.
+	Evacuations []registry.Evacuation
 }
 
 // AffectsTopology reports whether the Topology must be rebuilt.
 func (c *RegistryChange) AffectsTopology() bool {
-	return c.Routing != nil || len(c.Servers) > 0 || c.MembersChanged
+	return c.Routing != nil || len(c.Servers) > 0 || c.MembersChanged || len(c.Evacuations) > 0
 }
 
 // Apply applies an update at now. confirmedAt is when the store was known to be at the update's revision. An update of an earlier era
@@ -77,6 +85,8 @@
 		t.applyServers(u, &c, now)
 		c.MembersChanged = t.applyMembers(u, now)
 	}
+	c.Evacuations = t.applyEvacuations(u, restored)
+	t.verification.Advance(u.VerifiedAt, c.Routing != nil)
 	if confirmedAt.After(t.confirmedAt) {
 		t.confirmedAt = confirmedAt
 	}
@@ -84,11 +94,33 @@
 	return c
 }
 
-// Position returns the point in the store's history that the table has reached, and when the store was known to be at it.
+// Position returns the point in the store's history that the table has reached, when the store was known to be at it, and when it
+// was verified.
 func (t *Registry) Position() gossip.Position {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return gossip.Position{Era: t.era, Revision: t.revision, ConfirmedAt: t.confirmedAt}
+	return t.positionAt(t.verification.At())
+}
+
+// PositionInForce is like Position, but its VerifiedAt holds for the routing configuration that was last installed.
+func (t *Registry) PositionInForce() gossip.Position {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.positionAt(t.verification.InForce())
+}
+
+func (t *Registry) positionAt(verifiedAt boottime.Time) gossip.Position {
+	return gossip.Position{Era: t.era, Revision: t.revision, ConfirmedAt: t.confirmedAt, VerifiedAt: verifiedAt}
+}
+
+// RoutingInstalled records that a routing configuration is in force. Until the latest one is, PositionInForce is not verified
+// any later than the one that it replaces.
+func (t *Registry) RoutingInstalled(r *model.Routing) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r == t.routing {
+		t.verification.Installed()
+	}
 }
 
 func (t *Registry) applyRouting(r *model.Routing, c *RegistryChange) {
@@ -234,13 +266,20 @@
 	Routing     *model.Routing
 	Servers     []model.Registration
 	Members     []model.Member
+	// VerifiedAt is a time at which the store's content was certainly not older than the view; zero if it is not known.
+	VerifiedAt boottime.Time
+	// Evacuated are the evacuated zones, whether or not the settings define them.
+	Evacuated map[model.AvailabilityZone]bool
 }
 
 // View returns a snapshot of the table. Nothing that it refers to is modified later.
 func (t *Registry) View() RegistryView {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	v := RegistryView{Revision: t.revision, ConfirmedAt: t.confirmedAt, Routing: t.routing, Servers: t.servers.Servers()}
+	v := RegistryView{
+		Revision: t.revision, ConfirmedAt: t.confirmedAt, Routing: t.routing, Servers: t.servers.Servers(),
+		VerifiedAt: t.verification.At(), Evacuated: maps.Clone(t.evacuated),
+	}
 	for _, m := range t.members {
 		v.Members = append(v.Members, m)
 	}
--- a/internal/tables/registryupdates.go
+++ b/internal/tables/registryupdates.go
@@ -32,7 +32,7 @@
 	switch {
 	case u.Complete:
 		l.base, l.updates = max(before, u.Revision), nil
-	case u.Routing != nil || len(u.Servers)+len(u.Members) > 0:
+	case u.Routing != nil || len(u.Servers)+len(u.Members)+len(u.Evacuations) > 0:
 		kept := *u
 		kept.Routing = l.takeNewestRouting(u.Routing)
 		l.updates = append(l.updates, kept)
@@ -79,6 +79,7 @@
 			}
 		}
 		out.Members = append(out.Members, u.Members...)
+		out.Evacuations = append(out.Evacuations, u.Evacuations...)
 	}
 	return out, true
 }
@@ -90,14 +91,15 @@
 }
 
 // AwaitUpdate returns what a daemon that follows this one lacks. It blocks until this table is ahead of the follower's
-// position, more servers are marked as leaving, or the store is unreachable from this daemon. It does not wait if this table is of an
-// earlier era than the follower's. After wait, or when ctx ends, it returns what there is.
+// position, which includes a later verification if the follower needs one, more servers are marked as leaving, or the store is
+// unreachable from this daemon. It does not wait if this table is of an earlier era than the follower's. After wait, or when ctx ends,
+// it returns what there is.
 func (t *Registry) AwaitUpdate(ctx context.Context, follower gossip.Position, wait time.Duration) registry.PeerUpdate {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
 		u, changed := t.updatesAfter(follower)
-		local := gossip.Position{Era: u.Era, Revision: u.Revision, ConfirmedAt: u.ConfirmedAt}
+		local := gossip.Position{Era: u.Era, Revision: u.Revision, ConfirmedAt: u.ConfirmedAt, VerifiedAt: u.VerifiedAt}
 		if u.StoreUnreachable || u.Era < follower.Era || local.AheadOf(follower) || len(u.Leaving) > 0 || ctx.Err() != nil {
 			return u
 		}
@@ -113,7 +115,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	u := t.updateAfter(at.Point())
-	u.Era, u.Revision = t.era, t.revision
+	u.Era, u.Revision, u.VerifiedAt = t.era, t.revision, t.verification.At()
 	leaving, upTo := t.servers.LeavingAfter(at.Leaving, registry.MaxLeaving)
 	return registry.PeerUpdate{
 		Update: u, Leaving: leaving, LeavingUpTo: upTo,
@@ -149,6 +151,7 @@
 		}
 		u.Members = append(u.Members, registry.MemberEntry{Instance: m.Instance, Member: m})
 	}
+	u.Evacuations = t.evacuationEntries()
 	return u
 }
 
