Serve services whose servers accept fewer than four connections

limit.ConnectionBudget was 0 for each daemon if a server accepts fewer connections than four and there may be more daemons than that, so the service got no requests. Such a server now gets one connection, from its owner: idempotent requests go through the owner whatever their zone, including those whose extra attempt another daemon is charged for. An owner that loses a server closes its idle connections. On the users' platform such a server has a transport of its own for all requests; queries and commands used to open a connection each.

Members that are avoided as owners for 3 s came back at the next change of the members only. On the users' platform a daemon that another one saw starting could be left out for good. Avoidances now expire.

The property of ConnectionBudget counted four owners for each server. For fewer than four connections that allows a budget of 0 only, so it counts the one owner there, and two specs require a connection for it.

--- a/internal/command/execute/send.go
+++ b/internal/command/execute/send.go
@@ -20,7 +20,7 @@
 	refusal := notRunResult(ReasonNoServer, 0)
 	d.Budgets.OnRequest(time.Now())
 	for attempt := uint32(1); int(attempt) <= max(1, c.Topology.Rules.Retry.MaxAttempts); attempt++ {
-		criteria := dispatch.SelectionCriteria{Shard: c.shard, Rank: c.Rank, Tried: tried}
+		criteria := dispatch.SelectionCriteria{Shard: c.shard, Rank: c.Rank, Tried: tried, Unforwarded: true}
 		candidates, servers := d.Candidates(nil, nil, criteria, time.Now())
 		i, ok := d.Choose(candidates, rnd)
 		if !ok || (attempt > 1 && !d.Budgets.SpendRetry(time.Now())) {
--- a/internal/command/relay/relay.go
+++ b/internal/command/relay/relay.go
@@ -116,7 +116,7 @@
 func (e *execution) attempt(ctx context.Context, service model.ServiceName) (end dispatch.ExecuteOutcome, found bool) {
 	d := e.relay.Dispatcher
 	now := time.Now()
-	criteria := dispatch.SelectionCriteria{Shard: e.req.Shard, Rank: e.req.Route.Rank, Tried: e.tried}
+	criteria := dispatch.SelectionCriteria{Shard: e.req.Shard, Rank: e.req.Route.Rank, Tried: e.tried, Unforwarded: true}
 	candidates, records := d.Candidates(nil, nil, criteria, now)
 	i, ok := d.Choose(candidates, d.Rand())
 	if !ok {
--- a/internal/command/report/topology.go
+++ b/internal/command/report/topology.go
@@ -130,11 +130,13 @@
 	connections := limit.ConnectionBudget(spec.Connections, daemons)
 	rec := r.Servers.Get(spec.Name)
 	if rec != nil && sameEndpoint(rec.Spec(), spec) {
-		rec.SetSpec(spec)
 		r.updateConnectionBudget(rec, spec, connections)
+		rec.SetSpec(spec)
+		rec.SetOwnerOnly(limit.OwnerOnly(spec.Connections, daemons))
 		return rec
 	}
 	rec = tables.NewServer(spec, r.Connector.Connect(spec, connections), connections, joined)
+	rec.SetOwnerOnly(limit.OwnerOnly(spec.Connections, daemons))
 	if before, ok := r.removed[spec.Name]; ok && sameEndpoint(before.spec, spec) {
 		rec.SetPushback(before.restUntil.Sub(now), now)
 	}
@@ -148,9 +150,9 @@
 
 // updateConnectionBudget updates the connection budget of a server that remains, and keeps the state learned about it. The
 // budget depends on the server's connections and on the number of daemons that may run: with the budget of a smaller fleet, a
-// larger one would exceed what the server accepts.
+// larger one would exceed what the server accepts. The client may depend on the server's connections too.
 func (r *Recorder) updateConnectionBudget(rec *tables.Server, spec *model.Server, connections int) {
-	if rec.Budget() != connections {
+	if rec.Budget() != connections || rec.Spec().Connections != spec.Connections {
 		rec.SetBudget(connections, r.Connector.Connect(spec, connections)).Close()
 	}
 }
--- a/internal/decision/limit/limit_test.go
+++ b/internal/decision/limit/limit_test.go
@@ -25,6 +25,10 @@
 				// Only a server's owners open connections: at most four while membership views differ.
 				holders = min(daemons, 4)
 			}
+			if limit.OwnerOnly(connections, daemons) {
+				// The server has no room for daemons whose membership views differ.
+				holders = min(1, connections)
+			}
 			if used := holders * limit.ConnectionBudget(connections, daemons); used > connections {
 				t.Fatalf("%d daemons open %d of %d connections", holders, used, connections)
 			}
@@ -34,6 +38,18 @@
 		// Guards against a budget of 0 for all daemons, with which no attempt would reach the server.
 		Expect(limit.ConnectionBudget(25, 5600)).To(Equal(6))
 	})
+	It("gives a connection to the owner of a server that accepts fewer than there may be owners", func() {
+		// Guards against a budget of 0 for all daemons, with which no attempt would reach the server.
+		for connections := 1; connections <= 3; connections++ {
+			Expect(limit.ConnectionBudget(connections, 9)).To(Equal(1))
+			Expect(limit.OwnerOnly(connections, 9)).To(BeTrue())
+		}
+	})
+	It("leaves servers to all daemons that accept a connection of each possible owner", func() {
+		// Guards against requests that are refused, or take a detour, although there are connections for this daemon.
+		Expect(limit.OwnerOnly(4, 5600)).To(BeFalse())
+		Expect(limit.OwnerOnly(2, 2)).To(BeFalse())
+	})
 	It("gives each of 9 daemons two connections to a server that accepts 25", func() {
 		// Guards against the owner's share being used although there are connections for all daemons.
 		Expect(limit.ConnectionBudget(25, 9)).To(Equal(2))
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -163,6 +163,9 @@
 	Rank  model.Rank
 	// Tried lists the servers that must not be selected again.
 	Tried []model.ServerName
+	// Unforwarded means that this daemon sends the request itself, so that servers that only their owners may send to are not
+	// selected unless this daemon owns them.
+	Unforwarded bool
 }
 
 // Candidates fills cs with the replicas of a shard and records with their server records, in the same order. Replicas
@@ -175,6 +178,9 @@
 	for _, r := range records {
 		var c routing.Candidate
 		r.FillCandidate(&c, now)
+		if criteria.Unforwarded && !d.mayConnect(r) {
+			c.Usable, c.Probe = false, false
+		}
 		c.Locality = routing.LocalityOf(c.Server, d.cfg.Zone, d.cfg.Region)
 		cs = append(cs, c)
 	}
@@ -190,6 +196,9 @@
 	for _, a := range s.Release(time.Now()) {
 		d.ready.Push(a)
 	}
+	if !d.mayConnect(s) {
+		d.Timer.Schedule(time.Now().Add(idleDelay), func() { d.closeUnowned(s) })
+	}
 }
 
 // Metrics returns the metrics that count requests, hedges and retries. It may be nil, in which case nothing is counted.
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"oleandersill.example/oleandersill/internal/backend"
-	"oleandersill.example/oleandersill/internal/decision/ownership"
 	"oleandersill.example/oleandersill/internal/decision/pause"
 	"oleandersill.example/oleandersill/internal/decision/zonehealth"
 	"oleandersill.example/oleandersill/internal/forwarding"
@@ -61,6 +60,9 @@
 	delegated     *tables.ReadyAttempts
 	gatherWorkers []*pool.Pool
 	inProgress    atomic.Int64
+
+	// closedView is the version of the members for which closeLost closed connections. Only tick uses it.
+	closedView uint64
 }
 
 // ForwardingConfig holds the dependencies of Forwarding.
@@ -87,10 +89,12 @@
 	return f
 }
 
-// tick records that the process runs, now and every pause.TickInterval.
+// tick records that the process runs and updates the owners, now and every pause.TickInterval.
 func (f *Forwarding) tick() {
 	now := time.Now()
 	f.pauses.Tick(now)
+	f.owners.Expire(now)
+	f.closeLost()
 	f.d.Timer.Schedule(now.Add(pause.TickInterval), f.tick)
 }
 
@@ -100,13 +104,14 @@
 	switch {
 	case f == nil:
 		return model.Member{}, false
+	case q.Server.OwnerOnly():
+		return f.otherOwner(q.Server)
 	case q.ForwardTo.Instance != "":
 		return q.ForwardTo, true
 	case q.Request.Message != nil:
 		return plan.nextGatherer(q)
 	}
-	owner, ok := q.Server.Owner(f.owners.View())
-	return owner, ok && owner.Instance != f.self.Instance
+	return f.otherOwner(q.Server)
 }
 
 // outgoing marks an attempt as forwarded and returns the message for the daemon that is to send it.
@@ -323,36 +328,11 @@
 	return true
 }
 
-// spendExtra charges an extra attempt to this daemon's budget of the service. A daemon without routes has no such budgets.
-func (d *Dispatcher) spendExtra(service model.ServiceName, fraction float64, now time.Time) bool {
-	return d.ServiceBudgets != nil && d.ServiceBudgets.Spend(service, fraction, now)
-}
-
 // refuse returns the status of a sub-request that this daemon did not send to its server.
 func (f *Forwarding) refuse(to model.Member, query *forwarding.Query, status backend.Status) {
 	f.forwards.QueueResult(to, forwarding.Result{ID: query.Request.ID, Result: backend.QueryResult{Status: status}}, false)
 }
 
-// DaemonToCharge returns another daemon whose budget may be charged for a query's extra attempts in a zone: a daemon in that
-// zone or, if there is none, in this daemon's zone. It returns false if there is neither. All attempts of a query in a zone
-// use the same daemon, so that they share a batch.
-func (d *Dispatcher) DaemonToCharge(zone model.AvailabilityZone, query model.RequestID) (model.Member, bool) {
-	f := d.forwarding
-	if f == nil {
-		return model.Member{}, false
-	}
-	view := f.owners.View()
-	for _, z := range []model.AvailabilityZone{zone, d.cfg.Zone} {
-		members := view.Zones[z]
-		for _, i := range ownership.HighestRanked(string(query), members, 2) {
-			if members[i].Instance != f.self.Instance {
-				return members[i], true
-			}
-		}
-	}
-	return model.Member{}, false
-}
-
 // returnResult returns the result of an attempt to the daemon that forwarded it. Only successful replies are held back to be
 // batched: after any other result the requesting daemon may have to send the sub-request to another server.
 func (f *Forwarding) returnResult(to model.Member, q *QueryAttempt, r backend.QueryResult) {
--- a/internal/dispatch/zones.go
+++ b/internal/dispatch/zones.go
@@ -190,7 +190,7 @@
 		if len(targets) == count {
 			break
 		}
-		if s := all[i]; s.Name() != excluded && s.Spec().Zone == zone && s.Pushback(now) == 0 && s.TryAcquireSpare() {
+		if s := all[i]; s.Name() != excluded && s.Spec().Zone == zone && s.Pushback(now) == 0 && d.mayConnect(s) && s.TryAcquireSpare() {
 			targets = append(targets, s)
 		}
 	}
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -212,7 +212,7 @@
 	if charge.local {
 		return model.Member{}, true
 	}
-	return c.searcher.Dispatcher.DaemonToCharge(server.Spec().Zone, c.id)
+	return c.searcher.Dispatcher.DaemonToCharge(server, c.id)
 }
 
 // inOtherZone reports whether there are pending attempts and none of them is in the server's zone. The daemons in that zone,
--- a/internal/tables/fleet_test.go
+++ b/internal/tables/fleet_test.go
@@ -140,3 +140,15 @@
 		Expect(t.Expire(start.Add(gossip.LeavingMarkTTL))).To(HaveLen(1))
 	})
 })
+
+var _ = It("a member that was avoided may own servers again after that time, without a change of the members", func() {
+	// Guards against a daemon that gets no work until another one joins or leaves, because one batch to it failed.
+	now := time.Now()
+	m := model.Member{Instance: "i", Zone: "z", Incarnation: 1}
+	o := tables.NewOwners()
+	o.SetMembers(map[model.AvailabilityZone][]model.Member{"z": {m}}, now)
+	o.Avoid(m, now.Add(time.Second), now)
+	Expect(o.View().Zones["z"]).To(BeEmpty())
+	o.Expire(now.Add(time.Second))
+	Expect(o.View().Zones["z"]).To(ConsistOf(m))
+})
--- a/internal/tables/owners.go
+++ b/internal/tables/owners.go
@@ -32,6 +32,15 @@
 	Preferred map[model.AvailabilityZone][]model.Member
 }
 
+// all returns the members of all zones, in no particular order.
+func (v *OwnerView) all() []model.Member {
+	var all []model.Member
+	for _, members := range v.Zones {
+		all = append(all, members...)
+	}
+	return all
+}
+
 // NewOwners returns a table without members.
 func NewOwners() *Owners {
 	o := &Owners{mu: lockorder.New(OrderOwners), avoided: map[model.InstanceID]avoidance{}}
@@ -77,6 +86,19 @@
 	o.publish(now)
 }
 
+// Expire includes the members again whose avoidance has ended. Without it they would be left out until the next change of the
+// members.
+func (o *Owners) Expire(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, a := range o.avoided {
+		if !a.until.After(now) {
+			o.publish(now)
+			return
+		}
+	}
+}
+
 // publish removes expired avoidances and stores a new view if it differs from the current one.
 func (o *Owners) publish(now time.Time) {
 	for id, a := range o.avoided {
--- a/internal/tables/server.go
+++ b/internal/tables/server.go
@@ -19,13 +19,16 @@
 // Invariants: inFlight never grows beyond the connection budget, and an attempt waits only while inFlight is at the in-flight
 // limit. Owners: dispatch (attempts in flight and waiting), command/report (everything else).
 type Server struct {
-	mu       lockorder.Mutex
-	name     model.ServerName
-	spec     *model.Server
-	client   backend.Server
-	budget   int
-	inFlight int
-	limit    limit.Adaptive
+	mu     lockorder.Mutex
+	name   model.ServerName
+	spec   *model.Server
+	client backend.Server
+	budget int
+	// ownerOnly means that only the server's owner may send anything to the server. opened means that there may be connections.
+	ownerOnly bool
+	opened    bool
+	inFlight  int
+	limit     limit.Adaptive
 	// queue is nil until an attempt waits. A daemon has records of all servers, but attempts wait at few of them.
 	queue    *serverQueue
 	queued   int
--- a/internal/tables/serverowner.go
+++ b/internal/tables/serverowner.go
@@ -13,12 +13,16 @@
 	owner *model.Member
 }
 
-// Owner returns the daemon that owns the server according to view, or false if view has no daemon in the server's zone.
+// Owner returns the daemon that owns the server according to view, or false if view has no daemon in the server's zone. If only
+// the owner may send to the server, a daemon of another zone owns a server whose zone has none.
 func (s *Server) Owner(view *OwnerView) (model.Member, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.owner.view != view {
 		members := view.Zones[s.spec.Zone]
+		if len(members) == 0 && s.ownerOnly {
+			members = view.all()
+		}
 		s.owner = ownerCache{view: view}
 		if i := ownership.Owner(s.name, members); i >= 0 {
 			s.owner.owner = &members[i]
@@ -30,6 +34,36 @@
 	return *s.owner.owner, true
 }
 
+// SetOwnerOnly sets whether only the server's owner may send anything to the server, because the server accepts very few
+// connections.
+func (s *Server) SetOwnerOnly(ownerOnly bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ownerOnly != ownerOnly {
+		s.ownerOnly = ownerOnly
+		s.owner = ownerCache{}
+	}
+}
+
+// OwnerOnly reports whether only the server's owner may send anything to the server.
+func (s *Server) OwnerOnly() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ownerOnly
+}
+
+// TakeOpened reports whether there may be idle connections to the server and none in use. The caller must close them, since the
+// next call returns false unless capacity was acquired in between.
+func (s *Server) TakeOpened() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.opened || s.inFlight > 0 {
+		return false
+	}
+	s.opened = false
+	return true
+}
+
 // AddForwarded adds n to the number of attempts that were forwarded to the server's owner and have not ended. n is negative
 // for attempts that ended.
 func (s *Server) AddForwarded(n int) {
--- a/internal/tables/serverqueue.go
+++ b/internal/tables/serverqueue.go
@@ -18,7 +18,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.inFlight < s.limit.Limit() {
-		s.inFlight++
+		s.use(1)
 		return true
 	}
 	if s.queue == nil {
@@ -37,7 +37,7 @@
 	if s.inFlight >= s.budget {
 		return false
 	}
-	s.inFlight++
+	s.use(1)
 	return true
 }
 
@@ -46,10 +46,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	spare := max(0, s.budget-s.inFlight)
-	s.inFlight += spare
+	s.use(spare)
 	return spare
 }
 
+// use counts capacity that was acquired.
+func (s *Server) use(capacity int) {
+	s.inFlight += capacity
+	s.opened = s.opened || capacity > 0
+}
+
 // Release releases the capacity of one attempt. It acquires capacity for waiting attempts that may now start and returns them
 // in the order in which they are to start.
 func (s *Server) Release(now time.Time) []*Attempt {
@@ -62,7 +68,7 @@
 		if a == nil {
 			break
 		}
-		s.inFlight++
+		s.use(1)
 		started = append(started, a)
 	}
 	return started
--- a/internal/testing/fakebackend/fake.go
+++ b/internal/testing/fakebackend/fake.go
@@ -42,6 +42,7 @@
 	scripts map[model.ServerName]Script
 	queries map[model.ServerName]int
 	warmed  map[model.ServerName]int
+	closed  map[model.ServerName]int
 	cancels int
 	// cancelled counts, for each server, the queries whose sender ended them.
 	cancelled map[model.ServerName]int
@@ -49,7 +50,7 @@
 
 // New returns a connector whose servers follow scripts. A server without a script follows the zero Script.
 func New(scripts map[model.ServerName]Script) *Connector {
-	return &Connector{scripts: scripts, queries: map[model.ServerName]int{}, warmed: map[model.ServerName]int{}, cancelled: map[model.ServerName]int{}}
+	return &Connector{scripts: scripts, queries: map[model.ServerName]int{}, warmed: map[model.ServerName]int{}, closed: map[model.ServerName]int{}, cancelled: map[model.ServerName]int{}}
 }
 
 // Connect implements backend.Connector.
@@ -71,6 +72,13 @@
 	return c.cancelled[name]
 }
 
+// Closed returns how often a client of the server was closed.
+func (c *Connector) Closed(name model.ServerName) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed[name]
+}
+
 // Warmed returns the number of connections that were opened to a server in advance.
 func (c *Connector) Warmed(name model.ServerName) int {
 	c.mu.Lock()
@@ -207,7 +215,11 @@
 func (s *server) Load(context.Context) (backend.Load, error) { return backend.Load{}, nil }
 
 // Close implements backend.Server.
-func (s *server) Close() {}
+func (s *server) Close() {
+	s.connector.mu.Lock()
+	defer s.connector.mu.Unlock()
+	s.connector.closed[s.name]++
+}
 
 // Warm implements backend.Server.
 func (s *server) Warm(context.Context) error {
