--- a/internal/command/relay/relay.go
+++ b/internal/command/relay/relay.go
@@ -124,7 +124,9 @@
 	d := e.relay.Dispatcher
 	now := time.Now()
 	policy := &e.req.Policy
-	criteria := dispatch.SelectionCriteria{Shard: e.req.Shard, Rank: policy.Rank, Regions: policy.Regions, Tried: e.tried}
+	criteria := dispatch.SelectionCriteria{
+		Shard: e.req.Shard, Rank: policy.Rank, Regions: policy.Regions, Tried: e.tried, Unforwarded: true,
+	}
 	candidates, records := d.Candidates(nil, nil, criteria, now)
 	i, ok := d.Choose(candidates, d.Rand())
 	if !ok {
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"oleandersill.example/oleandersill/internal/backend"
-	"oleandersill.example/oleandersill/internal/decision/ownership"
 	"oleandersill.example/oleandersill/internal/decision/pause"
 	"oleandersill.example/oleandersill/internal/decision/zonehealth"
 	"oleandersill.example/oleandersill/internal/forwarding"
@@ -61,6 +60,9 @@
 	delegated     *tables.ReadyAttempts
 	gatherWorkers []*pool.Pool
 	inProgress    atomic.Int64
+
+	// closedView is the version of the members for which closeLost closed connections. Only tick uses it.
+	closedView uint64
 }
 
 // ForwardingConfig holds the dependencies of Forwarding.
@@ -87,10 +89,12 @@
 	return f
 }
 
-// tick records that the process runs, now and every pause.TickInterval.
+// tick records that the process runs and updates the owners, now and every pause.TickInterval.
 func (f *Forwarding) tick() {
 	now := time.Now()
 	f.pauses.Tick(now)
+	f.owners.Expire(now)
+	f.closeLost()
 	f.d.Timer.Schedule(now.Add(pause.TickInterval), f.tick)
 }
 
@@ -100,14 +104,14 @@
 	switch {
 	case f == nil:
 		return model.Member{}, false
+	case q.Server.OwnerOnly():
+		return f.otherOwner(q.Server, q.Policy)
 	case q.ForwardTo.Instance != "":
 		return q.ForwardTo, true
 	case q.Request.Message != nil:
 		return plan.nextGatherer(q)
 	}
-	owner, ok := q.Server.Owner(f.owners.View())
-	ok = ok && owner.Instance != f.self.Instance && ownership.RequirementsOf(q.Policy).Admit(&owner, d.regionOf(owner.Zone))
-	return owner, ok
+	return f.otherOwner(q.Server, q.Policy)
 }
 
 // outgoing marks an attempt as forwarded and returns the message for the daemon that is to send it.
