--- a/internal/decision/ownership/owner.go
+++ b/internal/decision/ownership/owner.go
@@ -38,13 +38,19 @@
 	if k <= 0 || len(members) == 0 {
 		return nil
 	}
-	seed := xxhash.Sum64String(key)
 	order := make([]int, len(members))
 	weights := make([]uint64, len(members))
 	for i := range members {
 		order[i] = i
-		weights[i] = mix(seed ^ xxhash.Sum64String(string(members[i].Instance)))
+		weights[i] = Weight(key, members[i].Instance)
 	}
-	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(weights[b], weights[a]) })
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(members[a].Instance, members[b].Instance))
+	})
 	return order[:min(k, len(order))]
 }
+
+// Weight returns the weight by which HighestRanked ranks a member for the key. Among equal weights the lower name ranks higher.
+func Weight(key string, instance model.InstanceID) uint64 {
+	return mix(xxhash.Sum64String(key) ^ xxhash.Sum64String(string(instance)))
+}
--- /dev/null
+++ b/internal/decision/quota/decision.go
@@ -0,0 +1,61 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Outcome is the result of asking for a token.
+type Outcome uint8
+
+// The outcomes. A request that is not granted is not run.
+const (
+	// Unavailable means that no agent or owner of the workspace responded, or that its owner has just changed.
+	Unavailable Outcome = iota
+	// Granted means that the request is within the quota.
+	Granted
+	// Refused means that the workspace has no token.
+	Refused
+)
+
+// String returns the name of the outcome in logs and metrics.
+func (o Outcome) String() string {
+	switch o {
+	case Granted:
+		return "granted"
+	case Refused:
+		return "refused"
+	default:
+		return "unavailable"
+	}
+}
+
+// Decision states whether a request may be served.
+type Decision struct {
+	Outcome Outcome
+	// RetryAfter is the time after which a request that is not granted may be repeated.
+	RetryAfter time.Duration
+	// DecidedBy names what decided: "owner" or "agent", or "" if neither responded.
+	DecidedBy string
+	// Asked is when the token was asked for, which is no later than its grant.
+	Asked time.Time
+}
+
+// The values of Decision.DecidedBy.
+const (
+	ByOwner = "owner"
+	ByAgent = "agent"
+)
+
+const (
+	// retrySpread is by which part of itself a Retry-After is prolonged at most, and minRetrySpread by how much at least.
+	retrySpread    = 0.25
+	minRetrySpread = 10 * time.Millisecond
+)
+
+// RetryAfter returns the time after which a caller is to return if there is no token for the time empty. It is random, so that
+// callers that were refused together do not return together, and never shorter than empty.
+func RetryAfter(empty time.Duration, rnd *rand.Rand) time.Duration {
+	spread := max(minRetrySpread, time.Duration(retrySpread*float64(empty)))
+	return max(0, empty) + time.Duration(rnd.Float64()*float64(spread))
+}
