--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -16,6 +16,10 @@
 	MethodParts   = ServiceQueries + ".Parts"
 	MethodStatus  = ServiceQueries + ".Status"
 	MethodForward = ServiceQueries + ".Forward"
+
+	MethodTakeQuota    = ServiceCommands + ".TakeQuota"
+	MethodSettleQuota  = ServiceCommands + ".SettleQuota"
+	MethodConfirmQuota = ServiceCommands + ".ConfirmQuota"
 )
 
 // Limits on the content of messages.
--- a/internal/tables/doc.go
+++ b/internal/tables/doc.go
@@ -18,6 +18,7 @@
 //	OrderServer         Server         one lock per record; one held at a time
 //	OrderReadyAttempts  ReadyAttempts  attempts ready to be sent, by rank
 //	OrderForwards       Forwards       sub-requests exchanged with other daemons
+//	OrderQuotas         Quotas         quotas of workspaces
 //	OrderBudgets        Budgets        hedge and retry windows
 //	OrderServiceBudgets ServiceBudgets retries and hedges of this daemon, by service
 //	OrderSplits         Splits         request counts of weighted routes
--- a/internal/tables/order.go
+++ b/internal/tables/order.go
@@ -17,6 +17,7 @@
 	OrderServer
 	OrderReadyAttempts
 	OrderForwards
+	OrderQuotas
 	OrderBudgets
 	OrderServiceBudgets
 	OrderSplits
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -38,6 +38,7 @@
 	latency       *family[rankLabels, tally.Histogram]
 	coverage      *family[model.ServiceName, tally.Histogram]
 	routes        *family[routeLabels, routeSeries]
+	quotaTokens   *family[QuotaOutcome, tally.Counter]
 	attempts      *family[attemptLabels, tally.Counter]
 	hedges        *family[model.ServiceName, tally.Counter]
 	retries       *family[model.ServiceName, tally.Counter]
@@ -116,6 +117,9 @@
 			missing:  byRoute.Counter(nameRouteMissing),
 		}
 	})
+	m.quotaTokens = newFamily(func(o QuotaOutcome) tally.Counter {
+		return scope.Tagged(map[string]string{labelOutcome: string(o)}).Counter(nameQuotaTokens)
+	})
 	m.attempts = newFamily(func(l attemptLabels) tally.Counter {
 		return scope.Tagged(map[string]string{labelService: string(l.service), labelStatus: l.status}).Counter(nameAttempts)
 	})
--- a/internal/telemetry/metrics_test.go
+++ b/internal/telemetry/metrics_test.go
@@ -104,6 +104,7 @@
 		m.Request("phrases", model.RankUrgent, model.OutcomeComplete, time.Millisecond)
 		m.Coverage("phrases", 1)
 		m.RouteRequest("r1", model.OutcomePartial, 2, time.Millisecond)
+		m.QuotaTokens(telemetry.QuotaGranted, 1)
 		m.Attempt("phrases", "ok")
 		m.DroppedReply("phrases")
 		m.Hedge("phrases")
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -43,6 +43,7 @@
 	nameRouteRequests   = "route_requests_total"
 	nameRouteLatency    = "route_latency_seconds"
 	nameRouteMissing    = "route_missing_shards_total"
+	nameQuotaTokens     = "quota_tokens_total"
 	nameAttempts        = "attempts_total"
 	nameHedges          = "hedges_total"
 	nameRetries         = "retries_total"
@@ -71,6 +72,7 @@
 		{nameRouteRequests, Counter, []string{labelRoute, labelOutcome}},
 		{nameRouteLatency, Histogram, []string{labelRoute, labelOutcome}},
 		{nameRouteMissing, Counter, []string{labelRoute}},
+		{nameQuotaTokens, Counter, []string{labelOutcome}},
 		{nameAttempts, Counter, []string{labelService, labelStatus}},
 		{nameHedges, Counter, []string{labelService}},
 		{nameRetries, Counter, []string{labelService}},
--- /dev/null
+++ b/internal/telemetry/quota.go
@@ -0,0 +1,23 @@
+package telemetry
+
+// QuotaOutcome is what became of tokens of workspaces with a quota.
+type QuotaOutcome string
+
+// The outcomes of tokens.
+const (
+	// QuotaGranted, QuotaRefused and QuotaUnavailable count the requests that this daemon received from callers.
+	QuotaGranted     QuotaOutcome = "granted"
+	QuotaRefused     QuotaOutcome = "refused"
+	QuotaUnavailable QuotaOutcome = "unavailable"
+	// QuotaSettled counts tokens that an owner granted for requests which this daemon had admitted as an agent.
+	QuotaSettled QuotaOutcome = "settled"
+	// QuotaReturned counts tokens of requests that were not run.
+	QuotaReturned QuotaOutcome = "returned"
+)
+
+// QuotaTokens counts n tokens by what became of them.
+func (m *Metrics) QuotaTokens(outcome QuotaOutcome, n int) {
+	if m != nil && n > 0 {
+		m.quotaTokens.with(outcome).Inc(int64(n))
+	}
+}
