Give each zone a fixed part of a quota in place of confirmed shares

Change: each zone of the settings has a fixed part, which one member of the zone grants. A daemon asks its own zone first, then the near ones, then others. Partitions between zones need no messages; half of the slack is added to the burst, the other half covers new owners.

--- a/internal/command/quota/keeper.go
+++ b/internal/command/quota/keeper.go
@@ -18,9 +18,7 @@
 
 // Peers sends messages about quotas to other daemons.
 type Peers interface {
-	TakeQuota(ctx context.Context, address string, t peer.QuotaTake) (peer.QuotaAdmitted, error)
-	SettleQuota(ctx context.Context, address string, s peer.QuotaSettle) (peer.QuotaSettled, error)
-	ConfirmQuota(ctx context.Context, address string, q peer.QuotaConfirm) (quota.Confirmation, error)
+	TakeQuota(ctx context.Context, address string, t peer.QuotaTake) (peer.QuotaTaken, error)
 }
 
 // Config holds the location and the dependencies of a Keeper.
@@ -44,49 +42,38 @@
 }
 
 const (
-	// maxWorkers limits the number of settlements and confirmations in progress. One occupies a worker for a round trip, or for its
-	// timeout if the other daemon does not respond.
-	maxWorkers = 256
-	// maxJobs is the number of settlements and confirmations that may wait for a worker. Those beyond it are tried again later.
-	maxJobs = 16384
+	// maxWorkers limits the number of tokens that are being returned. A return occupies a worker for a round trip, or for its timeout
+	// if the other daemon does not respond.
+	maxWorkers = 16
+	// maxJobs is the number of returns that may wait for a worker. Tokens beyond it count as used.
+	maxJobs = 4096
+	// tickInterval is the time between the checks for pauses of the process and for idle accounts.
+	tickInterval = time.Second
 )
 
 // Keeper keeps the quotas of workspaces. It is safe for concurrent use.
 type Keeper struct {
-	cfg       Config
-	table     *tables.Quotas
-	overdraft int
-	validity  time.Duration
+	cfg      Config
+	table    *tables.Quotas
+	validity time.Duration
 
 	jobs    chan func()
 	workers *pool.Pool
 	// closed ends the workers' waiting for jobs.
 	closed chan struct{}
-	// weight is the part of the quotas that this daemon could grant at the last tick; only the tick uses it.
-	weight float64
 }
 
 // New returns a running Keeper. Close stops it.
 func New(cfg Config) *Keeper {
-	regions := map[model.Region]bool{}
-	var region []model.AvailabilityZone
-	for _, z := range cfg.Zones {
-		regions[z.Region] = true
-		if z.Region == cfg.Region {
-			region = append(region, z.Name)
-		}
-	}
 	k := &Keeper{
-		cfg: cfg, table: tables.NewQuotas(cfg.Self, region, cfg.Now()), validity: cfg.Allowance.GrantValidity(),
+		cfg: cfg, table: tables.NewQuotas(cfg.Self, cfg.Now()), validity: cfg.Allowance.GrantValidity(),
 		jobs: make(chan func(), maxJobs), closed: make(chan struct{}),
 	}
-	k.overdraft = cfg.Allowance.Overdraft(len(regions))
 	k.workers = pool.Start(maxWorkers, k.nextJob)
 	if cfg.Peers == nil {
 		k.SetMembers([]model.Member{cfg.Self})
 	}
-	k.tick()
-	k.confirmAll()
+	k.cfg.After(tickInterval, k.tick)
 	return k
 }
 
@@ -105,16 +92,24 @@
 	}
 }
 
-// run lets a worker run the job, and reports whether the queue had room for it.
-func (k *Keeper) run(job func()) bool {
+// run lets a worker run the job, unless too many wait already.
+func (k *Keeper) run(job func()) {
 	select {
 	case k.jobs <- job:
-		return true
 	default:
-		return false
 	}
 }
 
+// tick checks for a pause of the process and removes idle accounts, now and every tickInterval.
+func (k *Keeper) tick() {
+	now := k.cfg.Now()
+	if k.table.Tick(now) {
+		k.cfg.Log.Warn().Msg("quota_paused")
+	}
+	k.table.RemoveIdle(now)
+	k.cfg.After(tickInterval, k.tick)
+}
+
 // SetMembers replaces the members of the fleet, those to be avoided included.
 func (k *Keeper) SetMembers(members []model.Member) {
 	k.table.SetMembers(quota.Eligible(members), k.cfg.Now())
@@ -137,9 +132,9 @@
 	return w.Quota, r.Version
 }
 
-// refusal returns the decision on a request that is refused since there is no token for the time empty.
-func refusal(by string, empty time.Duration) quota.Decision {
-	return quota.Decision{Outcome: quota.Refused, RetryAfter: retryAfter(empty), DecidedBy: by}
+// partOf returns the part of a quota that belongs to this daemon's zone, by how long this daemon has owned it.
+func (k *Keeper) partOf(limit model.Quota) func(age time.Duration) quota.Part {
+	return func(age time.Duration) quota.Part { return k.cfg.Allowance.ZonePart(limit, len(k.cfg.Zones), age) }
 }
 
 // retryAfter spreads the times at which refused callers return.
--- a/internal/command/quota/round.go
+++ b/internal/command/quota/round.go
@@ -2,143 +2,106 @@
 
 import (
 	"context"
+	"math"
+	"math/rand/v2"
 	"time"
 
 	"oleandersill.example/oleandersill/internal/decision/quota"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/peer"
-	"oleandersill.example/oleandersill/internal/tables"
 )
 
-// avoidFailed is how long a member that did not respond is not asked again.
-const avoidFailed = 3 * time.Second
+const (
+	// avoidFailed is how long a member that did not respond is not asked again.
+	avoidFailed = 3 * time.Second
+	// maxCalls limits the owners that one round asks, since a call to another region takes a considerable part of a caller's time.
+	maxCalls = 4
+	// unavailableRetryAfter is the Retry-After of requests for which no owner responded.
+	unavailableRetryAfter = 300 * time.Millisecond
+)
 
 // round is one round of messages for the requests of a workspace that wait for tokens.
 type round struct {
 	k         *Keeper
 	workspace *model.Workspace
 	needed    int
-	// admitted is the number of requests that the agent admitted, and granted the number that the owner granted.
-	admitted int
-	granted  int
-	// by names who refused the others, with the time until the next token; "" if neither the agent nor the owner responded.
-	by    string
-	empty time.Duration
+	// granted lists the zones of the granted tokens.
+	granted []model.AvailabilityZone
+	// refused means that an owner has no token, and next is the time until one of them has.
+	refused bool
+	next    time.Duration
 }
 
-// ask asks the agent of the region, and the owner for what the agent did not admit, within the validity of a grant.
+// ask asks the owners of the zones one after the other, the near ones first, until there are enough tokens. Owners that are known to
+// have none are left out.
 func (r *round) ask(now time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), r.k.validity)
 	defer cancel()
-	choice := r.k.table.Choose(r.workspace.Name, r.k.cfg.Unreachable, now)
-	if !choice.Agents.First(r.k.cfg.Self.Instance) {
-		r.askAgents(ctx, &choice.Agents)
-	}
-	if r.admitted >= r.needed || r.by != "" {
-		return
-	}
-	settled := r.k.askOwner(ctx, &tables.QuotaRequest{
-		Workspace: r.workspace.Name, Limit: r.workspace.Quota, Tokens: r.needed - r.admitted,
-	})
-	r.granted, r.empty = settled.Granted, settled.RetryAfter
-	if settled.Standing == quota.Owner {
-		r.by = quota.ByOwner
-	}
-	if r.by != "" && r.admitted+r.granted < r.needed {
-		r.k.table.SetEmpty(r.workspace.Name, r.empty, r.k.cfg.Now())
-	}
-}
-
-func (r *round) askAgents(ctx context.Context, agents *quota.Choices) {
-	for i, agent := range agents {
-		if agent == nil || agent.Instance == r.k.cfg.Self.Instance || r.k.cfg.Peers == nil {
+	r.next = math.MaxInt64
+	calls := 0
+	for _, zone := range r.k.askingOrder() {
+		if len(r.granted) >= r.needed || calls >= maxCalls || ctx.Err() != nil {
 			return
 		}
-		_, version := r.k.limitOf(r.workspace.Name)
-		callCtx, cancel := attemptContext(ctx, i)
-		a, err := r.k.cfg.Peers.TakeQuota(callCtx, agent.Address, peer.QuotaTake{
-			Workspace: r.workspace.Name, Version: version, Region: r.k.cfg.Region, Tokens: r.needed,
-		})
-		cancel()
-		if err != nil {
-			r.k.avoid(agent)
+		if empty := r.k.table.Empty(r.workspace.Name, zone, now); empty > 0 {
+			r.refuse(empty)
 			continue
 		}
-		if !a.Refused {
-			r.admitted = min(a.Admitted, r.needed)
-			if r.empty = a.Empty; a.Empty > 0 {
-				r.by = quota.ByAgent
-			}
-			return
+		owner, ok := r.k.table.Owner(r.workspace.Name, zone, now)
+		if !ok || (zone != r.k.cfg.Self.Zone && r.k.cfg.Unreachable(zone)) {
+			continue
 		}
+		calls++
+		r.askOwner(ctx, &owner, zone)
 	}
 }
 
-// decision returns the decision on one of the round's requests.
-func (r *round) decision(granted bool) quota.Decision {
-	switch {
-	case granted && r.granted > 0:
-		return quota.Decision{Outcome: quota.Granted, DecidedBy: quota.ByOwner}
-	case granted:
-		return quota.Decision{Outcome: quota.Granted, DecidedBy: quota.ByAgent}
-	case r.by != "":
-		return refusal(r.by, r.empty)
-	default:
-		return quota.Decision{Outcome: quota.Unavailable, RetryAfter: retryAfter(r.empty)}
+func (r *round) askOwner(ctx context.Context, owner *model.Member, zone model.AvailabilityZone) {
+	missing := r.needed - len(r.granted)
+	callCtx, cancel := context.WithTimeout(ctx, r.k.validity/2)
+	defer cancel()
+	reply, err := r.k.takeFrom(callCtx, owner, r.workspace, peer.QuotaTake{Tokens: missing})
+	if err != nil || reply.Refused {
+		return
+	}
+	for range min(reply.Granted, missing) {
+		r.granted = append(r.granted, zone)
+	}
+	if reply.Granted < missing {
+		r.refuse(reply.Next)
+		r.k.table.SetEmpty(r.workspace.Name, zone, r.k.cfg.Now().Add(reply.Next))
 	}
 }
 
-// attemptContext returns the context of a call to the first or the second choice. The first leaves time for the second.
-func attemptContext(ctx context.Context, choice int) (context.Context, context.CancelFunc) {
-	deadline, ok := ctx.Deadline()
-	if !ok || choice > 0 {
-		return context.WithCancel(ctx)
+func (r *round) refuse(next time.Duration) { r.refused, r.next = true, min(r.next, next) }
+
+// decision returns the decision on the request with the given index.
+func (r *round) decision(index int) quota.Decision {
+	switch {
+	case index < len(r.granted):
+		return quota.Decision{Outcome: quota.Granted, Zone: r.granted[index]}
+	case r.refused:
+		return quota.Decision{Outcome: quota.Refused, RetryAfter: retryAfter(r.next)}
 	}
-	return context.WithTimeout(ctx, time.Until(deadline)/2)
+	return quota.Decision{Outcome: quota.Unavailable, RetryAfter: retryAfter(unavailableRetryAfter)}
 }
 
-// askOwner asks the owner of the workspace, or the second choice if the first does not respond or does not own it. Without an answer
-// of an owner the result has another standing.
-func (k *Keeper) askOwner(ctx context.Context, req *tables.QuotaRequest) peer.QuotaSettled {
-	now := k.cfg.Now()
-	choice := k.table.Choose(req.Workspace, k.cfg.Unreachable, now)
-	_, version := k.limitOf(req.Workspace)
-	var last peer.QuotaSettled
-	for i, owner := range choice.Owners {
-		switch {
-		case owner == nil:
-			return last
-		case owner.Instance == k.cfg.Self.Instance:
-			g := k.table.Grant(req, k.cfg.Now())
-			k.logStanding(req.Workspace, &g)
-			last = peer.QuotaSettled{Standing: g.Standing, Granted: g.Granted, RetryAfter: g.RetryAfter}
-		case k.cfg.Peers == nil:
-			return last
-		default:
-			callCtx, cancel := attemptContext(ctx, i)
-			reply, err := k.cfg.Peers.SettleQuota(callCtx, owner.Address, peer.QuotaSettle{
-				Workspace: req.Workspace, Version: version, Tokens: req.Tokens, Returned: req.Returned, ReturnedAge: req.ReturnedAge,
-			})
-			cancel()
-			if err != nil {
-				k.avoid(owner)
-				continue
-			}
-			last = reply
-		}
-		switch last.Standing {
-		case quota.Owner, quota.TakingOver:
-			return last
-		case quota.NotOwner:
-			k.table.Reconsider(req.Workspace, owner.Instance)
-		case quota.NotKnown:
-		}
+// takeFrom sends a message to the owner of a workspace, which may be this daemon. A daemon that does not respond is avoided.
+func (k *Keeper) takeFrom(ctx context.Context, owner *model.Member, w *model.Workspace, t peer.QuotaTake) (peer.QuotaTaken, error) {
+	t.Workspace = w.Name
+	_, t.Version = k.limitOf(w.Name)
+	if owner.Instance == k.cfg.Self.Instance || k.cfg.Peers == nil {
+		return k.HandleTake(&t), nil
+	}
+	reply, err := k.cfg.Peers.TakeQuota(ctx, owner.Address, t)
+	if err != nil {
+		k.table.Avoid(owner, k.cfg.Now().Add(avoidFailed))
+		k.cfg.Log.Info().Str("instance", string(owner.Instance)).Msg("quota_member_avoided")
 	}
-	return last
+	return reply, err
 }
 
-func (k *Keeper) avoid(m *model.Member) {
-	now := k.cfg.Now()
-	k.table.Avoid(m, now.Add(avoidFailed), now)
-	k.cfg.Log.Info().Str("instance", string(m.Instance)).Msg("quota_member_avoided")
+func (k *Keeper) askingOrder() []model.AvailabilityZone {
+	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // only spreads messages
+	return quota.AskingOrder(k.cfg.Zones, k.cfg.Self.Zone, k.cfg.Region, rnd)
 }
--- a/internal/command/quota/take.go
+++ b/internal/command/quota/take.go
@@ -6,6 +6,7 @@
 
 	"oleandersill.example/oleandersill/internal/decision/quota"
 	"oleandersill.example/oleandersill/internal/model"
+	"oleandersill.example/oleandersill/internal/peer"
 	"oleandersill.example/oleandersill/internal/tables"
 	"oleandersill.example/oleandersill/internal/telemetry"
 )
@@ -28,60 +29,18 @@
 }
 
 func (k *Keeper) decide(workspace *model.Workspace, now time.Time) quota.Decision {
-	choice := k.table.Choose(workspace.Name, k.cfg.Unreachable, now)
-	self := k.cfg.Self.Instance
-	if choice.Owners.First(self) {
-		return k.grantAsOwner(workspace, now)
-	}
-	if empty := k.table.Empty(workspace.Name, now); empty > 0 {
-		return refusal(quota.ByAgent, empty)
-	}
-	if choice.Agents.First(self) {
-		if a := k.admit(workspace.Name, 1, now); a.Admitted == 1 {
-			return quota.Decision{Outcome: quota.Granted, DecidedBy: quota.ByAgent}
-		}
+	own := tables.QuotaRequest{Workspace: workspace.Name, Tokens: 1, Part: k.partOf(workspace.Quota)}
+	if granted, _, _ := k.table.Grant(&own, now); granted == 1 {
+		return quota.Decision{Outcome: quota.Granted, Zone: k.cfg.Self.Zone}
 	}
 	return k.waitForRound(workspace)
 }
 
-// grantAsOwner takes a token of a workspace that this daemon owns.
-func (k *Keeper) grantAsOwner(workspace *model.Workspace, now time.Time) quota.Decision {
-	g := k.table.Grant(&tables.QuotaRequest{Workspace: workspace.Name, Limit: workspace.Quota, Tokens: 1}, now)
-	k.logStanding(workspace.Name, &g)
-	return decisionOf(g.Standing, g.Granted == 1, g.RetryAfter)
-}
-
-// decisionOf returns the decision on a request for which the owner was asked.
-func decisionOf(standing quota.Standing, granted bool, empty time.Duration) quota.Decision {
-	switch {
-	case granted:
-		return quota.Decision{Outcome: quota.Granted, DecidedBy: quota.ByOwner}
-	case standing == quota.Owner:
-		return refusal(quota.ByOwner, empty)
-	default:
-		return quota.Decision{Outcome: quota.Unavailable, RetryAfter: retryAfter(empty)}
-	}
-}
-
-// admit admits requests as the agent of the workspace, within the overdraft. There is none while another agent of the region may
-// have used it within the last window.
-func (k *Keeper) admit(workspace model.WorkspaceName, n int, now time.Time) tables.Admission {
-	overdraft := 0
-	if k.table.RegionStable(k.cfg.Allowance.Window, now) {
-		overdraft = k.overdraft
-	}
-	a := k.table.Admit(workspace, n, overdraft, now)
-	if a.Settle {
-		k.startSettlement(workspace)
-	}
-	return a
-}
-
 // waitForRound leads the next round of messages for the workspace, or waits for the request that does.
 func (k *Keeper) waitForRound(workspace *model.Workspace) quota.Decision {
 	waiter, leads := k.table.JoinRound(workspace.Name)
 	if waiter == nil && !leads {
-		return refusal(quota.ByAgent, 0)
+		return quota.Decision{Outcome: quota.Refused, RetryAfter: retryAfter(0)}
 	}
 	if waiter != nil {
 		// The leader answers within the time of its own round and this one.
@@ -102,23 +61,33 @@
 	r.ask(began)
 	if late := k.cfg.Now().Sub(began); late > k.validity {
 		// Tokens that were granted before a window must not be used in it.
-		r.admitted, r.granted = 0, 0
+		r.granted = nil
 	}
-	tokens := r.admitted + r.granted
-	own := r.decision(tokens > 0)
+	own := r.decision(0)
 	for i, w := range waiting {
-		w.Result <- tables.QuotaResult{Decision: r.decision(i+1 < tokens)}
+		w.Result <- tables.QuotaResult{Decision: r.decision(i + 1)}
 	}
 	return own
 }
 
-// Return gives back the token of a granted request that no server ran. It does not wait.
+// returnTimeout limits the return of a token, which nobody waits for.
+const returnTimeout = 500 * time.Millisecond
+
+// Return gives back the token of a granted request that no server ran. It does not wait. A token whose return is lost counts.
 func (k *Keeper) Return(workspace *model.Workspace, d quota.Decision) {
 	if d.Outcome != quota.Granted || !workspace.Quota.Limited() {
 		return
 	}
-	k.cfg.Metrics.QuotaTokens(telemetry.QuotaReturned, 1)
-	if k.table.AddReturn(workspace.Name, d.Asked, k.cfg.Now()) {
-		k.startSettlement(workspace.Name)
-	}
+	k.run(func() {
+		now := k.cfg.Now()
+		owner, ok := k.table.Owner(workspace.Name, d.Zone, now)
+		if !ok {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), returnTimeout)
+		defer cancel()
+		if _, err := k.takeFrom(ctx, &owner, workspace, peer.QuotaTake{Returned: 1, ReturnedAge: now.Sub(d.Asked)}); err == nil {
+			k.cfg.Metrics.QuotaTokens(telemetry.QuotaReturned, 1)
+		}
+	})
 }
--- a/internal/decision/quota/allowance.go
+++ b/internal/decision/quota/allowance.go
@@ -1,6 +1,10 @@
 package quota
 
-import "time"
+import (
+	"time"
+
+	"oleandersill.example/oleandersill/internal/model"
+)
 
 // Allowance states by how much the requests of a workspace may exceed its quota: in any Window, at most
 // (rate x Window + burst) x (1 + Overage) + Slack requests may be admitted.
@@ -18,20 +22,27 @@
 	// caller should wait longer.
 	minGrantValidity = 50 * time.Millisecond
 	maxGrantValidity = 500 * time.Millisecond
+	// burstShare is the part of the slack that is added to the burst, so that workspaces of a low rate are not refused for a few
+	// requests that come together. The rest of the slack covers the tokens with which owners start.
+	burstShare = 0.5
+	// maxStart is the largest number of tokens with which an owner starts, so that the first request after a change is served.
+	maxStart = 1
 )
 
-// Overdraft returns how many requests the agent of one of the given number of regions may admit before the owner granted them. The
-// overdrafts of all regions, counted twice, are at most the slack. 0 means that each request waits for the owner.
-func (a Allowance) Overdraft(regions int) int {
-	if regions <= 0 || a.Slack <= 0 {
-		return 0
-	}
-	return int(a.Slack / float64(2*regions))
-}
-
 // GrantValidity returns for how long a token may be used after it was asked for. A token that was granted before a window and is used
 // in it counts in addition to the window's own, so this is limited by the overage.
 func (a Allowance) GrantValidity() time.Duration {
 	d := time.Duration(validityShare * a.Overage * float64(a.Window))
 	return min(maxGrantValidity, max(minGrantValidity, d))
 }
+
+// ZonePart returns the part of a quota that one of the given number of zones grants, at a daemon that has been its owner for age.
+func (a Allowance) ZonePart(q model.Quota, zones int, age time.Duration) Part {
+	n := float64(max(1, zones))
+	return Part{
+		Rate:  q.Rate / n,
+		Burst: (q.Burst + burstShare*a.Slack) / n,
+		Start: min(maxStart, (1-burstShare)*a.Slack/n),
+		Age:   max(0, age),
+	}
+}
--- a/internal/decision/quota/bucket.go
+++ b/internal/decision/quota/bucket.go
@@ -1,11 +1,6 @@
 package quota
 
-import (
-	"math"
-	"time"
-
-	"oleandersill.example/oleandersill/internal/model"
-)
+import "time"
 
 const (
 	// slotLength and slotCount bound how long after its grant a token can be returned.
@@ -15,29 +10,19 @@
 	rounding = 1e-9
 )
 
-// Term is the part of a quota that belongs to one availability zone, at a daemon that may grant it.
-type Term struct {
-	// Weight is the zone's part of the quota; the weights of all zones add up to 1.
-	Weight float64
-	// Age is how long the daemon has been granting this part without interruption.
+// Part is the part of a quota that a daemon grants.
+type Part struct {
+	// Rate is in tokens per second.
+	Rate  float64
+	Burst float64
+	// Age is how long the daemon has been granting the part. It has accrued no tokens before that.
 	Age time.Duration
+	// Start is the number of tokens that a daemon has when it begins to grant the part.
+	Start float64
 }
 
-// Share holds the parts of a quota that a daemon may grant.
-type Share []Term
-
-// Weight returns the sum of the parts, at most 1.
-func (s Share) Weight() float64 {
-	sum := 0.0
-	for _, t := range s {
-		sum += t.Weight
-	}
-	return sum
-}
-
-// Bucket is the token bucket of a workspace at its owner. Its zero value has no tokens from before the Age of each part of the
-// share: a part that the daemon has granted for long fills it, and a part that it has just taken over adds nothing yet. Tokens above a
-// burst or share that was lowered are dropped. It is not safe for concurrent use.
+// Bucket is the token bucket of a workspace at its owner in a zone. A new one holds what it would hold if it had existed, unused, for
+// the part's Age. Tokens above a burst that was lowered are dropped. It is not safe for concurrent use.
 type Bucket struct {
 	level   float64
 	updated time.Time
@@ -53,28 +38,28 @@
 }
 
 // Take removes up to n tokens. It returns how many it removed and, if these are fewer than n, the time until the next one.
-func (b *Bucket) Take(n int, limit model.Quota, share Share, now time.Time) (taken int, next time.Duration) {
-	b.advance(limit, share, now)
+func (b *Bucket) Take(n int, part Part, now time.Time) (taken int, next time.Duration) {
+	b.advance(part, now)
 	taken = max(0, min(n, int(b.level+rounding)))
 	b.level -= float64(taken)
 	if s := &b.slots[b.newest%slotCount]; taken > 0 && !s.taken {
 		s.taken, s.peakSinceTaken = true, b.level
 	}
 	if taken < n {
-		next = b.untilNext(limit, share)
+		next = b.untilNext(part)
 	}
 	return taken, next
 }
 
 // Return adds n tokens whose requests were not run. age is the time since the grant, or longer. The bucket is then as if the tokens
 // had not been taken: tokens that it could not have held by now are lost, and so are those that are returned too late.
-func (b *Bucket) Return(n int, age time.Duration, limit model.Quota, share Share, now time.Time) {
-	b.advance(limit, share, now)
+func (b *Bucket) Return(n int, age time.Duration, part Part, now time.Time) {
+	b.advance(part, now)
 	first := slotOf(now.Add(-age))
 	if first <= b.newest-slotCount {
 		return
 	}
-	size := capacity(limit, share)
+	size := part.capacity()
 	peak, added := 0.0, float64(n)
 	for number := first; number <= b.newest; number++ {
 		s := &b.slots[number%slotCount]
@@ -97,23 +82,22 @@
 }
 
 // Full reports whether the bucket holds what a new one would hold, so that it can be removed.
-func (b *Bucket) Full(limit model.Quota, share Share, now time.Time) bool {
-	b.advance(limit, share, now)
+func (b *Bucket) Full(part Part, now time.Time) bool {
+	b.advance(part, now)
 	var fresh Bucket
-	fresh.advance(limit, share, now)
+	fresh.advance(part, now)
 	return b.level+rounding >= fresh.level
 }
 
-// advance adds the tokens since the last call, and drops those above the burst of the present share.
-func (b *Bucket) advance(limit model.Quota, share Share, now time.Time) {
-	elapsed := time.Duration(math.MaxInt64)
-	if !b.updated.IsZero() {
-		elapsed = max(0, now.Sub(b.updated))
-	}
-	for _, t := range share {
-		b.level += limit.Rate * t.Weight * min(elapsed, t.Age).Seconds()
+// advance adds the tokens since the last call, and drops those above the present burst.
+func (b *Bucket) advance(part Part, now time.Time) {
+	accruing := part.Age
+	if b.updated.IsZero() {
+		b.level = part.Start
+	} else {
+		accruing = min(accruing, max(0, now.Sub(b.updated)))
 	}
-	b.level = min(b.level, ceiling(limit, share))
+	b.level = min(b.level+part.Rate*accruing.Seconds(), part.capacity())
 	b.updated = now
 	b.recordPeak(now)
 }
@@ -135,34 +119,13 @@
 func slotOf(t time.Time) int64 { return t.UnixNano() / int64(slotLength) }
 
 // untilNext returns the time until the bucket holds one token, or an hour if it gets none.
-func (b *Bucket) untilNext(limit model.Quota, share Share) time.Duration {
-	rate := limit.Rate * share.Weight()
-	if rate <= 0 {
+func (b *Bucket) untilNext(part Part) time.Duration {
+	if part.Rate <= 0 {
 		return time.Hour
 	}
-	seconds := min(time.Hour.Seconds(), max(0, 1-b.level)/rate)
+	seconds := min(time.Hour.Seconds(), max(0, 1-b.level)/part.Rate)
 	return time.Duration(seconds * float64(time.Second))
 }
 
-// ceiling returns the most tokens that the bucket may hold: a part of the share brings no tokens from before its Age.
-func ceiling(limit model.Quota, share Share) float64 {
-	return sized(limit, share, func(t Term) float64 { return limit.Rate * t.Age.Seconds() })
-}
-
-// capacity returns the burst of the share.
-func capacity(limit model.Quota, share Share) float64 {
-	return sized(limit, share, func(Term) float64 { return math.Inf(1) })
-}
-
-// sized adds up the burst of each part, bounded by what it accrued. A bucket with a part of the quota holds one token at least, since
-// it would never grant one otherwise.
-func sized(limit model.Quota, share Share, accrued func(Term) float64) float64 {
-	if len(share) == 0 {
-		return 0
-	}
-	sum := 0.0
-	for _, t := range share {
-		sum += t.Weight * min(limit.Burst, accrued(t))
-	}
-	return max(1, sum)
-}
+// capacity returns the largest number of tokens that the bucket holds: one at least, since it would never grant any otherwise.
+func (p *Part) capacity() float64 { return max(1, p.Burst) }
--- a/internal/decision/quota/decision.go
+++ b/internal/decision/quota/decision.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"oleandersill.example/oleandersill/internal/model"
 )
 
 // Outcome is the result of asking for a token.
@@ -10,7 +12,7 @@
 
 // The outcomes. A request that is not granted is not run.
 const (
-	// Unavailable means that no agent or owner of the workspace responded, or that its owner has just changed.
+	// Unavailable means that no owner of the workspace responded.
 	Unavailable Outcome = iota
 	// Granted means that the request is within the quota.
 	Granted
@@ -35,18 +37,11 @@
 	Outcome Outcome
 	// RetryAfter is the time after which a request that is not granted may be repeated.
 	RetryAfter time.Duration
-	// DecidedBy names what decided: "owner" or "agent", or "" if neither responded.
-	DecidedBy string
-	// Asked is when the token was asked for, which is no later than its grant.
+	// Asked is when the token was asked for, which is no later than its grant, and Zone the zone that granted it.
 	Asked time.Time
+	Zone  model.AvailabilityZone
 }
 
-// The values of Decision.DecidedBy.
-const (
-	ByOwner = "owner"
-	ByAgent = "agent"
-)
-
 const (
 	// retrySpread is by which part of itself a Retry-After is prolonged at most, and minRetrySpread by how much at least.
 	retrySpread    = 0.25
--- a/internal/decision/quota/placement.go
+++ b/internal/decision/quota/placement.go
@@ -2,86 +2,52 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 
 	"oleandersill.example/oleandersill/internal/decision/ownership"
 	"oleandersill.example/oleandersill/internal/model"
 )
 
-// choices is the number of members that are ranked for a workspace, so that a choice remains when some of them are excluded.
-const choices = 8
-
-// Placement lists the members that rank highest for a workspace, in descending order: those of the fleet, of which the first one that
-// can be reached is the owner, and those of a region, of which the first one that can be reached is the agent.
-type Placement struct {
-	Owners []model.Member
-	Agents []model.Member
-}
-
-// Place ranks the members for a workspace. inRegion holds the members of the region.
-func Place(workspace model.WorkspaceName, fleet, inRegion []model.Member) Placement {
-	return Placement{Owners: highest(workspace, fleet), Agents: highest(workspace, inRegion)}
-}
-
-func highest(workspace model.WorkspaceName, members []model.Member) []model.Member {
-	ranked := ownership.HighestRanked(string(workspace), members, choices)
-	out := make([]model.Member, len(ranked))
-	for i, index := range ranked {
-		out[i] = members[index]
-	}
-	return out
-}
-
-// Choices holds the first and the second choice among ranked members; nil where there is none.
-type Choices [2]*model.Member
-
-// First reports whether the instance is the first choice.
-func (c *Choices) First(instance model.InstanceID) bool {
-	return c[0] != nil && c[0].Instance == instance
-}
-
-// FirstTwo returns the first two of the ranked members that are not excluded.
-func FirstTwo(ranked []model.Member, excluded func(*model.Member) bool) Choices {
-	var out Choices
-	n := 0
-	for i := range ranked {
-		if excluded(&ranked[i]) {
-			continue
-		}
-		out[n] = &ranked[i]
-		if n++; n == len(out) {
-			break
-		}
+// Owner returns the member of a zone that owns a workspace there: the one that ranks highest by rendezvous hashing. It returns false
+// if the zone has no member. A member that does not respond stays the owner as long as it is a member, so that the zone's part is not
+// granted twice.
+func Owner(workspace model.WorkspaceName, inZone []model.Member) (model.Member, bool) {
+	ranked := ownership.HighestRanked(string(workspace), inZone, 1)
+	if len(ranked) == 0 {
+		return model.Member{}, false
 	}
-	return out
+	return inZone[ranked[0]], true
 }
 
-// Higher returns the members that rank above self for the workspace. Each of them would own the workspace in place of self.
-func Higher(workspace model.WorkspaceName, self model.InstanceID, members []model.Member) []model.Member {
-	own := ownership.Weight(string(workspace), self)
-	var out []model.Member
+// Eligible returns the members that know quotas, by zone.
+func Eligible(members []model.Member) map[model.AvailabilityZone][]model.Member {
+	out := map[model.AvailabilityZone][]model.Member{}
 	for i := range members {
-		m := &members[i]
-		if m.Instance != self && compareRank(ownership.Weight(string(workspace), m.Instance), m.Instance, own, self) > 0 {
-			out = append(out, *m)
+		if members[i].Protocol >= model.ProtocolWorkspaces {
+			out[members[i].Zone] = append(out[members[i].Zone], members[i])
 		}
 	}
+	for _, inZone := range out {
+		slices.SortFunc(inZone, func(a, b model.Member) int { return cmp.Compare(a.Instance, b.Instance) })
+	}
 	return out
 }
 
-// compareRank orders two members by weight and then by name, as ownership.HighestRanked does.
-func compareRank(weight uint64, name model.InstanceID, otherWeight uint64, other model.InstanceID) int {
-	return cmp.Or(cmp.Compare(weight, otherWeight), cmp.Compare(other, name))
-}
-
-// Eligible returns the members that know quotas, sorted by instance.
-func Eligible(members []model.Member) []model.Member {
-	out := make([]model.Member, 0, len(members))
-	for i := range members {
-		if members[i].Protocol >= model.ProtocolWorkspaces {
-			out = append(out, members[i])
+// AskingOrder returns the zones in the order in which a daemon asks them for tokens: its own zone, then those of its region, which are
+// near, then the others. Within a region the order is random, so that requests do not all ask the same zone.
+func AskingOrder(zones []model.ZoneSpec, own model.AvailabilityZone, region model.Region, rnd *rand.Rand) []model.AvailabilityZone {
+	order := make([]model.AvailabilityZone, 0, len(zones))
+	order = append(order, own)
+	var distant []model.AvailabilityZone
+	for _, i := range rnd.Perm(len(zones)) {
+		switch z := zones[i]; {
+		case z.Name == own:
+		case z.Region == region:
+			order = append(order, z.Name)
+		default:
+			distant = append(distant, z.Name)
 		}
 	}
-	slices.SortFunc(out, func(a, b model.Member) int { return cmp.Compare(a.Instance, b.Instance) })
-	return out
+	return append(order, distant...)
 }
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -17,9 +17,7 @@
 	MethodStatus  = ServiceQueries + ".Status"
 	MethodForward = ServiceQueries + ".Forward"
 
-	MethodTakeQuota    = ServiceCommands + ".TakeQuota"
-	MethodSettleQuota  = ServiceCommands + ".SettleQuota"
-	MethodConfirmQuota = ServiceCommands + ".ConfirmQuota"
+	MethodTakeQuota = ServiceCommands + ".TakeQuota"
 )
 
 // Limits on the content of messages.
--- a/internal/tables/quotarounds.go
+++ b/internal/tables/quotarounds.go
@@ -1,8 +1,6 @@
 package tables
 
 import (
-	"time"
-
 	"oleandersill.example/oleandersill/internal/decision/quota"
 	"oleandersill.example/oleandersill/internal/model"
 )
@@ -77,22 +75,3 @@
 	r.waiting = r.waiting[1:]
 	return next
 }
-
-// Empty returns the time until the owner of the workspace has a token, as far as this daemon was told, or 0.
-func (t *Quotas) Empty(workspace model.WorkspaceName, now time.Time) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	a := t.agents[workspace]
-	if a == nil {
-		return 0
-	}
-	_, empty := a.credit.Admit(0, 0, now)
-	return max(0, empty)
-}
-
-// SetEmpty records that the owner of the workspace has no token for the given time.
-func (t *Quotas) SetEmpty(workspace model.WorkspaceName, empty time.Duration, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.agent(workspace, now).credit.SetEmpty(now.Add(empty))
-}
--- a/internal/tables/quotas.go
+++ b/internal/tables/quotas.go
@@ -1,6 +1,7 @@
 package tables
 
 import (
+	"maps"
 	"time"
 
 	"oleandersill.example/oleandersill/internal/decision/quota"
@@ -8,108 +9,165 @@
 	"oleandersill.example/oleandersill/internal/model"
 )
 
-// Quotas holds the accounts of workspaces with a quota: the token buckets that this daemon owns, the requests that it admitted as an
-// agent and has not settled, and the callers that wait for tokens. It also holds what the daemon knows about which part of a quota it
-// may grant. An account exists only while it differs from a new one, so the size of the table is bounded by the workspaces in use.
-// Owner: command/quota.
+// Quotas holds the token buckets of the workspaces that this daemon owns in its zone, the requests that wait for tokens, and what is
+// known of the owners in all zones. An account exists only while it differs from a new one, so the size of the table is bounded by
+// the workspaces in use. Owner: command/quota.
 type Quotas struct {
-	mu    lockorder.Mutex
-	reach quota.Reach
-	owned map[model.WorkspaceName]*ownedQuota
-	// share is reused between calls.
-	share  quota.Share
-	agents map[model.WorkspaceName]*agentQuota
-	rounds map[model.WorkspaceName]*quotaRound
-	// placements caches the placement of workspaces among the members and those of the region.
-	placements map[model.WorkspaceName]*quota.Placement
-	members    []model.Member
-	inRegion   []model.Member
-	region     []model.AvailabilityZone
-	// regionSince is when the members of the region, or which of them are avoided, last changed.
-	regionSince time.Time
-	// avoided holds until when members that did not respond are not used.
-	avoided map[model.InstanceID]time.Time
-	// checking holds the zones and members of which an answer is awaited.
-	checking map[string]bool
-}
-
-// ownedQuota is the account of a workspace of which this daemon may be the owner.
-type ownedQuota struct {
+	mu   lockorder.Mutex
+	self model.Member
+	// members holds the members by zone, sorted by instance. owners caches the owners of workspaces among them.
+	members map[model.AvailabilityZone][]model.Member
+	owners  map[zonePart]model.Member
+	// ownedSince is from when on this daemon grants the parts of workspaces that have no account yet. No other daemon has granted them
+	// after that.
+	ownedSince time.Time
+	accounts   map[model.WorkspaceName]*quotaAccount
+	rounds     map[model.WorkspaceName]*quotaRound
+	// emptyUntil holds when the owners that had no token will have one.
+	emptyUntil map[zonePart]time.Time
+	// avoided holds until when members that did not respond are not asked.
+	avoided  map[model.InstanceID]time.Time
+	lastTick time.Time
+}
+
+// zonePart identifies the part of a workspace's quota that belongs to a zone.
+type zonePart struct {
+	workspace model.WorkspaceName
+	zone      model.AvailabilityZone
+}
+
+// quotaAccount is the account of a workspace that this daemon owns in its zone.
+type quotaAccount struct {
 	bucket   quota.Bucket
-	limit    model.Quota
-	standing quota.Standing
-	// higher holds the members that rank higher; it is valid for the version reachVersion.
-	higher       []model.Member
-	reachVersion uint64
-	lastUsed     time.Time
+	part     quota.Part
+	since    time.Time
+	lastUsed time.Time
 }
 
-// NewQuotas returns a table without accounts, for a process that runs at now. region lists the zones of its region.
-func NewQuotas(self model.Member, region []model.AvailabilityZone, now time.Time) *Quotas {
+const (
+	// quotaJoinWait is how long a daemon grants only the tokens that it starts with after the members of its zone changed, until the
+	// previous owners know of the change.
+	quotaJoinWait = time.Second
+	// maxQuotaPause is the longest pause of the process after which it still owns what it did. It is shorter than the time after which
+	// a daemon that does not renew its entry is no member any more.
+	maxQuotaPause = 10 * time.Second
+)
+
+// NewQuotas returns a table without accounts, for a process that runs at now.
+func NewQuotas(self model.Member, now time.Time) *Quotas {
 	return &Quotas{
-		mu: lockorder.New(OrderQuotas), reach: quota.NewReach(self, now), region: region, regionSince: now,
-		owned:  map[model.WorkspaceName]*ownedQuota{},
-		agents: map[model.WorkspaceName]*agentQuota{}, rounds: map[model.WorkspaceName]*quotaRound{},
-		placements: map[model.WorkspaceName]*quota.Placement{}, avoided: map[model.InstanceID]time.Time{},
-		checking: map[string]bool{},
+		mu: lockorder.New(OrderQuotas), self: self, ownedSince: now.Add(quotaJoinWait), lastTick: now,
+		owners: map[zonePart]model.Member{}, accounts: map[model.WorkspaceName]*quotaAccount{},
+		rounds: map[model.WorkspaceName]*quotaRound{}, emptyUntil: map[zonePart]time.Time{},
+		avoided: map[model.InstanceID]time.Time{},
+	}
+}
+
+// SetMembers replaces the members, which must know quotas and be sorted by instance in each zone. The accounts of workspaces that
+// another member owns now are removed.
+func (t *Quotas) SetMembers(members map[model.AvailabilityZone][]model.Member, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changed := !sameMembers(t.members[t.self.Zone], members[t.self.Zone])
+	t.members = members
+	clear(t.owners)
+	if !changed {
+		return
 	}
+	t.ownedSince = now.Add(quotaJoinWait)
+	maps.DeleteFunc(t.accounts, func(w model.WorkspaceName, _ *quotaAccount) bool { return !t.owns(w) })
+}
+
+// Owner returns the owner of a workspace in a zone. It returns false if the zone has none, or if the owner did not respond lately.
+func (t *Quotas) Owner(workspace model.WorkspaceName, zone model.AvailabilityZone, now time.Time) (model.Member, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	owner := t.owner(workspace, zone)
+	return owner, owner.Instance != "" && !now.Before(t.avoided[owner.Instance])
+}
+
+// owner returns the owner of a workspace in a zone, or the zero Member. The caller holds t.mu.
+func (t *Quotas) owner(workspace model.WorkspaceName, zone model.AvailabilityZone) model.Member {
+	part := zonePart{workspace: workspace, zone: zone}
+	owner, cached := t.owners[part]
+	if !cached {
+		owner, _ = quota.Owner(workspace, t.members[zone])
+		t.owners[part] = owner
+	}
+	return owner
+}
+
+// owns reports whether this daemon owns the workspace in its zone. The caller holds t.mu.
+func (t *Quotas) owns(workspace model.WorkspaceName) bool {
+	return t.owner(workspace, t.self.Zone).Instance == t.self.Instance
+}
+
+// Avoid excludes a member that did not respond until the given time.
+func (t *Quotas) Avoid(m *model.Member, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.avoided[m.Instance] = until
 }
 
-// QuotaRequest asks the owner of a workspace for tokens and returns those whose requests were not run.
+// QuotaRequest asks the owner of a workspace in a zone for tokens and returns those whose requests were not run.
 type QuotaRequest struct {
 	Workspace model.WorkspaceName
-	Limit     model.Quota
 	Tokens    int
 	Returned  int
 	// ReturnedAge is the time since the returned tokens were granted, or longer.
 	ReturnedAge time.Duration
+	// Part returns the zone's part of the quota for an owner of the given age.
+	Part func(age time.Duration) quota.Part
 }
 
-// QuotaGrant is the owner's answer.
-type QuotaGrant struct {
-	Standing quota.Standing
-	Granted  int
-	// RetryAfter is the time until the next token of an owner that granted fewer than it was asked for, or until a daemon that is
-	// taking over will grant some.
-	RetryAfter time.Duration
-	// Changed means that the daemon had another standing when it was last asked.
-	Changed bool
-}
-
-// Grant answers a request as the owner of the workspace, if this daemon is it.
-func (t *Quotas) Grant(req *QuotaRequest, now time.Time) QuotaGrant {
+// Grant answers a request as the owner of the workspace in this daemon's zone. next is the time until the next token, if it granted
+// fewer than it was asked for. It returns false if this daemon does not own the workspace.
+func (t *Quotas) Grant(req *QuotaRequest, now time.Time) (granted int, next time.Duration, owned bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	a := t.owned[req.Workspace]
-	if a == nil {
-		a = &ownedQuota{}
-		t.owned[req.Workspace] = a
+	if !t.owns(req.Workspace) {
+		return 0, 0, false
 	}
-	a.limit, a.lastUsed = req.Limit, now
-	g := QuotaGrant{}
-	g.Standing, g.RetryAfter = t.shareOf(req.Workspace, a, now)
-	g.Changed = g.Standing != a.standing
-	a.standing = g.Standing
-	if g.Standing != quota.Owner {
-		return g
+	a := t.accounts[req.Workspace]
+	if a == nil {
+		a = &quotaAccount{since: t.ownedSince}
+		t.accounts[req.Workspace] = a
 	}
+	a.lastUsed = now
+	a.part = req.Part(now.Sub(a.since))
 	if req.Returned > 0 {
-		a.bucket.Return(req.Returned, req.ReturnedAge, a.limit, t.share, now)
+		a.bucket.Return(req.Returned, req.ReturnedAge, a.part, now)
 	}
-	g.Granted, g.RetryAfter = a.bucket.Take(req.Tokens, a.limit, t.share, now)
-	return g
+	granted, next = a.bucket.Take(req.Tokens, a.part, now)
+	return granted, next, true
+}
+
+// Empty returns the time until the owner of the workspace in the zone has a token, as far as this daemon was told, or 0.
+func (t *Quotas) Empty(workspace model.WorkspaceName, zone model.AvailabilityZone, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(0, t.emptyUntil[zonePart{workspace: workspace, zone: zone}].Sub(now))
 }
 
-// shareOf sets t.share to the parts of the account's quota that this daemon may grant. The caller holds t.mu.
-func (t *Quotas) shareOf(workspace model.WorkspaceName, a *ownedQuota, now time.Time) (quota.Standing, time.Duration) {
-	if version := t.reach.Version(); a.reachVersion != version {
-		a.reachVersion = version
-		a.higher = quota.Higher(workspace, t.reach.Self(), t.reach.Candidates())
+// SetEmpty records that the owner of the workspace in the zone has no token until the given time.
+func (t *Quotas) SetEmpty(workspace model.WorkspaceName, zone model.AvailabilityZone, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.emptyUntil[zonePart{workspace: workspace, zone: zone}] = until
+}
+
+// Tick records that the process runs, and reports whether it was paused for so long that it may have ceased to be a member. It then
+// owns nothing from before.
+func (t *Quotas) Tick(now time.Time) (paused bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	paused = now.Sub(t.lastTick) >= maxQuotaPause
+	t.lastTick = now
+	if paused {
+		clear(t.accounts)
+		t.ownedSince = now.Add(quotaJoinWait)
 	}
-	var standing quota.Standing
-	var wait time.Duration
-	standing, t.share, wait = t.reach.Share(t.share[:0], a.higher, now)
-	return standing, wait
+	return paused
 }
 
 const (
@@ -119,37 +177,26 @@
 	maxQuotaRemovals = 256
 )
 
-// RemoveIdle removes accounts that are not in use and do not differ from new ones.
+// RemoveIdle removes accounts that are not in use and do not differ from new ones, and what is no longer of use about owners.
 func (t *Quotas) RemoveIdle(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	examined := 0
-	for name, a := range t.owned {
+	for name, a := range t.accounts {
 		if examined++; examined > maxQuotaRemovals {
 			break
 		}
-		if now.Sub(a.lastUsed) < quotaIdle {
-			continue
-		}
-		if standing, _ := t.shareOf(name, a, now); standing != quota.Owner || a.bucket.Full(a.limit, t.share, now) {
-			delete(t.owned, name)
-		}
-	}
-	for name, a := range t.agents {
-		if now.Sub(a.lastUsed) >= quotaIdle && a.credit.Debt() == 0 && a.returned == 0 && !a.settling {
-			delete(t.agents, name)
-		}
-	}
-	for id, until := range t.avoided {
-		if !now.Before(until) {
-			delete(t.avoided, id)
+		if now.Sub(a.lastUsed) >= quotaIdle && now.Sub(t.ownedSince) >= quotaIdle && a.bucket.Full(a.part, now) {
+			delete(t.accounts, name)
 		}
 	}
+	maps.DeleteFunc(t.emptyUntil, func(_ zonePart, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(t.avoided, func(_ model.InstanceID, until time.Time) bool { return !now.Before(until) })
 }
 
-// Accounts returns the number of accounts of all kinds.
+// Accounts returns the number of accounts.
 func (t *Quotas) Accounts() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.owned) + len(t.agents) + len(t.rounds)
+	return len(t.accounts)
 }
--- a/internal/telemetry/quota.go
+++ b/internal/telemetry/quota.go
@@ -9,8 +9,6 @@
 	QuotaGranted     QuotaOutcome = "granted"
 	QuotaRefused     QuotaOutcome = "refused"
 	QuotaUnavailable QuotaOutcome = "unavailable"
-	// QuotaSettled counts tokens that an owner granted for requests which this daemon had admitted as an agent.
-	QuotaSettled QuotaOutcome = "settled"
 	// QuotaReturned counts tokens of requests that were not run.
 	QuotaReturned QuotaOutcome = "returned"
 )
