--- a/internal/command/quota/keeper.go
+++ b/internal/command/quota/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -70,9 +71,7 @@
 		jobs: make(chan func(), maxJobs), closed: make(chan struct{}),
 	}
 	k.workers = pool.Start(maxWorkers, k.nextJob)
-	if cfg.Peers == nil {
-		k.SetMembers([]model.Member{cfg.Self})
-	}
+	k.SetMembers(nil)
 	k.cfg.After(tickInterval, k.tick)
 	return k
 }
@@ -110,8 +109,13 @@
 	k.cfg.After(tickInterval, k.tick)
 }
 
-// SetMembers replaces the members of the fleet, those to be avoided included.
+// SetMembers replaces the members of the fleet. This daemon counts as one, also before the others know it: until then it has only the
+// tokens with which it starts.
 func (k *Keeper) SetMembers(members []model.Member) {
+	self := k.cfg.Self.Instance
+	if !slices.ContainsFunc(members, func(m model.Member) bool { return m.Instance == self }) {
+		members = append(slices.Clone(members), k.cfg.Self)
+	}
 	k.table.SetMembers(quota.Eligible(members), k.cfg.Now())
 }
 
--- a/internal/command/quota/property_test.go
+++ b/internal/command/quota/property_test.go
@@ -163,7 +163,7 @@
 }
 
 var _ = Describe("the quota of a workspace", func() {
-	It("is kept in every window, whatever happens to owners, agents, zones and members", func() {
+	It("is kept in every window, whatever happens to owners, zones and members", func() {
 		// Guards against two daemons that grant the same part of a quota, and against tokens that outlive a change of the owner.
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			seed := rapid.Uint64().Draw(t, "seed")
