Use up what a quota permits before requests are refused

Change: the zones' parts accrue what the quota permits beside their bursts; half of the slack stays reserved for changes of owners.

--- a/internal/decision/quota/allowance.go
+++ b/internal/decision/quota/allowance.go
@@ -22,9 +22,8 @@
 	// caller should wait longer.
 	minGrantValidity = 50 * time.Millisecond
 	maxGrantValidity = 500 * time.Millisecond
-	// burstShare is the part of the slack that is added to the burst, so that workspaces of a low rate are not refused for a few
-	// requests that come together. The rest of the slack covers the tokens with which owners start.
-	burstShare = 0.5
+	// startShare is the part of the slack that covers the tokens with which new owners start. Callers get the rest.
+	startShare = 0.5
 	// maxStart is the largest number of tokens with which an owner starts, so that the first request after a change is served.
 	maxStart = 1
 )
@@ -36,13 +35,16 @@
 	return min(maxGrantValidity, max(minGrantValidity, d))
 }
 
-// ZonePart returns the part of a quota that one of the given number of zones grants, at a daemon that has been its owner for age.
+// ZonePart returns the part of a quota that one of the given number of zones grants, at a daemon that has been its owner for age. The
+// parts use the allowance up, so that no request is refused that the quota still permits: in a window, the zones together grant at most
+// their bursts and the tokens that accrue in it and in GrantValidity, and startShare of the slack is left for changes of owners.
 func (a Allowance) ZonePart(q model.Quota, zones int, age time.Duration) Part {
 	n := float64(max(1, zones))
+	// A zone whose burst is below one token would grant none.
+	burst := max(1, q.Burst/n)
+	permitted := (q.Rate*a.Window.Seconds()+q.Burst)*(1+a.Overage) + (1-startShare)*a.Slack
+	rate := (permitted - n*burst) / (a.Window + a.GrantValidity()).Seconds()
 	return Part{
-		Rate:  q.Rate / n,
-		Burst: (q.Burst + burstShare*a.Slack) / n,
-		Start: min(maxStart, (1-burstShare)*a.Slack/n),
-		Age:   max(0, age),
+		Rate: max(q.Rate, rate) / n, Burst: burst, Start: min(maxStart, startShare*a.Slack/n), Age: max(0, age),
 	}
 }
