Count calls to other daemons as part of the pause between store calls

Cause: with a revocation period, a daemon that waits for the store asks other daemons every 20 ms while its verified age is high. Each round subtracted only its 20 ms from the pause, not the call, which takes 300 ms if the other daemon does not answer. A pause of up to 1.05 s took up to 17 s, in which the store was not called. Change: the pause ends at a point in time. The first call to another daemon precedes it as before, so that pauses stay spread.

--- a/internal/command/follow/read.go
+++ b/internal/command/follow/read.go
@@ -131,11 +131,20 @@
 	}
 	pause := r.backoff/2 + rand.N(r.backoff) //nolint:gosec // spreads calls
 	r.backoff = min(2*r.backoff, f.maxStoreBackoff(r))
-	for pause > 0 && ctx.Err() == nil {
+	f.queryPeer(ctx, r)
+	f.pauseStoreReads(ctx, r, pause)
+}
+
+// pauseStoreReads waits and calls other daemons at intervals meanwhile. The time of these calls is part of the pause, which ends at most
+// peerTimeout late: a daemon that reaches no other one must notice soon that the store answers again.
+func (f *Follower) pauseStoreReads(ctx context.Context, r *readState, pause time.Duration) {
+	end := time.Now().Add(pause)
+	for {
+		pool.Sleep(ctx, min(time.Until(end), f.peerQueryInterval()))
+		if ctx.Err() != nil || !time.Now().Before(end) {
+			return
+		}
 		f.queryPeer(ctx, r)
-		step := f.peerQueryInterval()
-		pool.Sleep(ctx, min(pause, step))
-		pause -= step
 	}
 }
 
--- a/internal/command/follow/revocation_test.go
+++ b/internal/command/follow/revocation_test.go
@@ -292,3 +292,25 @@
 		sim.close()
 	})
 }
+
+// TestChangesOfDaemonWithStoreOnly guards against a daemon that does not notice that the store answers again, since it keeps calling
+// other daemons that do not answer.
+func TestChangesOfDaemonWithStoreOnly(t *testing.T) {
+	for _, fault := range []storeFault{storeRefusing, storeUnresponsive} {
+		synctest.Test(t, func(t *testing.T) {
+			sim := newSimulation(4, revocationBounds)
+			sim.advance(minSettled)
+			isolated := sim.daemons[2]
+			isolated.partitioned.Store(true)
+			isolated.disturb(fault)
+			sim.advance(2 * revocationPeriod)
+			isolated.disturb(storeHealthy)
+			sim.configure()
+			sim.advance(minSettled)
+			if v := isolated.config.Current().Routing.Version; v != sim.version {
+				t.Errorf("fault %d: version %d in force %s after the store answered again, not %d", fault, v, minSettled, sim.version)
+			}
+			sim.close()
+		})
+	}
+}
