--- a/internal/testing/freeport/freeport.go
+++ b/internal/testing/freeport/freeport.go
@@ -19,6 +19,8 @@
 	PlatformSoak = 23000
 	// Daemon is for internal/daemon.
 	Daemon = 24000
+	// PlatformMisuse is for platform/misuse.
+	PlatformMisuse = 25000
 )
 
 // rangeSize is the number of ports in a range.
