--- a/internal/tables/doc.go
+++ b/internal/tables/doc.go
@@ -26,6 +26,7 @@
 //	OrderRollouts       Rollouts       services whose index version is changing
 //	OrderZones          Zones          reachability of availability zones
 //	OrderPauses         Pauses         the last pause of this process
+//	OrderIntake         Intake         connections of a port and what they hold in memory
 //	OrderTimer          (pool.Timer)   the shared deadline heap
 //
 // The orders of all product tables are declared here; those of the stand-ins, all of them higher, are in package standin.
--- a/internal/tables/order.go
+++ b/internal/tables/order.go
@@ -25,5 +25,6 @@
 	OrderRollouts
 	OrderZones
 	OrderPauses
+	OrderIntake
 	OrderTimer
 )
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -46,6 +46,8 @@
 	refusals      *family[refusalLabels, tally.Counter]
 	ejections     *family[ejectionLabels, tally.Counter]
 	dropped       *family[model.ServiceName, tally.Counter]
+	connsClosed   *family[closedLabels, tally.Counter]
+	callerRefused *family[string, tally.Counter]
 }
 
 type (
@@ -75,6 +77,11 @@
 		rankLabels
 		reason string
 	}
+	// closedLabels have values from fixed sets.
+	closedLabels struct {
+		port   string
+		reason string
+	}
 	ejectionLabels struct {
 		service model.ServiceName
 		zone    model.AvailabilityZone
@@ -136,6 +143,12 @@
 	m.retries = serviceCounters(scope, nameRetries)
 	m.cancellations = serviceCounters(scope, nameCancellations)
 	m.dropped = serviceCounters(scope, nameDropped)
+	m.connsClosed = newFamily(func(l closedLabels) tally.Counter {
+		return scope.Tagged(map[string]string{labelPort: l.port, labelReason: l.reason}).Counter(nameConnsClosed)
+	})
+	m.callerRefused = newFamily(func(reason string) tally.Counter {
+		return scope.Tagged(map[string]string{labelReason: reason}).Counter(nameCallerRefusals)
+	})
 	return m
 }
 
@@ -229,3 +242,17 @@
 		m.ejections.with(ejectionLabels{service: service, zone: zone}).Inc(1)
 	}
 }
+
+// ConnectionClosed counts a connection to a port that was closed because of a limit. The port and the reason must be from fixed sets.
+func (m *Metrics) ConnectionClosed(port, reason string) {
+	if m != nil {
+		m.connsClosed.with(closedLabels{port: port, reason: reason}).Inc(1)
+	}
+}
+
+// CallerRefused counts a caller's request that was refused before it was passed on. The reason must be from a fixed set.
+func (m *Metrics) CallerRefused(reason string) {
+	if m != nil {
+		m.callerRefused.with(reason).Inc(1)
+	}
+}
--- a/internal/telemetry/metrics_test.go
+++ b/internal/telemetry/metrics_test.go
@@ -112,6 +112,8 @@
 		m.Cancellation("phrases")
 		m.Refusal("phrases", model.RankUrgent, "queue_full")
 		m.Ejection("phrases", "luzon")
+		m.ConnectionClosed("callers", "memory")
+		m.CallerRefused("body_too_late")
 		Expect(m.Close()).To(Succeed())
 		page := scrape(m)
 		for _, d := range telemetry.Definitions() {
--- a/internal/telemetry/names.go
+++ b/internal/telemetry/names.go
@@ -33,6 +33,7 @@
 	labelReason  = "reason"
 	labelState   = "state"
 	labelRoute   = "route"
+	labelPort    = "port"
 )
 
 // Names of the metrics, without the prefix.
@@ -60,6 +61,8 @@
 	nameRevision        = "config_revision"
 	nameStoreContact    = "store_contact_age_seconds"
 	nameVerifiedAge     = "verified_age_seconds"
+	nameConnsClosed     = "connections_closed_total"
+	nameCallerRefusals  = "caller_requests_refused_total"
 )
 
 var serverLabels = []string{labelService, labelShard, labelServer, labelZone, labelState}
@@ -90,6 +93,8 @@
 		{nameRevision, Gauge, nil},
 		{nameStoreContact, Gauge, nil},
 		{nameVerifiedAge, Gauge, nil},
+		{nameConnsClosed, Counter, []string{labelPort, labelReason}},
+		{nameCallerRefusals, Counter, []string{labelReason}},
 	}
 	for i := range ds {
 		ds[i].Name = prefix + "_" + ds[i].Name
