Bound the memory of replies and of other daemons' messages by the settings

Replies being read could take 32 MB whatever the instance's memory, and messages of other daemons 4 MB on each connection. Both totals can be set now; without a setting they stay as they were.

--- a/internal/backend/httpconn/replylimiter.go
+++ b/internal/backend/httpconn/replylimiter.go
@@ -17,7 +17,7 @@
 	maxKnownLengthBytes   = 8 << 20
 	maxUnknownLengthBytes = 1 << 20
 	// uncountedBytes is how much of each reply does not count toward maxCountedBytes, which bounds the memory that all replies
-	// use together while they are read.
+	// use together while they are read unless ReplyLimiter.MaxBytes is set.
 	uncountedBytes  = 64 << 10
 	maxCountedBytes = 32 << 20
 )
@@ -27,9 +27,19 @@
 
 // ReplyLimiter bounds the memory used by replies while they are read from servers. The zero value is ready to use.
 type ReplyLimiter struct {
+	// MaxBytes bounds what all replies use together, apart from the beginning of each; 0 means 32 MB.
+	MaxBytes     int64
 	countedBytes atomic.Int64
 }
 
+// maxBytes returns the bound of all replies together.
+func (r *ReplyLimiter) maxBytes() int64 {
+	if r.MaxBytes > 0 {
+		return r.MaxBytes
+	}
+	return maxCountedBytes
+}
+
 // LimitBody returns the body of a reply, whose reads fail with ErrTooLarge if it exceeds the limits. The caller must call
 // Release when it has finished reading.
 func (r *ReplyLimiter) LimitBody(resp *http.Response) *LimitedBody {
@@ -73,7 +83,7 @@
 		return true
 	}
 	b.countedBytes += more
-	return b.limiter.countedBytes.Add(more) <= maxCountedBytes
+	return b.limiter.countedBytes.Add(more) <= b.limiter.maxBytes()
 }
 
 // Release subtracts the reply from the limiter's total. It must be called after the reply was read or reading it failed.
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -5,6 +5,7 @@
 	"encoding/gob"
 	"net"
 	"net/rpc"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -52,7 +53,7 @@
 
 // readHeader reads the header of the next message. The header and the body together may have maxBytes bytes.
 func (c *gobCodec) readHeader(header any) error {
-	c.in.remaining = c.maxBytes
+	c.in.begin(c.maxBytes)
 	if c.idleTimeout > 0 {
 		if err := c.conn.SetReadDeadline(time.Now().Add(c.idleTimeout)); err != nil {
 			return err
@@ -104,11 +105,57 @@
 // WriteRequest implements rpc.ClientCodec.
 func (c clientCodec) WriteRequest(r *rpc.Request, body any) error { return c.write(r, body) }
 
-// limitedReader returns ErrTooLarge once remaining bytes have been read. It implements io.ByteReader, so that gob does not
-// read beyond the end of a message.
+// messageLimiter bounds the memory of the messages that are read on all connections of a server together.
+type messageLimiter struct {
+	// maxBytes is the bound; 0 means none.
+	maxBytes     int64
+	countedBytes atomic.Int64
+}
+
+// uncountedBytes is how much of each message does not count toward messageLimiter.maxBytes.
+const uncountedBytes = 64 << 10
+
+// add counts bytes and reports whether the total is within the bound.
+func (l *messageLimiter) add(bytes int64) bool {
+	total := l.countedBytes.Add(bytes)
+	return l.maxBytes == 0 || total <= l.maxBytes
+}
+
+// limitedReader returns ErrTooLarge once remaining bytes have been read, or when all messages that are read together are too large.
+// It implements io.ByteReader, so that gob does not read beyond the end of a message.
 type limitedReader struct {
 	r         *bufio.Reader
 	remaining int
+	// uncounted is how many further bytes do not count toward the total, and counted how many did; total may be nil.
+	uncounted int
+	counted   int64
+	total     *messageLimiter
+}
+
+// begin starts to read a message of at most maxBytes bytes.
+func (l *limitedReader) begin(maxBytes int) {
+	l.release()
+	l.remaining, l.uncounted = maxBytes, uncountedBytes
+}
+
+// release subtracts the message from the total.
+func (l *limitedReader) release() {
+	if l.counted > 0 {
+		l.total.add(-l.counted)
+		l.counted = 0
+	}
+}
+
+// count counts bytes of the current message and reports whether the total is within its bound.
+func (l *limitedReader) count(n int) bool {
+	l.remaining -= n
+	free := min(n, l.uncounted)
+	l.uncounted -= free
+	if n == free || l.total == nil {
+		return true
+	}
+	l.counted += int64(n - free)
+	return l.total.add(int64(n - free))
 }
 
 // Read implements io.Reader.
@@ -117,15 +164,16 @@
 		return 0, ErrTooLarge
 	}
 	n, err := l.r.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
+	if !l.count(n) {
+		return 0, ErrTooLarge
+	}
 	return n, err
 }
 
 // ReadByte implements io.ByteReader.
 func (l *limitedReader) ReadByte() (byte, error) {
-	if l.remaining <= 0 {
+	if l.remaining <= 0 || !l.count(1) {
 		return 0, ErrTooLarge
 	}
-	l.remaining--
 	return l.r.ReadByte()
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -28,6 +28,8 @@
 	traffic *Traffic
 	// slots is a semaphore that limits the number of connections.
 	slots chan struct{}
+	// messages bounds the memory of the requests while they are read and served.
+	messages messageLimiter
 
 	mu     lockorder.Mutex
 	conns  map[net.Conn]struct{}
@@ -46,6 +48,10 @@
 	}
 }
 
+// LimitMessages bounds the memory, in bytes, that the requests on all connections use together while they are read and served, apart
+// from the beginning of each. A connection whose request exceeds it closes. It must be called before the server is used.
+func (s *Server) LimitMessages(maxBytes int64) { s.messages.maxBytes = maxBytes }
+
 // Register adds a service, whose methods must have the form that net/rpc requires. It panics if net/rpc rejects the service.
 func (s *Server) Register(name string, service any) {
 	if err := s.rpc.RegisterName(name, service); err != nil {
@@ -101,6 +107,8 @@
 		return
 	}
 	codec := serverCodec{newGobCodec(counted, reader, maxRequestBytes, serverIdleTimeout)}
+	codec.in.total = &s.messages
+	defer codec.in.release()
 	for s.rpc.ServeRequest(codec) == nil {
 		continue
 	}
