--- a/cmd/oleandersill-platform/main.go
+++ b/cmd/oleandersill-platform/main.go
@@ -7,11 +7,13 @@
 	"math"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"oleandersill.example/oleandersill/internal/decision/intake"
 	"oleandersill.example/oleandersill/internal/telemetry"
 	"oleandersill.example/oleandersill/platform/daemon"
 	"oleandersill.example/oleandersill/platform/settings"
@@ -43,6 +45,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
+	limitMemory(s)
 	out := telemetry.NewBoundedWriter(os.Stdout)
 	defer out.Close()
 	log := telemetry.NewLogger(out, zerolog.InfoLevel)
@@ -55,6 +58,14 @@
 	return serve(d, signals, file, log)
 }
 
+// limitMemory sets the soft memory limit of the Go runtime, unless the environment sets a lower one.
+func limitMemory(s settings.Settings) {
+	limit := intake.Divide(s.MemoryBytes, s.Descriptors()).RuntimeBytes
+	if limit > 0 && limit < debug.SetMemoryLimit(-1) {
+		debug.SetMemoryLimit(limit)
+	}
+}
+
 // serve runs the daemon until a signal has drained it, and returns the exit code. A repeated SIGTERM is ignored, since the platform
 // may send it several times. SIGINT, which an operator sends, ends a draining process at once. The settings file is read again on
 // SIGHUP and when it has changed, which is checked every pollInterval.
