Leave 0.3 of the slack for new owners of quotas, and give new daemons of the simulation the newest limit

Cause: half of the slack was reserved for owner changes, more than six zones need. Change: startShare is 0.3, so that each of six zones still begins with one token; the simulated fleet holds the newest limit.

--- a/internal/command/quota/fleet_test.go
+++ b/internal/command/quota/fleet_test.go
@@ -42,6 +42,8 @@
 	pairUntil time.Time
 	admitted  []time.Time
 	asked     int
+	// limit is the newest one, which nodes have from their start.
+	limit model.Quota
 }
 
 // node is one member of the fleet.
@@ -55,9 +57,9 @@
 }
 
 func newFleet(seed uint64, size int, limit model.Quota, lossRate float64) *fleet {
-	f := &fleet{lossRate: lossRate, rnd: rand.New(rand.NewPCG(seed, 0)), maxDelay: 20 * time.Millisecond}
+	f := &fleet{limit: limit, lossRate: lossRate, rnd: rand.New(rand.NewPCG(seed, 0)), maxDelay: 20 * time.Millisecond}
 	for range size {
-		f.add(limit)
+		f.add()
 	}
 	f.announce(0)
 	return f
@@ -68,9 +70,9 @@
 	return model.NewRouting(1, nil, nil, model.CallerLimits{}).WithWorkspaces(workspaces)
 }
 
-func (f *fleet) add(limit model.Quota) {
+func (f *fleet) add() {
 	zone := zones[len(f.nodes)%len(zones)]
-	n := &node{f: f, routing: routingWith(limit), member: model.Member{
+	n := &node{f: f, routing: routingWith(f.limit), member: model.Member{
 		Instance: model.InstanceID(fmt.Sprintf("d%02d", len(f.nodes))), Zone: zone.Name, Protocol: model.ProtocolWorkspaces,
 		Address: fmt.Sprint(len(f.nodes)),
 	}}
--- a/internal/command/quota/property_test.go
+++ b/internal/command/quota/property_test.go
@@ -56,11 +56,12 @@
 		f.cutPair, f.pairUntil = [2]model.InstanceID{owner.member.Instance, f.nodes[len(f.nodes)-1].member.Instance}, time.Now().Add(e.long)
 		f.mu.Unlock()
 	case "restart all":
-		f.restartAll(limit)
+		f.restartAll()
 	case "join":
-		f.add(f.all()[0].currentRouting().Workspace("w").Quota)
+		f.add()
 		f.announce(lag)
 	case "lower limit":
+		f.limit = lower(limit)
 		for _, n := range f.all() {
 			wait := f.random(lag)
 			go func() {
@@ -81,13 +82,13 @@
 }
 
 // restartAll replaces all nodes by new ones at the same moment.
-func (f *fleet) restartAll(limit model.Quota) {
+func (f *fleet) restartAll() {
 	old := f.all()
 	for _, n := range old {
 		n.kill()
 	}
 	for range old {
-		f.add(limit)
+		f.add()
 	}
 	f.announce(0)
 }
--- a/internal/decision/quota/allowance.go
+++ b/internal/decision/quota/allowance.go
@@ -23,7 +23,7 @@
 	minGrantValidity = 50 * time.Millisecond
 	maxGrantValidity = 500 * time.Millisecond
 	// startShare is the part of the slack that covers the tokens with which new owners start. Callers get the rest.
-	startShare = 0.5
+	startShare = 0.3
 	// maxStart is the largest number of tokens with which an owner starts, so that the first request after a change is served.
 	maxStart = 1
 )
