Let strong members own quotas, and connect to them ahead of use

Change: the preferred members of a zone own workspaces, and daemons open connections to them when the members change.

--- a/internal/command/quota/keeper.go
+++ b/internal/command/quota/keeper.go
@@ -116,7 +116,24 @@
 	if !slices.ContainsFunc(members, func(m model.Member) bool { return m.Instance == self }) {
 		members = append(slices.Clone(members), k.cfg.Self)
 	}
-	k.table.SetMembers(quota.Eligible(members), k.cfg.Now())
+	owners := quota.Owners(members)
+	k.table.SetMembers(owners, k.cfg.Now())
+	k.preconnect(owners[k.cfg.Self.Zone])
+}
+
+// preconnect opens connections to the possible owners in this zone ahead of use. Without it, the first requests wait for them.
+func (k *Keeper) preconnect(owners []model.Member) {
+	for _, m := range owners {
+		if m.Instance == k.cfg.Self.Instance || k.cfg.Peers == nil {
+			continue
+		}
+		k.run(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), returnTimeout)
+			defer cancel()
+			// A failed call is repeated when there is something to ask for.
+			_, _ = k.cfg.Peers.TakeQuota(ctx, m.Address, peer.QuotaTake{})
+		})
+	}
 }
 
 // BootClock returns the time since the machine was booted, which also advances while it is suspended, as a time. It has no relation
--- a/internal/decision/quota/placement.go
+++ b/internal/decision/quota/placement.go
@@ -9,7 +9,7 @@
 	"oleandersill.example/oleandersill/internal/model"
 )
 
-// Owner returns the member of a zone that owns a workspace there: the one that ranks highest by rendezvous hashing. It returns false
+// Owner returns the one of a zone's possible owners that owns a workspace there: the one that ranks highest by rendezvous hashing. It returns false
 // if the zone has no member. A member that does not respond stays the owner as long as it is a member, so that the zone's part is not
 // granted twice.
 func Owner(workspace model.WorkspaceName, inZone []model.Member) (model.Member, bool) {
@@ -20,16 +20,18 @@
 	return inZone[ranked[0]], true
 }
 
-// Eligible returns the members that know quotas, by zone.
-func Eligible(members []model.Member) map[model.AvailabilityZone][]model.Member {
+// Owners returns, by zone, the members that may own workspaces: the preferred ones of those that know quotas. They are strong and few, so
+// that each daemon has connections to them in use.
+func Owners(members []model.Member) map[model.AvailabilityZone][]model.Member {
 	out := map[model.AvailabilityZone][]model.Member{}
 	for i := range members {
 		if members[i].Protocol >= model.ProtocolWorkspaces {
 			out[members[i].Zone] = append(out[members[i].Zone], members[i])
 		}
 	}
-	for _, inZone := range out {
+	for zone, inZone := range out {
 		slices.SortFunc(inZone, func(a, b model.Member) int { return cmp.Compare(a.Instance, b.Instance) })
+		out[zone] = ownership.Preferred(inZone)
 	}
 	return out
 }
--- a/internal/tables/quotas.go
+++ b/internal/tables/quotas.go
@@ -15,7 +15,7 @@
 type Quotas struct {
 	mu   lockorder.Mutex
 	self model.Member
-	// members holds the members by zone, sorted by instance. owners caches the owners of workspaces among them.
+	// members holds the possible owners by zone, sorted by instance. owners caches the owners of workspaces among them.
 	members map[model.AvailabilityZone][]model.Member
 	owners  map[zonePart]model.Member
 	// ownedSince is from when on this daemon grants the parts of workspaces that have no account yet. No other daemon has granted them
@@ -63,8 +63,8 @@
 	}
 }
 
-// SetMembers replaces the members, which must know quotas and be sorted by instance in each zone. The accounts of workspaces that
-// another member owns now are removed.
+// SetMembers replaces the possible owners, which must be sorted by instance in each zone. The accounts of workspaces that another
+// member owns now are removed.
 func (t *Quotas) SetMembers(members map[model.AvailabilityZone][]model.Member, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
