Limit the requests to cold servers

A cold server got its full share of the load, since only its daemon's ramp-up knew that it was new, and no limit held over all daemons.

While a server of a service with a rate for cold servers is cold, only its owner sends to it, with a token for each attempt. Usable warm replicas get all attempts. Coldness comes from the server's entry and from health replies.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -165,6 +165,8 @@
 type Health struct {
 	Serving  bool `json:"serving"`
 	Draining bool `json:"draining"`
+	// ColdRemaining is how much longer the server is cold; 0 if it is warm or does not say.
+	ColdRemaining time.Duration `json:"-"`
 }
 
 // Server is a client of one backend server. Its methods are safe for concurrent use and return at the latest when ctx is
--- a/internal/command/follow/topology.go
+++ b/internal/command/follow/topology.go
@@ -108,21 +108,25 @@
 // left out, so that they get no requests, like servers that have left.
 func (b *topologyBuilder) serviceSpecs(v *tables.RegistryView) []model.ServiceSpec {
 	servers := map[model.ServiceName][]model.ServerSpec{}
-	maxConnections := make(map[model.ServiceName]int, len(v.Routing.Services))
-	for _, s := range v.Routing.Services {
-		maxConnections[s.Name] = s.MaxConnections
+	services := make(map[model.ServiceName]*model.BackendService, len(v.Routing.Services))
+	for i := range v.Routing.Services {
+		services[v.Routing.Services[i].Name] = &v.Routing.Services[i]
 	}
 	evacuated := evacuatedZones(b.zones, v.Evacuated)
 	for i := range v.Servers {
 		r := &v.Servers[i]
-		limit, ok := maxConnections[r.Service]
-		if !ok || evacuated[r.Zone] {
+		service := services[r.Service]
+		if service == nil || evacuated[r.Zone] {
 			continue
 		}
-		servers[r.Service] = append(servers[r.Service], model.ServerSpec{
-			Name: r.Name, Address: r.Address, Zone: r.Zone, Slots: r.Slots, Connections: limit, Leaving: r.Leaving,
+		spec := model.ServerSpec{
+			Name: r.Name, Address: r.Address, Zone: r.Zone, Slots: r.Slots, Connections: service.MaxConnections, Leaving: r.Leaving,
 			Started: r.Started,
-		})
+		}
+		if service.ColdRate > 0 {
+			spec.ColdRate, spec.ColdUntil = service.ColdRate, v.ColdUntil[r.Name]
+		}
+		servers[r.Service] = append(servers[r.Service], spec)
 	}
 	specs := make([]model.ServiceSpec, 0, len(v.Routing.Services))
 	next := make(map[model.ServiceName]model.ServiceSpec, len(v.Routing.Services))
--- a/internal/command/report/recorder.go
+++ b/internal/command/report/recorder.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oleandersill.example/oleandersill/internal/backend"
+	"oleandersill.example/oleandersill/internal/decision/coldstart"
 	"oleandersill.example/oleandersill/internal/dispatch"
 	"oleandersill.example/oleandersill/internal/model"
 	"oleandersill.example/oleandersill/internal/tables"
@@ -18,6 +19,8 @@
 	Budgets    *tables.Budgets
 	Connector  backend.Connector
 	Policy     model.Policy
+	// Cold is the allowance of the rates of cold servers. The zero value means that they are not limited.
+	Cold coldstart.Allowance
 	// OnJoin, if set, is called with the record of each server that joins or changes its endpoint, unless the server is leaving
 	// or accepts fewer connections than there may be daemons.
 	OnJoin func(*tables.Server)
--- a/internal/command/report/topology.go
+++ b/internal/command/report/topology.go
@@ -135,10 +135,12 @@
 		r.updateConnectionBudget(rec, spec, connections)
 		rec.SetSpec(spec)
 		rec.SetOwnerOnly(limit.OwnerOnly(spec.Connections, daemons))
+		rec.SetColdAllowance(r.Cold)
 		return rec
 	}
 	rec = tables.NewServer(spec, r.Connector.Connect(spec, connections), connections, joined)
 	rec.SetOwnerOnly(limit.OwnerOnly(spec.Connections, daemons))
+	rec.SetColdAllowance(r.Cold)
 	if before, ok := r.removed[spec.Name]; ok && sameEndpoint(before.spec, spec) {
 		rec.SetPushback(before.restUntil.Sub(now), now)
 	}
--- a/internal/decision/directory/directory.go
+++ b/internal/decision/directory/directory.go
@@ -38,6 +38,8 @@
 	registration model.Registration
 	sequence     model.EntrySequence
 	revision     Revision
+	// coldUntil is when the server is warm according to the entry; zero if it stated that it is.
+	coldUntil time.Time
 	// useUntil is zero while the entry is in the store. After that it is when the server is no longer used.
 	useUntil time.Time
 	// missing means that useUntil was set because the entry was missing after the store was restored.
@@ -67,8 +69,9 @@
 		return d.DropServer(r.Name)
 	}
 	delete(d.dropped, r.Name)
-	changed := e == nil || e.registration != r || !e.heldUntil.IsZero()
-	d.entries[r.Name] = &entry{registration: r, sequence: read.Sequence, revision: read.Revision}
+	coldUntil := e.coldUntilAfter(&read)
+	changed := e == nil || e.registration != r || !e.heldUntil.IsZero() || !e.coldUntil.Equal(coldUntil)
+	d.entries[r.Name] = &entry{registration: r, sequence: read.Sequence, revision: read.Revision, coldUntil: coldUntil}
 	d.clearMarkOfOtherRun(&r)
 	return changed
 }
@@ -162,6 +165,8 @@
 	Registration model.Registration
 	Sequence     model.EntrySequence
 	Revision     Revision
+	// ReadAt is when the entry was read, from the store or from a daemon.
+	ReadAt time.Time
 }
 
 // Entries returns the entries that are in the store as far as is known, in no particular order.
--- a/internal/decision/directory/restore.go
+++ b/internal/decision/directory/restore.go
@@ -88,6 +88,7 @@
 	}
 	d.entries[name] = &entry{
 		registration: read.Registration, sequence: read.Sequence, revision: read.Revision, heldUntil: d.restoreEnd(),
+		coldUntil: e.coldUntilAfter(read),
 	}
 	delete(d.dropped, name)
 	return used
--- a/internal/decision/routing/choose.go
+++ b/internal/decision/routing/choose.go
@@ -64,6 +64,8 @@
 	FailureRate float64
 	// RampUpFraction is the fraction of its normal load that the server gets, in (0, 1]. It is below 1 for a cold server.
 	RampUpFraction float64
+	// ColdLimited servers are cold and tolerate few requests per second.
+	ColdLimited bool
 }
 
 // failureWeight is the weight of the failure rate relative to the time of an attempt.
--- a/internal/decision/routing/ramp.go
+++ b/internal/decision/routing/ramp.go
@@ -36,3 +36,16 @@
 func warmWithCapacity(c Candidate) bool {
 	return c.Usable && c.RampUpFraction >= 1 && c.Pending <= c.Limit
 }
+
+// PreferWarm makes cold servers with a limit unusable if a server without one is usable. What a cold server tolerates is left to
+// requests that no other replica can serve, also if the other replicas are busy.
+func PreferWarm(cs []Candidate) {
+	if !slices.ContainsFunc(cs, func(c Candidate) bool { return c.Usable && !c.ColdLimited }) {
+		return
+	}
+	for i := range cs {
+		if cs[i].ColdLimited {
+			cs[i].Usable, cs[i].Probe = false, false
+		}
+	}
+}
--- a/internal/decision/routing/routing_test.go
+++ b/internal/decision/routing/routing_test.go
@@ -113,6 +113,20 @@
 	})
 })
 
+var _ = Describe("PreferWarm", func() {
+	// Guards against requests that use up what a cold server tolerates, and against a shard without a usable server.
+	DescribeTable("leaves cold servers with a limit out only if a warm one is usable",
+		func(cs []routing.Candidate, want []bool) {
+			routing.PreferWarm(cs)
+			for i := range cs {
+				Expect(cs[i].Usable).To(Equal(want[i]))
+			}
+		},
+		Entry("a busy warm server", []routing.Candidate{{Usable: true, ColdLimited: true}, {Usable: true, Pending: 9}}, []bool{false, true}),
+		Entry("no usable warm server", []routing.Candidate{{Usable: true, ColdLimited: true}, {}}, []bool{true, false}),
+	)
+})
+
 var _ = Describe("AvoidColdServers", func() {
 	warm, busy, cold, unusable := usable(5*time.Millisecond), usable(5*time.Millisecond), usable(0), routing.Candidate{RampUpFraction: 1}
 	busy.Pending = busy.Limit + 1
--- a/internal/dispatch/charging.go
+++ b/internal/dispatch/charging.go
@@ -21,7 +21,7 @@
 	if f == nil {
 		return model.Member{}, false
 	}
-	if s.OwnerOnly() {
+	if s.OwnerOnly(time.Now()) {
 		return f.otherOwner(s, policy)
 	}
 	view := f.owners.View()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -189,6 +189,7 @@
 	}
 	d.zones.Exclude(cs)
 	routing.ExcludeTried(cs, criteria.Tried)
+	routing.PreferWarm(cs)
 	if criteria.Rank == model.RankUrgent && d.cfg.Policy != model.PolicyBaseline {
 		routing.AvoidColdServers(cs)
 	}
--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -103,6 +103,10 @@
 	if a.Probe && a.endIfRefused(time.Now()) {
 		return
 	}
+	if !a.d.takeColdToken(a.Server, a.Rank) {
+		a.endUnsent(backend.ExecuteResult{Status: unsentStatus})
+		return
+	}
 	if !a.MaySend() {
 		a.endProbe()
 		a.d.release(a.Server)
@@ -143,5 +147,9 @@
 
 func (a *ExecuteAttempt) healthy() bool {
 	h, err := a.Server.Client().Health(a.ctx)
-	return err == nil && h.Serving && !h.Draining
+	if err != nil {
+		return false
+	}
+	recordColdness(a.Server, h, time.Now())
+	return h.Serving && !h.Draining
 }
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -104,7 +104,7 @@
 	switch {
 	case f == nil:
 		return model.Member{}, false
-	case q.Server.OwnerOnly():
+	case q.Server.OwnerOnly(time.Now()):
 		return f.otherOwner(q.Server, q.Policy)
 	case q.ForwardTo.Instance != "":
 		return q.ForwardTo, true
--- a/internal/dispatch/query.go
+++ b/internal/dispatch/query.go
@@ -162,7 +162,7 @@
 		q.endUnsent(refusal)
 		return
 	}
-	if !q.d.permitsAt(q.Policy, q.Server) {
+	if !q.d.permitsAt(q.Policy, q.Server) || !q.d.takeColdToken(q.Server, q.Rank) {
 		q.endUnsent(backend.QueryResult{Status: unsentStatus})
 		return
 	}
--- a/internal/dispatch/unowned.go
+++ b/internal/dispatch/unowned.go
@@ -15,7 +15,7 @@
 // otherOwner returns the owner of a server, or false if this daemon owns it, if no daemon does, or if the owner may not receive
 // requests with the policy, which may be nil.
 func (f *Forwarding) otherOwner(s *tables.Server, p *model.RequestPolicy) (model.Member, bool) {
-	owner, ok := s.Owner(f.owners.View())
+	owner, ok := s.Owner(f.owners.View(), time.Now())
 	if !ok || owner.Instance == f.self.Instance {
 		return model.Member{}, false
 	}
@@ -25,7 +25,7 @@
 // mayConnect reports whether this daemon may send to the server itself: the server accepts connections of all daemons, this one
 // owns it, or no daemon is known that does.
 func (d *Dispatcher) mayConnect(s *tables.Server) bool {
-	if d.forwarding == nil || !s.OwnerOnly() {
+	if d.forwarding == nil || !s.OwnerOnly(time.Now()) {
 		return true
 	}
 	_, other := d.forwarding.otherOwner(s, nil)
--- a/internal/dispatch/zones.go
+++ b/internal/dispatch/zones.go
@@ -173,7 +173,8 @@
 	due := begin.Add(zonehealth.ProbeTimeout(d.zones.RoundTrip(zone)))
 	ctx, cancel := context.WithDeadline(context.Background(), due)
 	defer cancel()
-	if _, err := s.Client().Health(ctx); err == nil {
+	if h, err := s.Client().Health(ctx); err == nil {
+		recordColdness(s, h, time.Now())
 		d.recordZoneReply(zone)
 		return
 	}
--- a/internal/model/inventory.go
+++ b/internal/model/inventory.go
@@ -1,5 +1,7 @@
 package model
 
+import "time"
+
 // KeySpace is the size of the key space that is divided among the shards of a service; keys hash to [0, KeySpace).
 const KeySpace = 65536
 
@@ -60,6 +62,10 @@
 	Leaving bool `yaml:"leaving,omitempty" json:"leaving,omitempty"`
 	// Started distinguishes successive runs of a server that registers itself; it is 0 for servers that operators list.
 	Started int64 `yaml:"-" json:"-"`
+	// ColdRate is the number of requests per second that the server tolerates while it is cold; 0 means no limit. ColdUntil is when
+	// it is warm according to its entry; it is set only with a ColdRate.
+	ColdRate  float64   `yaml:"-" json:"-"`
+	ColdUntil time.Time `yaml:"-" json:"-"`
 }
 
 // Rules define the ranks and limits of requests, as operators write them.
--- a/internal/tables/owners.go
+++ b/internal/tables/owners.go
@@ -30,12 +30,14 @@
 	Zones   map[model.AvailabilityZone][]model.Member
 	// Preferred holds, of the members of each zone, those to which other daemons send work for the zone.
 	Preferred map[model.AvailabilityZone][]model.Member
+	// Members holds all members of each zone, also those that this daemon avoids.
+	Members map[model.AvailabilityZone][]model.Member
 }
 
 // all returns the members of all zones, in no particular order.
-func (v *OwnerView) all() []model.Member {
+func all(zones map[model.AvailabilityZone][]model.Member) []model.Member {
 	var all []model.Member
-	for _, members := range v.Zones {
+	for _, members := range zones {
 		all = append(all, members...)
 	}
 	return all
@@ -116,12 +118,12 @@
 		}
 	}
 	old := o.current.Load()
-	if !sameZones(old.Zones, zones) {
+	if !sameZones(old.Zones, zones) || !sameZones(old.Members, o.members) {
 		preferred := make(map[model.AvailabilityZone][]model.Member, len(zones))
 		for zone, members := range zones {
 			preferred[zone] = ownership.Preferred(members)
 		}
-		o.current.Store(&OwnerView{Version: old.Version + 1, Zones: zones, Preferred: preferred})
+		o.current.Store(&OwnerView{Version: old.Version + 1, Zones: zones, Preferred: preferred, Members: o.members})
 	}
 }
 
--- a/internal/tables/registry.go
+++ b/internal/tables/registry.go
@@ -159,7 +159,7 @@
 func (t *Registry) applyServer(e registry.ServerEntry, now time.Time) bool {
 	switch e.State {
 	case registry.EntryPresent:
-		return t.servers.Put(directory.Entry{Registration: e.Registration, Sequence: e.Sequence, Revision: e.Revision})
+		return t.servers.Put(directory.Entry{Registration: e.Registration, Sequence: e.Sequence, Revision: e.Revision, ReadAt: now})
 	case registry.EntryRemoved:
 		return t.servers.RemoveEntry(e.Name, t.confirmedAt, now)
 	case registry.EntryUnreadable:
@@ -265,7 +265,9 @@
 	ConfirmedAt time.Time
 	Routing     *model.Routing
 	Servers     []model.Registration
-	Members     []model.Member
+	// ColdUntil is when the servers are warm that stated that they are cold.
+	ColdUntil map[model.ServerName]time.Time
+	Members   []model.Member
 	// VerifiedAt is a time at which the store's content was certainly not older than the view; zero if it is not known.
 	VerifiedAt boottime.Time
 	// Evacuated are the evacuated zones, whether or not the settings define them.
@@ -278,6 +280,7 @@
 	defer t.mu.Unlock()
 	v := RegistryView{
 		Revision: t.revision, ConfirmedAt: t.confirmedAt, Routing: t.routing, Servers: t.servers.Servers(),
+		ColdUntil:  t.servers.ColdUntil(),
 		VerifiedAt: t.verification.At(), Evacuated: maps.Clone(t.evacuated),
 	}
 	for _, m := range t.members {
--- a/internal/tables/registryrestore.go
+++ b/internal/tables/registryrestore.go
@@ -36,7 +36,7 @@
 	var read []directory.Entry
 	for _, e := range u.Servers {
 		if e.State == registry.EntryPresent {
-			read = append(read, directory.Entry{Registration: e.Registration, Sequence: e.Sequence, Revision: e.Revision})
+			read = append(read, directory.Entry{Registration: e.Registration, Sequence: e.Sequence, Revision: e.Revision, ReadAt: readAt})
 		}
 	}
 	for _, name := range t.servers.MergeRestored(read, readAt) {
--- a/internal/tables/server.go
+++ b/internal/tables/server.go
@@ -36,9 +36,11 @@
 	// forwarded counts the attempts that this daemon forwarded to the server's owner and that have not ended.
 	forwarded int
 	owner     ownerCache
-	health    routing.Health
-	pushback  pushback.Window
-	latency   routing.LatencyEstimator
+	// cold is nil unless the server is limited while it is cold.
+	cold     *coldState
+	health   routing.Health
+	pushback pushback.Window
+	latency  routing.LatencyEstimator
 	// failureRate is the moving average of failed attempts, and lastOutcome the time of the last attempt that it counts.
 	failureRate float64
 	// heldVersions are the index versions that the server last reported to hold.
@@ -125,6 +127,7 @@
 	c.RampUpFraction = routing.RampUpFraction(s.joined, now)
 	c.Pushback = s.pushback.Remaining(now)
 	c.Leaving = s.isLeaving()
+	c.ColdLimited = s.isCold(now)
 	open := !c.Leaving && !s.retired && c.Pushback == 0 && s.budget > 0
 	c.Usable = open && !s.health.Ejected()
 	c.Probe = open && s.health.ProbeDue(now)
--- a/internal/tables/serverowner.go
+++ b/internal/tables/serverowner.go
@@ -1,6 +1,8 @@
 package tables
 
 import (
+	"time"
+
 	"oleandersill.example/oleandersill/internal/decision/fairshare"
 	"oleandersill.example/oleandersill/internal/decision/ownership"
 	"oleandersill.example/oleandersill/internal/model"
@@ -9,21 +11,24 @@
 // ownerCache is the owner of a server according to one view of the members.
 type ownerCache struct {
 	view *OwnerView
+	// ownerOnly is whether only the owner may send to the server.
+	ownerOnly bool
 	// owner points into view. It is nil if view has no daemon in the server's zone.
 	owner *model.Member
 }
 
 // Owner returns the daemon that owns the server according to view, or false if view has no daemon in the server's zone. If only
-// the owner may send to the server, a daemon of another zone owns a server whose zone has none.
-func (s *Server) Owner(view *OwnerView) (model.Member, bool) {
+// the owner may send to the server at now, a daemon of another zone owns a server whose zone has none.
+func (s *Server) Owner(view *OwnerView, now time.Time) (model.Member, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.owner.view != view {
+	ownerOnly := s.isOwnerOnly(now)
+	if s.owner.view != view || s.owner.ownerOnly != ownerOnly {
 		members := view.Zones[s.spec.Zone]
-		if len(members) == 0 && s.ownerOnly {
-			members = view.all()
+		if len(members) == 0 && ownerOnly {
+			members = all(view.Zones)
 		}
-		s.owner = ownerCache{view: view}
+		s.owner = ownerCache{view: view, ownerOnly: ownerOnly}
 		if i := ownership.Owner(s.name, members); i >= 0 {
 			s.owner.owner = &members[i]
 		}
@@ -39,19 +44,19 @@
 func (s *Server) SetOwnerOnly(ownerOnly bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ownerOnly != ownerOnly {
-		s.ownerOnly = ownerOnly
-		s.owner = ownerCache{}
-	}
+	s.ownerOnly = ownerOnly
 }
 
-// OwnerOnly reports whether only the server's owner may send anything to the server.
-func (s *Server) OwnerOnly() bool {
+// OwnerOnly reports whether only the server's owner may send anything to the server at now: it accepts very few connections, or is
+// limited because it is cold.
+func (s *Server) OwnerOnly(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.ownerOnly
+	return s.isOwnerOnly(now)
 }
 
+func (s *Server) isOwnerOnly(now time.Time) bool { return s.ownerOnly || s.isCold(now) }
+
 // TakeOpened reports whether there may be idle connections to the server and none in use. The caller must close them, since the
 // next call returns false unless capacity was acquired in between.
 func (s *Server) TakeOpened() bool {
--- a/internal/testing/fakebackend/fake.go
+++ b/internal/testing/fakebackend/fake.go
@@ -19,6 +19,8 @@
 	Times  int
 	// RetryAfter is the retry hint of results with a Status other than StatusOK.
 	RetryAfter time.Duration
+	// ColdRemaining is how much longer the server is cold according to its health replies.
+	ColdRemaining time.Duration
 	// Delay is the time that a query or a health request takes.
 	Delay time.Duration
 	// Version is the current index version, where 0 means 1, and Retained are the older versions that the server still holds.
@@ -208,7 +210,7 @@
 	if script.Status == backend.StatusUnreachable && script.Times == 0 {
 		return backend.Health{}, errUnreachable
 	}
-	return backend.Health{Serving: true}, nil
+	return backend.Health{Serving: true, ColdRemaining: script.ColdRemaining}, nil
 }
 
 // Load implements backend.Server.
