Let only members own quotas

Cause: a daemon that did not find itself among the members counted itself as one. Change: a daemon owns nothing unless it is among the members, as a list of the store or of a daemon states them.

--- a/internal/command/quota/keeper.go
+++ b/internal/command/quota/keeper.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -71,7 +70,9 @@
 		jobs: make(chan func(), maxJobs), closed: make(chan struct{}),
 	}
 	k.workers = pool.Start(maxWorkers, k.nextJob)
-	k.SetMembers(nil)
+	if cfg.Peers == nil {
+		k.SetMembers([]model.Member{cfg.Self})
+	}
 	k.cfg.After(tickInterval, k.tick)
 	return k
 }
@@ -109,13 +110,9 @@
 	k.cfg.After(tickInterval, k.tick)
 }
 
-// SetMembers replaces the members of the fleet. This daemon counts as one, also before the others know it: until then it has only the
-// tokens with which it starts.
+// SetMembers replaces the members of the fleet. A daemon that is not among them owns nothing: others may not know it, and two daemons
+// would grant the same part.
 func (k *Keeper) SetMembers(members []model.Member) {
-	self := k.cfg.Self.Instance
-	if !slices.ContainsFunc(members, func(m model.Member) bool { return m.Instance == self }) {
-		members = append(slices.Clone(members), k.cfg.Self)
-	}
 	owners := quota.Owners(members)
 	k.table.SetMembers(owners, k.cfg.Now())
 	k.preconnect(owners[k.cfg.Self.Zone])
