Correct the wording of comments on verified ages, quotas and cold servers

Cause: the comments on VerifiedAt said that the store's content was not older than the data at that time. The code and the proof in KeysVerified have it the other way: the content was not newer. Other comments were hard to read or incomplete: maxWorkers did not mention the connections opened ahead of use, and minRetrySpread was called a minimum, which it is not. Behaviour, messages and checks of tests are unchanged. The tests of internal/tables, internal/dispatch, internal/query/scatter and platform/standin pass.

--- a/internal/command/commandrpc/quota.go
+++ b/internal/command/commandrpc/quota.go
@@ -6,7 +6,7 @@
 )
 
 // QuotaService handles the commands by which daemons that follow the platform's store account for the quotas of workspaces. Its
-// exported methods are the methods of the RPC service PeerCommands there. None of them waits for another daemon, since a
+// exported methods are the methods of the RPC service PeerCommands at these daemons. None of them waits for another daemon, since a
 // connection serves one call at a time.
 type QuotaService struct {
 	keeper *quota.Keeper
--- a/internal/command/follow/announce.go
+++ b/internal/command/follow/announce.go
@@ -31,7 +31,7 @@
 }
 
 // runAnnouncements creates and renews the daemon's own entry in the store until ctx ends, and then removes it. After the store was
-// restored it creates the entry again, and uses the earlier lease no more.
+// restored it creates the entry again under a new lease.
 func (f *Follower) runAnnouncements(ctx context.Context) {
 	var own ownEntry
 	for ctx.Err() == nil {
--- a/internal/command/follow/peers.go
+++ b/internal/command/follow/peers.go
@@ -52,8 +52,8 @@
 // errOlderProtocol means that a daemon supports a lower protocol version than this one.
 var errOlderProtocol = errors.New("follow: the daemon supports a lower protocol version")
 
-// suitable reports whether the sender of an update supports the protocol version of this daemon. Updates of others lack what their
-// version does not know.
+// suitable reports whether the sender of an update supports the protocol version of this daemon. Updates of lower versions lack
+// fields that this daemon needs.
 func (f *Follower) suitable(u *registry.PeerUpdate) bool { return u.Protocol >= f.deps.Self.Protocol }
 
 // maxFailedSources is how many sources in a row are tried before the store is read. Usually the next one has read the store
@@ -73,8 +73,8 @@
 		Dur("heard_ago", now.Sub(at.ConfirmedAt)).Uint64("revision", uint64(at.Revision)).Msg("store_source_rested")
 }
 
-// applyPeerUpdate applies what another daemon has received. Of a daemon that does not know the store's present era yet, only the
-// leaving servers are of use.
+// applyPeerUpdate applies the data of another daemon. If that daemon does not know the store's present era yet, only its leaving
+// servers are applied.
 func (f *Follower) applyPeerUpdate(u *registry.PeerUpdate) {
 	f.ObserveLeaving(u.Leaving)
 	if u.Era < f.deps.Registry.Position().Era {
--- a/internal/command/follow/restore.go
+++ b/internal/command/follow/restore.go
@@ -12,8 +12,8 @@
 	"oleandersill.example/oleandersill/internal/registry"
 )
 
-// announceSpread is the time over which the daemons of a fleet write their entries again after the store was restored. Others keep an
-// entry that is missing for directory.RestoreGrace.
+// announceSpread is the time over which the daemons of a fleet write their entries again after the store was restored. It is shorter
+// than directory.RestoreGrace, for which other daemons keep a missing entry.
 const announceSpread = 800 * time.Millisecond
 
 func logRestored(log *zerolog.Logger, u *registry.Update, before *directory.Point) {
--- a/internal/command/follow/simulation_test.go
+++ b/internal/command/follow/simulation_test.go
@@ -145,7 +145,8 @@
 	}
 	d.alive.Store(true)
 	d.follower = follow.New(follow.Deps{
-		Reader: reader{storeClient: d.client, d: d}, BootTime: d.bootTime, Announcer: d.client, Peers: d, Seeds: []string{"0", "1"}, Self: member(index),
+		Reader: reader{storeClient: d.client, d: d}, BootTime: d.bootTime, Announcer: d.client, Peers: d,
+		Seeds: []string{"0", "1"}, Self: member(index),
 		Zones:    []model.ZoneSpec{{Name: "z0", Region: "r"}, {Name: "z1", Region: "r"}},
 		Registry: d.registry, Config: d.config, Servers: tables.NewServers(), Log: zerolog.Nop(),
 		Freshness: gossip.NewFreshness(min(sim.bounds.configApply, sim.bounds.drain)).
--- a/internal/command/follow/verification.go
+++ b/internal/command/follow/verification.go
@@ -80,8 +80,8 @@
 }
 
 // startPeerQueries calls other daemons in turn during a call to the store that may fail, if the verified age must stay low: after the
-// call it could be too late. The function that it returns ends the calls. Until then only r.peersAsked changes. A call that has begun
-// is not cancelled, since the connections to other daemons would count as silent.
+// call it could be too late. The function that it returns ends the calls and waits for the one in progress, which is not cancelled,
+// since the connection to the other daemon would count as silent. Until then the calls change only r.peersAsked of r.
 func (f *Follower) startPeerQueries(ctx context.Context, r *readState) (end func()) {
 	_, age := f.position()
 	fresh := f.deps.Freshness
--- a/internal/command/quota/keeper.go
+++ b/internal/command/quota/keeper.go
@@ -43,10 +43,10 @@
 }
 
 const (
-	// maxWorkers limits the number of tokens that are being returned. A return occupies a worker for a round trip, or for its timeout
-	// if the other daemon does not respond.
+	// maxWorkers limits the messages that return tokens or open connections at the same time. Each occupies a worker for a round
+	// trip, or for returnTimeout if the other daemon does not respond.
 	maxWorkers = 16
-	// maxJobs is the number of returns that may wait for a worker. Tokens beyond it count as used.
+	// maxJobs is the number of such messages that may wait for a worker. Further ones are dropped, and their tokens count as used.
 	maxJobs = 4096
 	// tickInterval is the time between the checks for pauses of the process and for idle accounts.
 	tickInterval = time.Second
--- a/internal/command/quota/take.go
+++ b/internal/command/quota/take.go
@@ -43,7 +43,7 @@
 		return quota.Decision{Outcome: quota.Refused, RetryAfter: retryAfter(0)}
 	}
 	if waiter != nil {
-		// The leader answers within the time of its own round and this one.
+		// The result arrives by the end of the round after the one in progress.
 		r := <-waiter.Result
 		if !r.Lead {
 			return r.Decision
@@ -73,7 +73,7 @@
 // returnTimeout limits the return of a token, which nobody waits for.
 const returnTimeout = 500 * time.Millisecond
 
-// Return gives back the token of a granted request that no server ran. It does not wait. A token whose return is lost counts.
+// Return gives back the token of a granted request that no server ran. It does not wait. A token whose return is lost counts as used.
 func (k *Keeper) Return(workspace *model.Workspace, d quota.Decision) {
 	if d.Outcome != quota.Granted || !workspace.Quota.Limited() {
 		return
--- a/internal/decision/directory/cold.go
+++ b/internal/decision/directory/cold.go
@@ -6,8 +6,8 @@
 	"oleandersill.example/oleandersill/internal/model"
 )
 
-// coldMargin is added to the time at which a server states to be warm. Entries arrive with varying delays, and the time of a server
-// that states the same end in each entry must not change with each of them, since that would replace the records of its service.
+// coldMargin is added to the time at which a server will be warm according to its entry. Entries arrive with varying delays. Without
+// the margin, each entry of a cold server would change the time and replace the records of its service.
 const coldMargin = 500 * time.Millisecond
 
 // coldUntilAfter returns when a server is warm according to an entry that replaces e, which may be nil.
@@ -24,7 +24,7 @@
 	return stated.Add(coldMargin)
 }
 
-// ColdUntil returns when the servers are warm that stated in their entries that they are not.
+// ColdUntil returns, for each server whose entry states that it is cold, when it will be warm.
 func (d *Directory) ColdUntil() map[model.ServerName]time.Time {
 	out := map[model.ServerName]time.Time{}
 	for name, e := range d.entries {
--- a/internal/decision/directory/dropped.go
+++ b/internal/decision/directory/dropped.go
@@ -17,7 +17,7 @@
 	since time.Time
 }
 
-// drop forgets a server's entry, but not which run of the server it was.
+// drop removes a server's entry and records the run of the server to which it belonged.
 func (d *Directory) drop(name model.ServerName) {
 	e := d.entries[name]
 	d.dropped[name] = d.runOf(e)
--- a/internal/decision/gossip/revocation.go
+++ b/internal/decision/gossip/revocation.go
@@ -70,7 +70,7 @@
 	return max(MinWatchWait, min(wait, f.maxVerifiedAge()-passOn-verifiedAge))
 }
 
-// VerifiedByWatch returns the time at which the store's content was certainly not older than the reply of a watch that lasted from
+// VerifiedByWatch returns the time at which the store's content was certainly not newer than the reply of a watch that lasted from
 // begin to end. The store answers a watch without a change no sooner than wait after the watch began. A shorter call
 // proves nothing about the store's content at its end.
 func VerifiedByWatch(begin, end boottime.Time, wait time.Duration, unchanged bool) boottime.Time {
@@ -80,7 +80,7 @@
 	return begin
 }
 
-// VerifiedByReply returns the time at which the store's content was certainly not older than a peer's reply. begin is the boot time
+// VerifiedByReply returns the time at which the store's content was certainly not newer than a peer's reply. begin is the boot time
 // at which the call began. The peer held the request for held, and its data then had the verified age given.
 //
 // The peer received the request at begin or later, so it replied at begin + held or later. Time that the reply, or the daemon that
@@ -99,9 +99,10 @@
 
 // Verification is how old a daemon's data from the store can be at most. The zero value means that nothing is known.
 type Verification struct {
-	// at is a time at which the store's content was certainly not older than the daemon's.
+	// at is a time at which the store's content was certainly not newer than the daemon's.
 	at boottime.Time
-	// pending means that a newer routing configuration is known than the one in force, and inForce is at as of before it was known.
+	// pending means that a newer routing configuration is known than the one in force. inForce is the value that at had before the
+	// newer one was known.
 	pending bool
 	inForce boottime.Time
 }
@@ -118,10 +119,10 @@
 // Installed records that the latest known routing configuration is in force.
 func (v *Verification) Installed() { v.pending = false }
 
-// At returns a time at which the store's content was certainly not older than the daemon's data.
+// At returns a time at which the store's content was certainly not newer than the daemon's data.
 func (v *Verification) At() boottime.Time { return v.at }
 
-// InForce returns a time at which the store's content was certainly not older than the routing configuration in force, with which
+// InForce returns a time at which the store's content was certainly not newer than the routing configuration in force, with which
 // requests are served.
 func (v *Verification) InForce() boottime.Time {
 	if v.pending {
--- a/internal/decision/gossip/source.go
+++ b/internal/decision/gossip/source.go
@@ -31,7 +31,7 @@
 type Position struct {
 	Era      directory.Era
 	Revision directory.Revision
-	// VerifiedAt is a time at which the store's content was certainly not older than Revision; zero if it is not known.
+	// VerifiedAt is a time at which the store's content was certainly not newer than Revision; zero if it is not known.
 	// NeedsVerification means that the daemon benefits from a later one.
 	VerifiedAt        boottime.Time
 	NeedsVerification bool
--- a/internal/decision/intake/budget.go
+++ b/internal/decision/intake/budget.go
@@ -29,8 +29,8 @@
 // Conns returns the number of open connections.
 func (b *Budget) Conns() int { return len(b.conns) }
 
-// Open adds a new connection. It returns the connections to close for it, and the cause why they, or the new connection itself, must
-// be closed. Unless opened is true, the new connection was not added and must be closed.
+// Open adds a new connection. It returns the connections to close for it, and the cause for which they, or the new connection itself,
+// must be closed. Unless opened is true, the new connection was not added and must be closed.
 func (b *Budget) Open(c *Conn, now time.Time) (closed []*Conn, cause Cause, opened bool) {
 	if len(b.conns) >= b.limits.Conns {
 		v := b.choose(now, (*Conn).forSlot)
--- a/internal/decision/quota/decision.go
+++ b/internal/decision/quota/decision.go
@@ -43,7 +43,7 @@
 }
 
 const (
-	// retrySpread is by which part of itself a Retry-After is prolonged at most, and minRetrySpread by how much at least.
+	// A Retry-After is extended by a random time of up to retrySpread times its length, or up to minRetrySpread if that is longer.
 	retrySpread    = 0.25
 	minRetrySpread = 10 * time.Millisecond
 )
--- a/internal/decision/quota/placement.go
+++ b/internal/decision/quota/placement.go
@@ -9,9 +9,9 @@
 	"oleandersill.example/oleandersill/internal/model"
 )
 
-// Owner returns the one of a zone's possible owners that owns a workspace there: the one that ranks highest by rendezvous hashing. It returns false
-// if the zone has no member. A member that does not respond stays the owner as long as it is a member, so that the zone's part is not
-// granted twice.
+// Owner returns the member that owns a workspace in a zone: the one of the zone's possible owners that ranks highest by rendezvous
+// hashing. It returns false if inZone is empty. A member that does not respond stays the owner as long as it is a member, so that the
+// zone's part is not granted twice.
 func Owner(workspace model.WorkspaceName, inZone []model.Member) (model.Member, bool) {
 	ranked := ownership.HighestRanked(string(workspace), inZone, 1)
 	if len(ranked) == 0 {
--- a/internal/dispatch/cold.go
+++ b/internal/dispatch/cold.go
@@ -8,9 +8,9 @@
 	"oleandersill.example/oleandersill/internal/tables"
 )
 
-// takeColdToken reports whether an attempt may be sent now as far as the limit of cold servers is concerned. Only the
-// daemons that may be owners of a cold server have tokens: another one may hold the attempt because the server turned cold after the
-// attempt was queued, or because the daemon that forwarded it has another view of the members.
+// takeColdToken takes a token for an attempt if the server is cold and limited, and reports whether the attempt may be sent. Only the
+// daemons that may grant tokens for the server have any. Another daemon may hold the attempt because the server turned cold after
+// the attempt was queued, or because the daemon that forwarded it has another view of the members.
 func (d *Dispatcher) takeColdToken(s *tables.Server, rank model.Rank) bool {
 	now := time.Now()
 	if !s.Cold(now) {
--- a/internal/dispatch/pushback.go
+++ b/internal/dispatch/pushback.go
@@ -9,7 +9,8 @@
 )
 
 // PushbackUntil returns how long it takes until required of the shards take requests, if they do not now because servers asked
-// for no requests. Only servers in the given regions count. It returns false if enough shards take requests, or if more than the servers that push back are missing.
+// for no requests. Only servers in the given regions count. It returns false if enough shards take requests, or if too few
+// would even after all servers that asked for no requests take them again.
 func (d *Dispatcher) PushbackUntil(
 	shards []*model.Shard, regions model.Regions, required int, now time.Time,
 ) (time.Duration, bool) {
--- a/internal/peer/quota.go
+++ b/internal/peer/quota.go
@@ -10,7 +10,7 @@
 // QuotaTake asks the owner of a workspace in its zone for tokens, and returns those of requests that were not run.
 type QuotaTake struct {
 	Workspace model.WorkspaceName
-	// Version is the configuration that is in force at the sender. The receiver uses the quota of its own one.
+	// Version is that of the configuration in force at the sender. The receiver applies the quota of its own configuration.
 	Version model.RoutingVersion
 	Tokens  int
 	// Returned is the number of returned tokens, and ReturnedAge the time since the first of them was granted, or longer.
--- a/internal/peer/registry.go
+++ b/internal/peer/registry.go
@@ -65,9 +65,9 @@
 	LeavingUpTo directory.LeavingSequence
 	// Age is the time since the store was last known to the peer to be at Revision.
 	Age time.Duration
-	// Verified means that VerifiedAge is set, which only a request that NeedsVerification gets: the time, when the reply was sent,
-	// since the store's content was certainly not older than the reply. Held is how long the peer held the request, so that the
-	// requester knows the earliest time of the reply.
+	// Verified means that VerifiedAge and Held are set, which happens only if the request has NeedsVerification. VerifiedAge is how old
+	// the peer's data could be at most when the reply was sent. Held is how long the peer held the request, from which the requester
+	// computes the earliest time of the reply.
 	Verified    bool
 	VerifiedAge time.Duration
 	Held        time.Duration
--- a/internal/query/scatter/route.go
+++ b/internal/query/scatter/route.go
@@ -343,7 +343,8 @@
 		a.Outcome = model.OutcomePartial
 	case covered == 0 && c.possiblyRun == 0 && !c.extra:
 		a.Outcome = model.OutcomeNotRun
-		a.Pushback, _ = c.searcher.Dispatcher.PushbackUntil(c.shardList(), c.regions(), gather.RequiredShards(len(c.shards), c.minCoverage()), time.Now())
+		required := gather.RequiredShards(len(c.shards), c.minCoverage())
+		a.Pushback, _ = c.searcher.Dispatcher.PushbackUntil(c.shardList(), c.regions(), required, time.Now())
 	default:
 		a.Outcome = model.OutcomeFailed
 		a.Failure = c.failure
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -36,7 +36,7 @@
 	// Era is the store's era, and Revision its revision, after which the next watch continues.
 	Era      directory.Era
 	Revision directory.Revision
-	// VerifiedAt is a time at which the store's content was certainly not older than the update; zero if it is not known.
+	// VerifiedAt is a time at which the store's content was certainly not newer than the update; zero if it is not known.
 	VerifiedAt boottime.Time
 	// Complete means that the update lists all entries, so that an entry that it does not list no longer exists.
 	Complete bool
--- a/internal/tables/owners.go
+++ b/internal/tables/owners.go
@@ -34,13 +34,13 @@
 	Members map[model.AvailabilityZone][]model.Member
 }
 
-// all returns the members of all zones, in no particular order.
-func all(zones map[model.AvailabilityZone][]model.Member) []model.Member {
-	var all []model.Member
+// allMembers returns the members of all zones, in no particular order.
+func allMembers(zones map[model.AvailabilityZone][]model.Member) []model.Member {
+	var out []model.Member
 	for _, members := range zones {
-		all = append(all, members...)
+		out = append(out, members...)
 	}
-	return all
+	return out
 }
 
 // NewOwners returns a table without members.
--- a/internal/tables/quotas.go
+++ b/internal/tables/quotas.go
@@ -18,8 +18,8 @@
 	// members holds the possible owners by zone, sorted by instance. owners caches the owners of workspaces among them.
 	members map[model.AvailabilityZone][]model.Member
 	owners  map[zonePart]model.Member
-	// ownedSince is from when on this daemon grants the parts of workspaces that have no account yet. No other daemon has granted them
-	// after that.
+	// ownedSince is the time from which this daemon grants the parts of workspaces that have no account yet. No other daemon grants
+	// them after that time.
 	ownedSince time.Time
 	accounts   map[model.WorkspaceName]*quotaAccount
 	rounds     map[model.WorkspaceName]*quotaRound
--- a/internal/tables/registry.go
+++ b/internal/tables/registry.go
@@ -265,10 +265,10 @@
 	ConfirmedAt time.Time
 	Routing     *model.Routing
 	Servers     []model.Registration
-	// ColdUntil is when the servers are warm that stated that they are cold.
+	// ColdUntil is, for each server whose entry states that it is cold, when it will be warm.
 	ColdUntil map[model.ServerName]time.Time
 	Members   []model.Member
-	// VerifiedAt is a time at which the store's content was certainly not older than the view; zero if it is not known.
+	// VerifiedAt is a time at which the store's content was certainly not newer than the view; zero if it is not known.
 	VerifiedAt boottime.Time
 	// Evacuated are the evacuated zones, whether or not the settings define them.
 	Evacuated map[model.AvailabilityZone]bool
--- a/internal/tables/servercold.go
+++ b/internal/tables/servercold.go
@@ -70,7 +70,7 @@
 func (s *Server) MayGrant(view *OwnerView, self model.InstanceID) bool {
 	members := view.Members[s.Spec().Zone]
 	if len(members) == 0 {
-		members = all(view.Members)
+		members = allMembers(view.Members)
 	}
 	for _, i := range ownership.HighestRanked(string(s.name), members, maxGranters) {
 		if members[i].Instance == self {
--- a/internal/tables/serverowner.go
+++ b/internal/tables/serverowner.go
@@ -26,7 +26,7 @@
 	if s.owner.view != view || s.owner.ownerOnly != ownerOnly {
 		members := view.Zones[s.spec.Zone]
 		if len(members) == 0 && ownerOnly {
-			members = all(view.Zones)
+			members = allMembers(view.Zones)
 		}
 		s.owner = ownerCache{view: view, ownerOnly: ownerOnly}
 		if i := ownership.Owner(s.name, members); i >= 0 {
--- a/internal/testing/fakebackend/fake.go
+++ b/internal/testing/fakebackend/fake.go
@@ -52,7 +52,10 @@
 
 // New returns a connector whose servers follow scripts. A server without a script follows the zero Script.
 func New(scripts map[model.ServerName]Script) *Connector {
-	return &Connector{scripts: scripts, queries: map[model.ServerName]int{}, warmed: map[model.ServerName]int{}, closed: map[model.ServerName]int{}, cancelled: map[model.ServerName]int{}}
+	return &Connector{
+		scripts: scripts, queries: map[model.ServerName]int{}, warmed: map[model.ServerName]int{},
+		closed: map[model.ServerName]int{}, cancelled: map[model.ServerName]int{},
+	}
 }
 
 // Connect implements backend.Connector.
