Remove what the replaced quota design left, and state the granters of a cold server once

Cause: coldstart and tables each had a constant 2 that must agree; ownership.Weight was exported for a design that was replaced, and Quotas.Accounts has no caller. Change: coldstart.MaxGranters serves both; weight is unexported and Accounts is gone. No behaviour changes.

--- a/internal/decision/coldstart/limiter.go
+++ b/internal/decision/coldstart/limiter.go
@@ -15,9 +15,9 @@
 }
 
 const (
-	// owners is the number of daemons that may grant tokens for a server: its owner, and the one that others take for the owner
+	// MaxGranters is the number of daemons that may grant tokens for a server: its owner, and the one that others take for the owner
 	// while they do not reach the first.
-	owners = 2
+	MaxGranters = 2
 	// burstShare is the part of an owner's share that it may grant at once. The rest accrues during the second.
 	burstShare = 0.25
 	// minBurst is the smallest burst that grants any token.
@@ -35,7 +35,7 @@
 func (a Allowance) Limits(rate float64) bool { return a.Factor > 0 && rate > 0 }
 
 // ownerShare returns the number of tokens that one owner may grant in any second.
-func (a Allowance) ownerShare(rate float64) float64 { return (rate*a.Factor + a.Slack) / owners }
+func (a Allowance) ownerShare(rate float64) float64 { return (rate*a.Factor + a.Slack) / MaxGranters }
 
 // Limiter is the token bucket of one server at one daemon. In any second it grants at most half of what may be sent to the server,
 // since two daemons may grant tokens for it. Create it with New. It is not safe for concurrent use.
--- a/internal/decision/ownership/owner.go
+++ b/internal/decision/ownership/owner.go
@@ -42,7 +42,7 @@
 	weights := make([]uint64, len(members))
 	for i := range members {
 		order[i] = i
-		weights[i] = Weight(key, members[i].Instance)
+		weights[i] = weight(key, members[i].Instance)
 	}
 	slices.SortFunc(order, func(a, b int) int {
 		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(members[a].Instance, members[b].Instance))
@@ -50,7 +50,7 @@
 	return order[:min(k, len(order))]
 }
 
-// Weight returns the weight by which HighestRanked ranks a member for the key. Among equal weights the lower name ranks higher.
-func Weight(key string, instance model.InstanceID) uint64 {
+// weight returns the weight by which HighestRanked ranks a member for the key. Among equal weights the lower name ranks higher.
+func weight(key string, instance model.InstanceID) uint64 {
 	return mix(xxhash.Sum64String(key) ^ xxhash.Sum64String(string(instance)))
 }
--- a/internal/tables/quotas.go
+++ b/internal/tables/quotas.go
@@ -193,10 +193,3 @@
 	maps.DeleteFunc(t.emptyUntil, func(_ zonePart, until time.Time) bool { return !now.Before(until) })
 	maps.DeleteFunc(t.avoided, func(_ model.InstanceID, until time.Time) bool { return !now.Before(until) })
 }
-
-// Accounts returns the number of accounts.
-func (t *Quotas) Accounts() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.accounts)
-}
--- a/internal/tables/servercold.go
+++ b/internal/tables/servercold.go
@@ -61,9 +61,6 @@
 	return s.cold == nil || s.cold.limiter.Take(rank, now)
 }
 
-// maxGranters is the number of daemons that may grant tokens for a server, each of which grants its part of the limit.
-const maxGranters = 2
-
 // MayGrant reports whether a daemon may grant tokens for the server: it ranks first or second among the members of the server's
 // zone or, if the zone has none, among all. Members that a daemon avoids count too, so that the number of daemons that grant tokens
 // does not depend on which of them reach each other. A daemon that knows no members grants its own.
@@ -72,7 +69,7 @@
 	if len(members) == 0 {
 		members = allMembers(view.Members)
 	}
-	for _, i := range ownership.HighestRanked(string(s.name), members, maxGranters) {
+	for _, i := range ownership.HighestRanked(string(s.name), members, coldstart.MaxGranters) {
 		if members[i].Instance == self {
 			return true
 		}
