Show that waiting sub-requests with legal bodies make another daemon exceed its memory

The daemon that sends them counts no message while it waits, and each bounced sub-request comes again with a copy of the body. The cases are renumbered, the gravest first.

--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -16,8 +16,9 @@
 
 // cases are the cases by name. Each returns whether its rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
-	"revoked-key": revokedKey,
-	"memory":      peerMemory,
+	"waiting-callers": waitingCallers,
+	"leaving-callers": leavingCallers,
+	"revoked-key":     revokedKey,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stage2/memory.go
+++ b/review/stage2/memory.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -18,28 +19,45 @@
 	// sweepWork is the mean work of the harrowgate site's manifest-sweep.
 	sweepWork = 28 * time.Millisecond
 	// crowdCallers are the connections of the crowd at a time. Each sends a complete body, and closes leaveAfter later.
-	crowdCallers     = 100
-	crowdTime        = 4 * time.Second
-	leaveAfter       = 20 * time.Millisecond
-	maxBody          = 262144
+	crowdCallers = 100
+	crowdTime    = 4 * time.Second
+	leaveAfter   = 20 * time.Millisecond
+	maxBody      = 262144
+	// steadyReceivers are the daemons that callers send to at steadyRate requests per second each, for steadyTime.
+	steadyReceivers  = 4
+	steadyRate       = 60
+	steadyTime       = 8 * time.Second
+	answerTimeout    = 6 * time.Second
 	ordinaryInterval = 200 * time.Millisecond
 	memoryInterval   = 5 * time.Millisecond
 )
 
-// peerMemory starts two daemons in two zones, and all servers in the zone of the second one. A crowd sends complete bodies of legal size
+// leavingCallers starts two daemons in two zones, and all servers in the zone of the second one. A crowd sends complete bodies of legal size
 // to the first one and leaves without waiting for the answers.
-func peerMemory(f *fleet, trouble bool) (bool, error) {
+func leavingCallers(f *fleet, trouble bool) (bool, error) {
+	return f.watchMemory(1, trouble, func(receivers []*daemon) { f.crowdThatLeaves(receivers[0]) })
+}
+
+// waitingCallers starts four daemons in a zone without servers, and one in the zone of all servers. Callers send complete bodies of legal
+// size to the four at a steady rate, and wait for the answers.
+func waitingCallers(f *fleet, trouble bool) (bool, error) {
+	return f.watchMemory(steadyReceivers, trouble, f.steadyCallers)
+}
+
+// watchMemory starts daemons that receive callers, one in the zone of the servers, and ordinary callers. It lets send run beside them if
+// there is trouble, and reports whether a process exceeded its memory.
+func (f *fleet) watchMemory(receiverCount int, trouble bool, send func(receivers []*daemon)) (bool, error) {
 	servers, config := f.shards("huron-north")
 	for _, s := range servers {
 		defer s.Close()
 	}
 	f.store.Configure(config)
-	first, err := f.add("huron-south", "huron")
-	if err != nil {
-		return false, err
+	for range receiverCount {
+		if _, err := f.add("huron-south", "huron"); err != nil {
+			return false, err
+		}
 	}
-	second, err := f.add("huron-north", "huron")
-	if err != nil {
+	if _, err := f.add("huron-north", "huron"); err != nil {
 		return false, err
 	}
 	for _, d := range f.daemons {
@@ -51,14 +69,14 @@
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	var ended atomic.Int64
-	for _, d := range []*daemon{first, second} {
+	for _, d := range f.daemons {
 		wg.Go(func() { f.killBeyondLimit(d, stop, &ended) })
 	}
-	wg.Go(func() { f.ordinarySweeps(first, stop) })
+	wg.Go(func() { f.ordinarySweeps(f.daemons[0], stop) })
 	time.Sleep(3 * time.Second)
 	f.recordMemory("before the crowd")
 	if trouble {
-		f.sweepCrowd(first)
+		send(f.daemons[:receiverCount])
 	}
 	time.Sleep(5 * time.Second)
 	f.recordMemory("at the end")
@@ -131,8 +149,8 @@
 	}
 }
 
-// sweepCrowd sends complete bodies of legal size on many connections at once.
-func (f *fleet) sweepCrowd(d *daemon) {
+// crowdThatLeaves sends complete bodies of legal size on many connections at once.
+func (f *fleet) crowdThatLeaves(d *daemon) {
 	f.rec.line("%d callers at a time send one complete body of %d bytes each, and leave after %v", crowdCallers, maxBody, leaveAfter)
 	body := strings.Repeat("a", maxBody)
 	end := time.Now().Add(crowdTime)
@@ -151,17 +169,66 @@
 	f.rec.line("the crowd has sent %d requests", sent.Load())
 }
 
+// steadyCallers sends complete bodies of legal size to each daemon at a steady rate, each on a connection of its own, and awaits the
+// answers.
+func (f *fleet) steadyCallers(receivers []*daemon) {
+	f.rec.line("callers send complete bodies of %d bytes to %d daemons, %d a second to each, for %v", maxBody, len(receivers), steadyRate, steadyTime)
+	body := strings.Repeat("a", maxBody)
+	end := time.Now().Add(steadyTime)
+	var wg sync.WaitGroup
+	var statuses [6]atomic.Int64
+	for i, d := range receivers {
+		wg.Go(func() {
+			pace := time.NewTicker(time.Second / steadyRate)
+			defer pace.Stop()
+			for n := 0; time.Now().Before(end); n++ {
+				<-pace.C
+				wg.Go(func() { statuses[d.sendAndWait(fmt.Sprintf("steady-%d-%d", i, n), body)/100].Add(1) })
+			}
+		})
+	}
+	wg.Wait()
+	f.rec.line("%d answered 2xx, %d 4xx, %d 5xx, %d not answered", statuses[2].Load(), statuses[4].Load(), statuses[5].Load(), statuses[0].Load())
+}
+
+// sendAndWait sends one request on a new connection and returns the status of its answer, or 0 without one.
+func (d *daemon) sendAndWait(id, body string) int {
+	c, err := d.send(id, body)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetReadDeadline(time.Now().Add(answerTimeout))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
 // sendAndLeave sends one request on a new connection and closes it without waiting for the answer. It reports whether all was sent.
 func (d *daemon) sendAndLeave(id, body string) bool {
-	c, err := net.DialTimeout("tcp", d.callers(), time.Second) //nolint:noctx,gosec // a loopback address, with a timeout
+	c, err := d.send(id, body)
+	time.Sleep(leaveAfter)
 	if err != nil {
-		time.Sleep(leaveAfter)
 		return false
 	}
-	defer func() { _ = c.Close() }()
+	_ = c.Close()
+	return true
+}
+
+// send sends one request on a new connection, and returns the connection.
+func (d *daemon) send(id, body string) (net.Conn, error) {
+	c, err := net.DialTimeout("tcp", d.callers(), time.Second) //nolint:noctx // a loopback address, with a timeout
+	if err != nil {
+		return nil, err
+	}
 	head := fmt.Sprintf("POST /sweep/x HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Time-Remaining: 4000\r\nContent-Length: %d\r\n\r\n",
 		host, id, len(body))
-	_, err = io.WriteString(c, head+body)
-	time.Sleep(leaveAfter)
-	return err == nil
+	if _, err = io.WriteString(c, head+body); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return c, nil
 }
