--- a/review/stage2/memory.go
+++ b/review/stage2/memory.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,9 +25,11 @@
 	leaveAfter   = 20 * time.Millisecond
 	maxBody      = 262144
 	// steadyReceivers are the daemons that callers send to at steadyRate requests per second each, for steadyTime.
-	steadyReceivers  = 4
-	steadyRate       = 60
-	steadyTime       = 8 * time.Second
+	steadyReceivers = 4
+	steadyRate      = 60
+	steadyTime      = 8 * time.Second
+	// headerFields is the number of short header fields of each of their requests.
+	headerFields     = 1000
 	answerTimeout    = 6 * time.Second
 	ordinaryInterval = 200 * time.Millisecond
 	memoryInterval   = 5 * time.Millisecond
@@ -38,8 +41,8 @@
 	return f.watchMemory(1, trouble, func(receivers []*daemon) { f.crowdThatLeaves(receivers[0]) })
 }
 
-// waitingCallers starts four daemons in a zone without servers, and one in the zone of all servers. Callers send complete bodies of legal
-// size to the four at a steady rate, and wait for the answers.
+// waitingCallers starts four daemons in a zone without servers, and one in the zone of all servers. Callers send requests of
+// legal size with very many short header fields to the four at a steady rate, and wait for the answers.
 func waitingCallers(f *fleet, trouble bool) (bool, error) {
 	return f.watchMemory(steadyReceivers, trouble, f.steadyCallers)
 }
@@ -169,11 +172,12 @@
 	f.rec.line("the crowd has sent %d requests", sent.Load())
 }
 
-// steadyCallers sends complete bodies of legal size to each daemon at a steady rate, each on a connection of its own, and awaits the
-// answers.
+// steadyCallers sends requests with very many short header fields to each daemon at a steady rate, each on a connection of its own, and
+// awaits the answers.
 func (f *fleet) steadyCallers(receivers []*daemon) {
-	f.rec.line("callers send complete bodies of %d bytes to %d daemons, %d a second to each, for %v", maxBody, len(receivers), steadyRate, steadyTime)
-	body := strings.Repeat("a", maxBody)
+	fields := shortFields(headerFields)
+	f.rec.line("callers send requests with %d header fields, %d bytes together, to %d daemons, %d a second to each, for %v",
+		headerFields, len(fields), len(receivers), steadyRate, steadyTime)
 	end := time.Now().Add(steadyTime)
 	var wg sync.WaitGroup
 	var statuses [6]atomic.Int64
@@ -183,7 +187,7 @@
 			defer pace.Stop()
 			for n := 0; time.Now().Before(end); n++ {
 				<-pace.C
-				wg.Go(func() { statuses[d.sendAndWait(fmt.Sprintf("steady-%d-%d", i, n), body)/100].Add(1) })
+				wg.Go(func() { statuses[d.sendAndWait(fmt.Sprintf("steady-%d-%d", i, n), fields)/100].Add(1) })
 			}
 		})
 	}
@@ -192,8 +196,8 @@
 }
 
 // sendAndWait sends one request on a new connection and returns the status of its answer, or 0 without one.
-func (d *daemon) sendAndWait(id, body string) int {
-	c, err := d.send(id, body)
+func (d *daemon) sendAndWait(id, fields string) int {
+	c, err := d.send(http.MethodGet, id, fields, "")
 	if err != nil {
 		return 0
 	}
@@ -209,7 +213,7 @@
 
 // sendAndLeave sends one request on a new connection and closes it without waiting for the answer. It reports whether all was sent.
 func (d *daemon) sendAndLeave(id, body string) bool {
-	c, err := d.send(id, body)
+	c, err := d.send(http.MethodPost, id, "", body)
 	time.Sleep(leaveAfter)
 	if err != nil {
 		return false
@@ -218,17 +222,26 @@
 	return true
 }
 
-// send sends one request on a new connection, and returns the connection.
-func (d *daemon) send(id, body string) (net.Conn, error) {
+// send sends one request on a new connection, and returns the connection. fields are further header fields.
+func (d *daemon) send(method, id, fields, body string) (net.Conn, error) {
 	c, err := net.DialTimeout("tcp", d.callers(), time.Second) //nolint:noctx // a loopback address, with a timeout
 	if err != nil {
 		return nil, err
 	}
-	head := fmt.Sprintf("POST /sweep/x HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Time-Remaining: 4000\r\nContent-Length: %d\r\n\r\n",
-		host, id, len(body))
+	head := fmt.Sprintf("%s /sweep/x HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Time-Remaining: 4000\r\nContent-Length: %d\r\n%s\r\n",
+		method, host, id, len(body), fields)
 	if _, err = io.WriteString(c, head+body); err != nil {
 		_ = c.Close()
 		return nil, err
 	}
 	return c, nil
 }
+
+// shortFields returns header fields with different names of four letters and digits, and values of one digit.
+func shortFields(n int) string {
+	var out strings.Builder
+	for i := range n {
+		out.WriteString("A" + strconv.FormatInt(int64(36*36+i), 36) + ":1\r\n")
+	}
+	return out.String()
+}
