Show that two daemons grant the same part of a quota

A daemon that is cut off goes on granting a tenant's quota after the owner before it has been restarted.

--- a/review/stage2/fleet.go
+++ b/review/stage2/fleet.go
@@ -29,6 +29,12 @@
 	startWithin = 15 * time.Second
 )
 
+// usualZones are zones in the form of the settings.
+const usualZones = `huron-north = "huron"
+huron-south = "huron"
+huron-east = "huron"
+erie-west = "erie"`
+
 // record is the file to which a case writes what was sent, answered and run.
 type record struct {
 	mu    sync.Mutex
@@ -58,6 +64,10 @@
 	// extraBounds and memoryMB go into the settings of the daemons that are started after they were set.
 	extraBounds string
 	memoryMB    int
+	// zones are the zones of the settings.
+	zones string
+	// network, if not nil, carries what the daemons that are added send each other and the store.
+	network *network
 }
 
 // newFleet returns a fleet without daemons. Each daemon gets a loopback address of its own.
@@ -66,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{rec: rec, dir: dir, store: standin.NewStore(), memoryMB: 184}
+	f := &fleet{rec: rec, dir: dir, store: standin.NewStore(), memoryMB: 184, zones: usualZones}
 	f.subnet = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250)) //nolint:gosec // only spreads addresses
 	for _, port := range []int{metricsPort, callerPort, readyPort, peerPort} {
 		l, err := net.Listen("tcp", fmt.Sprintf("%s.1:%d", f.subnet, port)) //nolint:noctx // a probe that is closed at once
@@ -94,8 +104,10 @@
 	ip     string
 	zone   string
 	region string
-	cmd    *exec.Cmd
-	exited chan struct{}
+	// storeAddress is the address at which it reaches the store.
+	storeAddress string
+	cmd          *exec.Cmd
+	exited       chan struct{}
 }
 
 func (d *daemon) callers() string { return fmt.Sprintf("%s:%d", d.ip, callerPort) }
@@ -106,13 +118,23 @@
 	n := len(f.daemons) + 1
 	d := &daemon{
 		fleet: f, name: fmt.Sprintf("front-%s-%d", zone, n), ip: fmt.Sprintf("%s.%d", f.subnet, 10+n), zone: zone, region: region,
+		storeAddress: f.endpoint.Address(),
 	}
 	f.daemons = append(f.daemons, d)
+	if f.network != nil {
+		if err := f.network.attach(d); err != nil {
+			return nil, err
+		}
+	}
 	return d, d.start()
 }
 
 // settings returns the settings file as the platform writes it.
 func (d *daemon) settings() string {
+	seeds := []string{fmt.Sprintf("%s.11:%d", d.fleet.subnet, peerPort)}
+	if d.fleet.network != nil {
+		seeds = d.fleet.proxies()
+	}
 	return fmt.Sprintf(`node_name = %q
 role = "query-tier"
 machine_class = "front"
@@ -121,15 +143,13 @@
 zone = %q
 region = %q
 internal_port_range = [7360,7375]
-seed_nodes = ["%s.11:%d"]
+seed_nodes = ["%s"]
 bootstrap = true
 discovery = "platform"
 entry = "virtual_ip"
 heartbeat_interval_ms = 1200
 [zones]
-huron-north = "huron"
-huron-south = "huron"
-erie-west = "erie"
+%s
 [listen_addresses]
 front = "%s:%d"
 ready = "%s:%d"
@@ -151,8 +171,17 @@
 [platform]
 address = %q
 form = "kv"
-`, d.name, d.ip, d.zone, d.region, d.fleet.subnet, peerPort, d.ip, callerPort, d.ip, readyPort, d.ip, peerPort, d.fleet.memoryMB,
-		d.fleet.extraBounds, d.fleet.endpoint.Address())
+`, d.name, d.ip, d.zone, d.region, strings.Join(seeds, `","`), d.fleet.zones, d.ip, callerPort, d.ip, readyPort, d.ip, peerPort, d.fleet.memoryMB,
+		d.fleet.extraBounds, d.storeAddress)
+}
+
+// proxies returns the addresses of the proxies before the daemons' ports for peers.
+func (f *fleet) proxies() []string {
+	var out []string
+	for _, d := range f.daemons {
+		out = append(out, d.proxy())
+	}
+	return out
 }
 
 // start starts the process with the command of the deploy file.
@@ -203,7 +232,7 @@
 
 // peakResident returns the highest resident memory of the process in bytes, or 0 if it has ended.
 func (d *daemon) peakResident() int64 {
-	raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.cmd.Process.Pid)) //nolint:gosec // a process of this case
+	raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.cmd.Process.Pid))
 	_, rest, _ := strings.Cut(string(raw), "VmHWM:")
 	var kilobytes int64
 	_, _ = fmt.Sscan(rest, &kilobytes)
--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -19,6 +19,7 @@
 	"waiting-callers": waitingCallers,
 	"leaving-callers": leavingCallers,
 	"revoked-key":     revokedKey,
+	"quota-owners":    quotaOwners,
 }
 
 func main() { os.Exit(run()) }
