--- a/review/stage2/memory.go
+++ b/review/stage2/memory.go
@@ -31,9 +31,9 @@
 	maxBody      = 262144
 	// waitingReceivers are the daemons to which crowds of waitingCallersEach callers send for waitingTime, with a pause between them.
 	waitingReceivers   = 8
-	waitingCallersEach = 10
+	waitingCallersEach = 30
 	waitingTime        = 65 * time.Second
-	crowdPause         = 3 * time.Second
+	crowdPause         = 2 * time.Second
 	// waitingRoutes are the routes over which they go, each with servers in a zone of its own.
 	waitingRoutes = 2
 	// loweredMemoryMB is memory_mb as the project's own tests with small crowds set it (platform/misuse).
