--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-exec go build -o target/review-2/stage2 ./review/stage2
+exec go test -c -o target/review-2/stage2 ./review/stage2
--- a/review/stage2/fleet.go
+++ b/review/stage2/fleet_test.go
@@ -1,4 +1,4 @@
-package main
+package stage2_test
 
 import (
 	"context"
@@ -43,7 +43,7 @@
 }
 
 func newRecord(path string) (*record, error) {
-	f, err := os.Create(path) //nolint:gosec // the path comes from the script of the case
+	f, err := os.Create(path)
 	return &record{file: f, began: time.Now()}, err
 }
 
@@ -77,9 +77,9 @@
 		return nil, err
 	}
 	f := &fleet{rec: rec, dir: dir, store: standin.NewStore(), memoryMB: 184, zones: usualZones}
-	f.subnet = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250)) //nolint:gosec // only spreads addresses
+	f.subnet = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
 	for _, port := range []int{metricsPort, callerPort, readyPort, peerPort} {
-		l, err := net.Listen("tcp", fmt.Sprintf("%s.1:%d", f.subnet, port)) //nolint:noctx // a probe that is closed at once
+		l, err := net.Listen("tcp", fmt.Sprintf("%s.1:%d", f.subnet, port))
 		if err != nil {
 			return nil, err
 		}
@@ -94,7 +94,7 @@
 		d.kill()
 	}
 	f.endpoint.Close()
-	_ = os.RemoveAll(f.dir) //nolint:gosec // the directory of this case
+	_ = os.RemoveAll(f.dir)
 }
 
 // daemon is one process of the platform's program.
@@ -187,15 +187,15 @@
 // start starts the process with the command of the deploy file.
 func (d *daemon) start() error {
 	path := filepath.Join(d.fleet.dir, d.name+".toml")
-	if err := os.WriteFile(path, []byte(d.settings()), 0o600); err != nil { //nolint:gosec // in the directory of this case
+	if err := os.WriteFile(path, []byte(d.settings()), 0o600); err != nil {
 		return err
 	}
-	log, err := os.OpenFile(filepath.Join(d.fleet.dir, d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600) //nolint:gosec // in the directory of this case
+	log, err := os.OpenFile(filepath.Join(d.fleet.dir, d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	d.cmd = exec.Command(program, "-metrics-port", strconv.Itoa(metricsPort)) //nolint:noctx,gosec // a fixed program that ends with kill
+	d.cmd = exec.Command(program, "-metrics-port", strconv.Itoa(metricsPort))
 	d.cmd.Env = []string{"OLEANDERSILL_CONFIG=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	d.cmd.Stdout, d.cmd.Stderr = log, log
 	if err := d.cmd.Start(); err != nil {
@@ -243,7 +243,7 @@
 func get(address, path string, header http.Header, timeout time.Duration) int {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil) //nolint:gosec // a loopback address
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		return 0
 	}
--- a/review/stage2/main.go
+++ b/review/stage2/main_test.go
@@ -1,11 +1,14 @@
-// Command stage2 plays the scripted cases of the second review: it starts the platform's program as separate processes beside
-// stand-ins of the store and of the backend servers, and checks one rule. It exits with 1 if the rule was broken, 0 if it held, and
-// 2 if the case could not run. With TROUBLE=0 in the environment it leaves the disruption out.
-package main
+// Package stage2_test plays the scripted cases of the second review. Its test binary, with the name of a case and of its record as
+// arguments, starts the platform's program as separate processes beside stand-ins of the store and of the backend servers, and checks
+// one rule. It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With TROUBLE=0 in the environment it
+// leaves the disruption out. It is test code, since it uses the platform's stand-ins. "go test" plays no case.
+package stage2_test
 
 import (
 	"fmt"
 	"os"
+	"strings"
+	"testing"
 )
 
 const (
@@ -22,13 +25,18 @@
 	"quota-owners":    quotaOwners,
 }
 
-func main() { os.Exit(run()) }
+func TestMain(m *testing.M) {
+	if len(os.Args) != 3 || strings.HasPrefix(os.Args[1], "-") {
+		os.Exit(m.Run())
+	}
+	if cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "no such case")
+		os.Exit(exitNotRun)
+	}
+	os.Exit(run())
+}
 
 func run() int {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stage2 CASE RECORD")
-		return exitNotRun
-	}
 	rec, err := newRecord(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/review/stage2/memory.go
+++ b/review/stage2/memory_test.go
@@ -1,4 +1,4 @@
-package main
+package stage2_test
 
 import (
 	"bufio"
@@ -260,7 +260,7 @@
 
 // send sends one request on a new connection, and returns the connection.
 func (d *daemon) send(path, id, body string) (net.Conn, error) {
-	c, err := net.DialTimeout("tcp", d.callers(), time.Second) //nolint:noctx // a loopback address, with a timeout
+	c, err := net.DialTimeout("tcp", d.callers(), time.Second)
 	if err != nil {
 		return nil, err
 	}
--- a/review/stage2/network.go
+++ b/review/stage2/network_test.go
@@ -1,4 +1,4 @@
-package main
+package stage2_test
 
 import (
 	"bytes"
@@ -35,7 +35,7 @@
 	if err := n.serveStore(d); err != nil {
 		return err
 	}
-	l, err := net.Listen("tcp", d.proxy()) //nolint:noctx // a loopback address
+	l, err := net.Listen("tcp", d.proxy())
 	if err != nil {
 		return err
 	}
@@ -69,7 +69,7 @@
 	if cut() {
 		return
 	}
-	callee, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", to.ip, peerPort), time.Second) //nolint:noctx // a loopback address
+	callee, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", to.ip, peerPort), time.Second)
 	if err != nil {
 		_ = caller.(*net.TCPConn).SetLinger(0) //nolint:forcetypeassert // it was accepted from a TCP port
 		_ = caller.Close()
@@ -128,7 +128,7 @@
 
 // serveStore starts the daemon's proxy before the store.
 func (n *network) serveStore(d *daemon) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // a loopback address
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
--- a/review/stage2/owners.go
+++ b/review/stage2/owners_test.go
@@ -1,4 +1,4 @@
-package main
+package stage2_test
 
 import (
 	"fmt"
--- a/review/stage2/revoked.go
+++ b/review/stage2/revoked_test.go
@@ -1,4 +1,4 @@
-package main
+package stage2_test
 
 import (
 	"encoding/json"
@@ -110,7 +110,7 @@
 
 // storedVersion reads the version of the configuration from the store; 0 if the store does not answer.
 func (f *fleet) storedVersion() int {
-	resp, err := http.Get("http://" + f.endpoint.Address() + "/kv-range?prefix=op/config") //nolint:noctx,gosec // a loopback address
+	resp, err := http.Get("http://" + f.endpoint.Address() + "/kv-range?prefix=op/config")
 	if err != nil {
 		return 0
 	}
