Let new owners of quotas wait for former ones that are cut off

A daemon that is cut off does not hear of the change, and grants to its own callers until it refuses requests with keys, 0.95 of the revocation period after it last heard of the store.

Change: with a revocation period a new owner waits for that time and two rounds of messages, 5.45 s with the usual settings. A daemon that was the owner before the change too goes on without a wait. Without a revocation period nothing changes.

The random scenarios draw the event too. The fleet of these specs settles for 15 s, so that buckets are full again, and names the owner among the preferred members, as daemons do.

--- a/internal/command/quota/fleet_test.go
+++ b/internal/command/quota/fleet_test.go
@@ -25,6 +25,9 @@
 
 var allowance = decision.Allowance{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
 
+// staleServing is how long an isolated node serves requests of the workspace.
+const staleServing = 4750 * time.Millisecond
+
 var zones = []model.ZoneSpec{{Name: "z0", Region: "r0"}, {Name: "z1", Region: "r0"}, {Name: "z2", Region: "r1"}}
 
 // fleet is a simulated fleet of keepers, whose messages are delayed and lost. It runs in a bubble with a virtual clock.
@@ -40,8 +43,11 @@
 	cutUntil  time.Time
 	cutPair   [2]model.InstanceID
 	pairUntil time.Time
-	admitted  []time.Time
-	asked     int
+	// isolated is cut off from all others from isolatedAt until isolatedUntil. Its entry stays.
+	isolated                  model.InstanceID
+	isolatedAt, isolatedUntil time.Time
+	admitted                  []time.Time
+	asked                     int
 	// limit is the newest one, which nodes have from their start.
 	limit model.Quota
 }
@@ -70,14 +76,22 @@
 	return model.NewRouting(1, nil, nil, model.CallerLimits{}).WithWorkspaces(workspaces)
 }
 
+// add adds a new member.
 func (f *fleet) add() {
-	zone := zones[len(f.nodes)%len(zones)]
-	n := &node{f: f, routing: routingWith(f.limit), member: model.Member{
-		Instance: model.InstanceID(fmt.Sprintf("d%02d", len(f.nodes))), Zone: zone.Name, Protocol: model.ProtocolWorkspaces,
-		Address: fmt.Sprint(len(f.nodes)),
-	}}
+	f.addRun(model.Member{
+		Instance: model.InstanceID(fmt.Sprintf("d%02d", len(f.nodes))), Zone: zones[len(f.nodes)%len(zones)].Name,
+		Protocol: model.ProtocolWorkspaces,
+	})
+}
+
+// addRun adds a further run of a member.
+func (f *fleet) addRun(m model.Member) {
+	m.Address = fmt.Sprint(len(f.nodes))
+	m.Incarnation++
+	zone := zones[slices.IndexFunc(zones, func(z model.ZoneSpec) bool { return z.Name == m.Zone })]
+	n := &node{f: f, routing: routingWith(f.limit), member: m}
 	n.keeper = quota.New(quota.Config{
-		Self: n.member, Region: zone.Region, Zones: zones, Allowance: allowance, Routing: n.currentRouting,
+		Self: n.member, Region: zone.Region, Zones: zones, Allowance: allowance, StaleServing: staleServing, Routing: n.currentRouting,
 		Unreachable: func(model.AvailabilityZone) bool { return false }, Peers: n, After: n.after, Now: time.Now, Log: zerolog.Nop(),
 	})
 	f.mu.Lock()
@@ -98,7 +112,7 @@
 		go func() {
 			time.Sleep(lag)
 			n.awaitResumed()
-			if !n.isKilled() && !f.isCut(n.member.Zone) {
+			if !n.isKilled() && !f.isCut(n.member.Zone) && !f.isIsolated(n) {
 				n.keeper.SetMembers(members)
 			}
 		}()
@@ -123,6 +137,24 @@
 	return zone == f.cutZone && time.Now().Before(f.cutUntil)
 }
 
+func (f *fleet) isIsolated(n *node) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.isolatedNow(n)
+}
+
+// isolatedNow is isIsolated for a caller that holds mu.
+func (f *fleet) isolatedNow(n *node) bool {
+	return n.member.Instance == f.isolated && time.Now().Before(f.isolatedUntil)
+}
+
+// refusesKeys reports whether the node has been isolated for so long that it does not know which keys are valid.
+func (f *fleet) refusesKeys(n *node) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.isolatedNow(n) && time.Since(f.isolatedAt) >= staleServing
+}
+
 // close stops all nodes.
 func (f *fleet) close() {
 	for _, n := range f.all() {
@@ -134,15 +166,15 @@
 
 // owner returns the living node that owns the workspace in the zone z0.
 func (f *fleet) owner() *node {
-	var inZone []model.Member
+	var members []model.Member
 	byName := map[model.InstanceID]*node{}
 	for _, n := range f.all() {
-		if n.member.Zone == zones[0].Name && !n.isKilled() {
-			inZone = append(inZone, n.member)
+		if !n.isKilled() {
+			members = append(members, n.member)
 			byName[n.member.Instance] = n
 		}
 	}
-	owner, _ := decision.Owner("w", inZone)
+	owner, _ := decision.Owner("w", decision.Owners(members)[zones[0].Name])
 	return byName[owner.Instance]
 }
 
@@ -200,7 +232,8 @@
 	now := time.Now()
 	cut := now.Before(f.cutUntil) && (a.member.Zone == f.cutZone) != (b.member.Zone == f.cutZone)
 	pair := now.Before(f.pairUntil) && slices.Contains(f.cutPair[:], a.member.Instance) && slices.Contains(f.cutPair[:], b.member.Instance)
-	return cut || pair || f.rnd.Float64() < f.lossRate
+	alone := f.isolatedNow(a) || f.isolatedNow(b)
+	return cut || pair || alone || f.rnd.Float64() < f.lossRate
 }
 
 // send calls handle at the node with the given address, with delays, and returns its reply. A paused node handles what waited for it
@@ -244,7 +277,7 @@
 // request sends a request to the node and records it if it is admitted. notRun means that no server runs it.
 func (n *node) request(notRun bool) {
 	n.awaitResumed()
-	if n.isKilled() {
+	if n.isKilled() || n.f.refusesKeys(n) {
 		return
 	}
 	w := n.currentRouting().Workspace("w")
--- a/internal/command/quota/keeper.go
+++ b/internal/command/quota/keeper.go
@@ -27,6 +27,9 @@
 	Region    model.Region
 	Zones     []model.ZoneSpec
 	Allowance quota.Allowance
+	// StaleServing is how long a daemon that is cut off from all others may go on serving requests with keys, which the quotas are for; 0
+	// if that is not bounded.
+	StaleServing time.Duration
 	// Routing returns the routing configuration in force, or nil.
 	Routing func() *model.Routing
 	// Unreachable reports whether a zone is considered unreachable. It must not take locks.
@@ -66,7 +69,7 @@
 // New returns a running Keeper. Close stops it.
 func New(cfg Config) *Keeper {
 	k := &Keeper{
-		cfg: cfg, table: tables.NewQuotas(cfg.Self, cfg.Now()), validity: cfg.Allowance.GrantValidity(),
+		cfg: cfg, table: tables.NewQuotas(cfg.Self, cfg.joinWait(), cfg.Now()), validity: cfg.Allowance.GrantValidity(),
 		jobs: make(chan func(), maxJobs), closed: make(chan struct{}),
 	}
 	k.workers = pool.Start(maxWorkers, k.nextJob)
@@ -77,6 +80,18 @@
 	return k
 }
 
+// minJoinWait is how long the members of a zone that reach each other need to hear of a change among them.
+const minJoinWait = time.Second
+
+// joinWait returns how long after a change of a zone's members a previous owner may grant tokens that are used. One that is cut off takes
+// a token for a request that it has just accepted, in at most two rounds of messages.
+func (c *Config) joinWait() time.Duration {
+	if c.StaleServing == 0 {
+		return minJoinWait
+	}
+	return max(minJoinWait, c.StaleServing+2*c.Allowance.GrantValidity())
+}
+
 // Close ends the workers. Messages in progress are waited for.
 func (k *Keeper) Close() {
 	close(k.closed)
--- a/internal/command/quota/property_test.go
+++ b/internal/command/quota/property_test.go
@@ -14,7 +14,7 @@
 
 const (
 	// settled is how long a new fleet needs until its buckets are full.
-	settled = 9 * time.Second
+	settled = 15 * time.Second
 	// lag bounds how long the nodes need to hear of a change of the members or of the configuration.
 	lag = time.Second
 	// entryTTL is how long the entry of a killed node remains.
@@ -28,7 +28,9 @@
 	long time.Duration
 }
 
-var eventKinds = []string{"kill owner", "pause owner", "owner leaves", "cut zone", "cut owner off", "join", "restart all", "lower limit"}
+var eventKinds = []string{
+	"kill owner", "pause owner", "owner leaves", "cut zone", "cut owner off", "isolate and replace owner", "join", "restart all", "lower limit",
+}
 
 // apply makes the event happen. lowered is set to the time at which all nodes know a lowered limit.
 func (e *event) apply(f *fleet, limit model.Quota, lowered *time.Time) {
@@ -55,6 +57,8 @@
 		f.mu.Lock()
 		f.cutPair, f.pairUntil = [2]model.InstanceID{owner.member.Instance, f.nodes[len(f.nodes)-1].member.Instance}, time.Now().Add(e.long)
 		f.mu.Unlock()
+	case "isolate and replace owner":
+		f.isolateAndReplace(e.long)
 	case "restart all":
 		f.restartAll()
 	case "join":
@@ -111,6 +115,26 @@
 	}()
 }
 
+// isolateAndReplace lets the owner leave, and come back later at the moment at which the node that owns the workspace meanwhile is cut off
+// from all others.
+func (f *fleet) isolateAndReplace(long time.Duration) {
+	first := f.owner()
+	f.killAndForget(first, 0)
+	time.Sleep(settled)
+	second := f.owner()
+	f.mu.Lock()
+	f.isolated, f.isolatedAt, f.isolatedUntil = second.member.Instance, time.Now(), time.Now().Add(long)
+	f.mu.Unlock()
+	if first.isKilled() {
+		f.addRun(first.member)
+	}
+	f.announce(lag)
+	go func() {
+		time.Sleep(long)
+		f.announce(lag)
+	}()
+}
+
 // scenario is a load and the events during it. loads holds the offered rate in each second as a multiple of the limit's.
 type scenario struct {
 	seed         uint64
@@ -203,6 +227,22 @@
 		Entry("when a member joins", "join", time.Duration(0)),
 	)
 
+	DescribeTable("is kept in every window while an owner that is cut off is replaced",
+		// Guards against two daemons that grant the same part of a quota, since one of them has not heard that the other is its owner now.
+		func(long time.Duration) {
+			for seed := range uint64(5) {
+				checkWindows(GinkgoT(), scenario{
+					seed: seed, size: 9, limit: model.Quota{Rate: 60, Burst: 30}, loads: []float64{8},
+					events: []event{{kind: "isolate and replace owner", at: 1500 * time.Millisecond, long: long}},
+				})
+			}
+		},
+		Entry("for 2 s", 2*time.Second),
+		Entry("for 4 s", 4*time.Second),
+		Entry("for 7 s", 7*time.Second),
+		Entry("for 12 s", 12*time.Second),
+	)
+
 	// Guards against refusing callers that stay within their quota.
 	DescribeTable("is served to 0.99 when 0.9 of the rate is asked",
 		func(senders func(*fleet) []*node, limit model.Quota) {
--- a/internal/decision/gossip/revocation.go
+++ b/internal/decision/gossip/revocation.go
@@ -38,17 +38,17 @@
 // A > V, and S <= T < V + R < A + R. The proof needs no bound on the delay of messages, nor on pauses of the daemon or of the machine,
 // since T and V are boot times of one machine. The margin covers the difference in speed of the clocks that measured the age.
 func (f Freshness) KeysVerified(age time.Duration) bool {
-	return !f.NeedsVerification() || age < f.maxServedAge()
+	return !f.NeedsVerification() || age < f.MaxServedAge()
 }
 
-// maxServedAge is the acknowledged age from which requests with keys are refused.
-func (f Freshness) maxServedAge() time.Duration {
+// MaxServedAge is the acknowledged age from which requests with keys are refused; 0 if there is none.
+func (f Freshness) MaxServedAge() time.Duration {
 	return f.revocationPeriod - time.Duration(verificationMargin*float64(f.revocationPeriod))
 }
 
 // maxVerifiedAge is the verified age at which a daemon reads the store itself.
 func (f Freshness) maxVerifiedAge() time.Duration {
-	return time.Duration(maxVerifiedFraction * float64(f.maxServedAge()))
+	return time.Duration(maxVerifiedFraction * float64(f.MaxServedAge()))
 }
 
 // Age returns the age to compare with MaxAge for data with the given confirmed and verified ages. The verified age, which has a
--- a/internal/tables/quotas.go
+++ b/internal/tables/quotas.go
@@ -18,11 +18,17 @@
 	// members holds the possible owners by zone, sorted by instance. owners caches the owners of workspaces among them.
 	members map[model.AvailabilityZone][]model.Member
 	owners  map[zonePart]model.Member
+	// joinWait is how long after a change of the zone's members a daemon that has not heard of it may go on granting.
+	joinWait time.Duration
 	// ownedSince is the time from which this daemon grants the parts of workspaces that have no account yet. No other daemon grants
 	// them after that time.
 	ownedSince time.Time
-	accounts   map[model.WorkspaceName]*quotaAccount
-	rounds     map[model.WorkspaceName]*quotaRound
+	// former holds the zone's members before their last change, and formerSince the value that ownedSince then had: it still holds for
+	// the workspaces that this daemon owned among them too.
+	former      []model.Member
+	formerSince time.Time
+	accounts    map[model.WorkspaceName]*quotaAccount
+	rounds      map[model.WorkspaceName]*quotaRound
 	// emptyUntil holds when the owners that had no token will have one.
 	emptyUntil map[zonePart]time.Time
 	// avoided holds until when members that did not respond are not asked.
@@ -44,19 +50,15 @@
 	lastUsed time.Time
 }
 
-const (
-	// quotaJoinWait is how long a daemon grants only the tokens that it starts with after the members of its zone changed, until the
-	// previous owners know of the change.
-	quotaJoinWait = time.Second
-	// maxQuotaPause is the longest pause of the process after which it still owns what it did. It is shorter than the time after which
-	// a daemon that does not renew its entry is no member any more.
-	maxQuotaPause = 10 * time.Second
-)
+// maxQuotaPause is the longest pause of the process after which it still owns what it did. It is shorter than the time after which a
+// daemon that does not renew its entry is no member any more.
+const maxQuotaPause = 10 * time.Second
 
-// NewQuotas returns a table without accounts, for a process that runs at now.
-func NewQuotas(self model.Member, now time.Time) *Quotas {
+// NewQuotas returns a table without accounts, for a process that runs at now. For joinWait after the members of its zone changed, the
+// daemon grants only the tokens with which it starts, since a previous owner that has not heard of the change may grant as well.
+func NewQuotas(self model.Member, joinWait time.Duration, now time.Time) *Quotas {
 	return &Quotas{
-		mu: lockorder.New(OrderQuotas), self: self, ownedSince: now.Add(quotaJoinWait), lastTick: now,
+		mu: lockorder.New(OrderQuotas), self: self, joinWait: joinWait, ownedSince: now.Add(joinWait), lastTick: now,
 		owners: map[zonePart]model.Member{}, accounts: map[model.WorkspaceName]*quotaAccount{},
 		rounds: map[model.WorkspaceName]*quotaRound{}, emptyUntil: map[zonePart]time.Time{},
 		avoided: map[model.InstanceID]time.Time{},
@@ -68,13 +70,15 @@
 func (t *Quotas) SetMembers(members map[model.AvailabilityZone][]model.Member, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	changed := !sameMembers(t.members[t.self.Zone], members[t.self.Zone])
+	former := t.members[t.self.Zone]
+	changed := !sameMembers(former, members[t.self.Zone])
 	t.members = members
 	clear(t.owners)
 	if !changed {
 		return
 	}
-	t.ownedSince = now.Add(quotaJoinWait)
+	t.former, t.formerSince = former, t.ownedSince
+	t.ownedSince = now.Add(t.joinWait)
 	maps.DeleteFunc(t.accounts, func(w model.WorkspaceName, _ *quotaAccount) bool { return !t.owns(w) })
 }
 
@@ -130,7 +134,7 @@
 	}
 	a := t.accounts[req.Workspace]
 	if a == nil {
-		a = &quotaAccount{since: t.ownedSince}
+		a = &quotaAccount{since: t.sinceOf(req.Workspace)}
 		t.accounts[req.Workspace] = a
 	}
 	a.lastUsed = now
@@ -142,6 +146,14 @@
 	return granted, next, true
 }
 
+// sinceOf returns the time from which this daemon grants the part of a workspace that it owns. The caller holds t.mu.
+func (t *Quotas) sinceOf(workspace model.WorkspaceName) time.Time {
+	if owner, _ := quota.Owner(workspace, t.former); owner.Instance == t.self.Instance {
+		return t.formerSince
+	}
+	return t.ownedSince
+}
+
 // Empty returns the time until the owner of the workspace in the zone has a token, as far as this daemon was told, or 0.
 func (t *Quotas) Empty(workspace model.WorkspaceName, zone model.AvailabilityZone, now time.Time) time.Duration {
 	t.mu.Lock()
@@ -165,7 +177,8 @@
 	t.lastTick = now
 	if paused {
 		clear(t.accounts)
-		t.ownedSince = now.Add(quotaJoinWait)
+		t.former = nil
+		t.ownedSince = now.Add(t.joinWait)
 	}
 	return paused
 }
