Let servers of the simulation start anew after they announced that they leave

TestControlState failed: "d0 does not use server i5 4.2s after it joined". The restored copy listed that run, which the daemon rightly keeps as leaving.

Change: in the simulation an entry that no longer says that the server leaves belongs to another run, with a later start. The checks and bounds are the same, and no product code changes.

--- a/internal/command/follow/restore_test.go
+++ b/internal/command/follow/restore_test.go
@@ -155,3 +155,20 @@
 		}
 	})
 }
+
+// TestServerRestartsAfterRestore guards against a new run of a server that is not used, because the restored store listed the run before
+// it, which had announced that it leaves and was gone.
+func TestServerRestartsAfterRestore(t *testing.T) {
+	bounds := platformBounds{configApply: 1500 * time.Millisecond, drain: 1500 * time.Millisecond, settled: minSettled}
+	steps := []step{
+		{kind: stepDrain, target: 5, pause: 4 * checkInterval},
+		{kind: stepRemove, target: 5, pause: checkInterval},
+		{kind: stepRestore, target: 1},
+		{kind: stepRegister, target: 5},
+	}
+	synctest.Test(t, func(t *testing.T) {
+		if violation := run(steps, 1, bounds); violation != "" {
+			t.Error(violation)
+		}
+	})
+}
--- a/internal/command/follow/simulation_test.go
+++ b/internal/command/follow/simulation_test.go
@@ -34,6 +34,9 @@
 // of the extra attempts it sent.
 const maxRestarts = 2
 
+// firstStart is when the first run of each server started, in milliseconds.
+const firstStart int64 = 1_000_000
+
 const checkInterval = 200 * time.Millisecond
 
 var budgetRule = budget.FleetRule{Ratio: 0.2, Slack: 56, Span: 10 * time.Second}
@@ -102,8 +105,11 @@
 	// routing is the configuration of version, and entries what each server wrote last, or nil if its entry was removed.
 	routing *model.Routing
 	entries map[model.ServerName]*model.Registration
-	// sequence counts the entries that servers wrote.
-	sequence model.EntrySequence
+	// sequence counts the entries that servers wrote. starts counts the restarts of each server, and announcedLeave says whether its last run
+	// has announced that it leaves.
+	sequence       model.EntrySequence
+	starts         map[model.ServerName]int64
+	announcedLeave map[model.ServerName]bool
 }
 
 // daemon is the control state of a daemon from its start to its end.
@@ -255,10 +261,17 @@
 	}
 }
 
+// register writes a server's entry. A server that has announced that it leaves ends, so an entry that does not say so is of another run,
+// which states a later start.
 func (sim *simulation) register(name model.ServerName, leaving bool) {
 	sim.sequence++
+	if sim.announcedLeave[name] && !leaving {
+		sim.starts[name]++
+	}
+	sim.announcedLeave[name] = leaving
 	sim.entries[name] = &model.Registration{
 		Name: name, Service: service, Address: "a:1", Zone: "z0", Slots: 2, Leaving: leaving, WarmUp: time.Duration(sim.sequence),
+		Started: firstStart + sim.starts[name],
 	}
 	delete(sim.joinedAt, name)
 	delete(sim.leftAt, name)
@@ -352,6 +365,7 @@
 		store:  newMemoryStore(), daemons: make([]*daemon, daemonCount), writtenAt: map[model.RoutingVersion]time.Time{},
 		leftAt: map[model.ServerName]time.Time{}, joinedAt: map[model.ServerName]time.Time{},
 		restarts: map[int][]time.Time{}, entries: map[model.ServerName]*model.Registration{},
+		starts: map[model.ServerName]int64{}, announcedLeave: map[model.ServerName]bool{},
 	}
 	sim.configure()
 	sim.register("i0", false)
