Send no request over a connection that has carried its id

Cause: where two daemons gather one answer, both send sub-requests with the request's id over the same connections of the servers' owners. A copy of the reply to the first sub-request passes for the reply to the second one, since only the echoed id is compared.

Change: a connection remembers its last 8 ids and carries none of them again; the request gets another connection.

Tests: "gives no request a second copy of the reply to an earlier one with the same id, sent late" failed first.

--- a/internal/backend/backendhttp/exchange.go
+++ b/internal/backend/backendhttp/exchange.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		panic("backendhttp: message cannot be encoded: " + err.Error())
 	}
-	template, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, x.conn.Trace()), http.MethodPost, c.baseURL+path, nil)
+	template, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, x.conn.Trace(AttemptHeader(x.id))), http.MethodPost, c.baseURL+path, nil)
 	if err != nil {
 		return backend.StatusUnreachable, RefusalBody{}
 	}
--- a/internal/backend/httpconn/tracker.go
+++ b/internal/backend/httpconn/tracker.go
@@ -19,7 +19,8 @@
 type Tracker struct {
 	conn net.Conn
 	turn *turn
-	// unusable is set while the request has a connection whose previous reply was not accepted. Nothing is sent on it.
+	// unusable is set while the request has a connection whose previous reply was not accepted, or which has carried a request with the
+	// same id. Nothing is sent on it.
 	unusable atomic.Bool
 	// written is set once the headers of the request were written to a connection.
 	written atomic.Bool
@@ -40,15 +41,15 @@
 	}
 }
 
-// Trace returns the hooks with which the request must be sent. net/http resends a request without a body if a reused
+// Trace returns the hooks with which the request must be sent. id is what the reply echoes. net/http resends a request without a body if a reused
 // connection closes without a reply. That would be an attempt that no retry policy allowed, so the hooks close the connection
 // that net/http gets for it.
-func (t *Tracker) Trace() *httptrace.ClientTrace {
+func (t *Tracker) Trace(id string) *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
 		GetConn: func(string) { t.conn = nil },
 		GotConn: func(info httptrace.GotConnInfo) {
 			t.conn = info.Conn
-			if !t.begin() || t.written.Load() {
+			if !t.begin(id) || t.written.Load() {
 				t.CloseConn()
 			}
 		},
@@ -61,14 +62,14 @@
 }
 
 // begin starts the request's turn on its connection, and reports whether the connection may be used.
-func (t *Tracker) begin() bool {
+func (t *Tracker) begin(id string) bool {
 	c, ok := t.conn.(*conn)
 	if !ok {
 		return true
 	}
 	t.End()
 	var usable bool
-	t.turn, usable = c.begin()
+	t.turn, usable = c.begin(id)
 	t.unusable.Store(!usable)
 	return usable
 }
