--- a/internal/backend/httpconn/conn.go
+++ b/internal/backend/httpconn/conn.go
@@ -14,8 +14,8 @@
 
 // Dial returns a function like dial whose connections carry a further request only once the reply to the previous one was
 // accepted. net/http alone reuses a connection as soon as a reply has ended, before its caller has seen that the reply belongs
-// to another request or comes from elsewhere. A connection does not carry two requests with one id: a second copy of the reply to the
-// first, sent late, would pass for the reply to the second.
+// to another request or comes from elsewhere. A connection carries no request whose id is among those of its last
+// recentRequests: a second copy of the earlier reply, sent late, would pass for the reply to it.
 func Dial(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
